--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,128 @@
+// Package call makes JSON requests over HTTP whose outcome is never guessed: a
+// request either was answered, or was refused (it was certainly not carried out),
+// or its outcome is unknown (it may have been carried out, or may be later).
+package call
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Outcome says what is known about a request.
+type Outcome int
+
+// The outcomes.
+const (
+	Unknown  Outcome = iota // may have been carried out, now or later
+	Refused                 // certainly not carried out
+	OK                      // carried out
+	Conflict                // a condition failed, nothing was carried out
+	Missing                 // what was asked for does not exist
+	Invalid                 // malformed, or a lease it names has ended
+	TooOld                  // a watch asked for changes no longer kept
+)
+
+var names = [...]string{"unknown", "refused", "ok", "conflict", "missing", "invalid", "too_old"}
+
+func (o Outcome) String() string { return names[o] }
+
+// Client talks to one service.
+type Client struct {
+	http    *http.Client
+	base    string
+	limiter *rate.Limiter
+	maxBody int64
+}
+
+// New makes a client for a service at an address. perSecond bounds the requests
+// sent; a request over it is refused here, at once. conns bounds the sockets.
+func New(addr string, perSecond float64, conns int, maxBody int64) *Client {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &Client{
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxConnsPerHost:     conns,
+			MaxIdleConnsPerHost: conns,
+			MaxIdleConns:        conns,
+			IdleConnTimeout:     30 * time.Second,
+			DisableCompression:  true,
+		}},
+		base:    "http://" + addr,
+		limiter: rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond))),
+		maxBody: maxBody,
+	}
+}
+
+// Do sends a request and reads the answer into out where the status is 200 (or
+// 409 and 404, whose bodies matter as well). body and out may be nil.
+func (c *Client) Do(ctx context.Context, method, path string, body, out any) Outcome {
+	if !c.limiter.Allow() {
+		return Refused
+	}
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return Invalid
+		}
+		reader = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, reader)
+	if err != nil {
+		return Invalid
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		// Only a connection that never stood proves that nothing was sent.
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return Refused
+		}
+		return Unknown
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBody+1))
+	if err != nil || int64(len(data)) > c.maxBody {
+		if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+			return Refused
+		}
+		return Unknown
+	}
+	o := outcomeOf(resp.StatusCode)
+	if out != nil && len(data) > 0 && (o == OK || o == Conflict || o == Missing) {
+		if json.Unmarshal(data, out) != nil {
+			// An answer that can't be read tells nothing.
+			return Unknown
+		}
+	}
+	return o
+}
+
+func outcomeOf(status int) Outcome {
+	switch status {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		return OK
+	case http.StatusConflict:
+		return Conflict
+	case http.StatusNotFound:
+		return Missing
+	case http.StatusBadRequest, http.StatusUnprocessableEntity:
+		return Invalid
+	case http.StatusGone:
+		return TooOld
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return Refused
+	}
+	return Unknown
+}
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,54 @@
+// Package cloud is the client of the cloud's interface.
+package cloud
+
+import (
+	"context"
+	"net/url"
+	"strconv"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/wire"
+)
+
+const maxAnswer = 4 << 20
+
+// Client talks to the cloud.
+type Client struct{ c *call.Client }
+
+// New makes a client that sends at most perSecond requests a second.
+func New(addr string, perSecond float64, conns int) *Client {
+	return &Client{call.New(addr, perSecond, conns, maxAnswer)}
+}
+
+// Catalog reads the machine types.
+func (c *Client) Catalog(ctx context.Context) (wire.Catalog, call.Outcome) {
+	var cat wire.Catalog
+	o := c.c.Do(ctx, "GET", "/catalog", nil, &cat)
+	if o == call.OK && len(cat.Types) == 0 {
+		o = call.Unknown
+	}
+	return cat, o
+}
+
+// Rent rents machines. A refusal means that nothing was rented.
+func (c *Client) Rent(ctx context.Context, r wire.RentRequest) (wire.Names, call.Outcome) {
+	var n wire.Names
+	o := c.c.Do(ctx, "POST", "/rentals", r, &n)
+	return n, o
+}
+
+// Release gives machines back.
+func (c *Client) Release(ctx context.Context, names []string) call.Outcome {
+	return c.c.Do(ctx, "POST", "/rentals/release", wire.Names{Machines: names}, nil)
+}
+
+// List reads a page of the machine list.
+func (c *Client) List(ctx context.Context, after string) (wire.MachineList, call.Outcome) {
+	q := url.Values{"limit": {strconv.Itoa(wire.MaxList)}}
+	if after != "" {
+		q.Set("after", after)
+	}
+	var l wire.MachineList
+	o := c.c.Do(ctx, "GET", "/rentals?"+q.Encode(), nil, &l)
+	return l, o
+}
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,105 @@
+package config
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+// Operator is the operators' own settings.
+type Operator struct {
+	RoundS             float64 `json:"round_s"`
+	EventRounds        bool    `json:"event_rounds"`
+	RoundBudget        float64 `json:"round_budget"`
+	SpareShare         float64 `json:"spare_share"`
+	IdleBoots          float64 `json:"idle_boots"`
+	StuckBoots         float64 `json:"stuck_boots"`
+	SilentLeases       float64 `json:"silent_leases"`
+	LeaderTTLLeases    float64 `json:"leader_ttl_leases"`
+	MaxPendingRequests int     `json:"max_pending_requests"`
+}
+
+// DefaultOperator gives the built-in settings.
+func DefaultOperator() *Operator {
+	return &Operator{
+		RoundS:             5,
+		EventRounds:        true,
+		RoundBudget:        0.25,
+		SpareShare:         0.1,
+		IdleBoots:          1,
+		StuckBoots:         3,
+		SilentLeases:       2,
+		LeaderTTLLeases:    0.3,
+		MaxPendingRequests: 256,
+	}
+}
+
+//go:embed operator.schema.json
+var operatorSchema []byte
+
+// OperatorSchema is the published schema of the operators' settings.
+func OperatorSchema() []byte { return operatorSchema }
+
+// LoadOperator reads the operators' settings over the defaults.
+func LoadOperator(path string) (*Operator, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator settings: %w", err)
+	}
+	o, err := ParseOperator(data)
+	if err != nil {
+		return nil, fmt.Errorf("operator settings %s: %w", path, err)
+	}
+	return o, nil
+}
+
+// ParseOperator reads the text of the operators' settings over the defaults.
+func ParseOperator(data []byte) (*Operator, error) {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("not JSON: %v", err)
+	}
+	schemaDoc, err := jsonschema.UnmarshalJSON(bytes.NewReader(operatorSchema))
+	if err != nil {
+		return nil, err
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("operator.schema.json", schemaDoc); err != nil {
+		return nil, err
+	}
+	schema, err := c.Compile("operator.schema.json")
+	if err != nil {
+		return nil, err
+	}
+	if err := schema.Validate(doc); err != nil {
+		var ve *jsonschema.ValidationError
+		if errors.As(err, &ve) {
+			for len(ve.Causes) > 0 {
+				ve = ve.Causes[0]
+			}
+			return nil, fmt.Errorf("/%s: %s", strings.Join(ve.InstanceLocation, "/"), lastLine(ve.Error()))
+		}
+		return nil, err
+	}
+	o := DefaultOperator()
+	if err := json.Unmarshal(data, o); err != nil {
+		return nil, err
+	}
+	return o, nil
+}
+
+// lastLine keeps the part of a schema error that names the trouble.
+func lastLine(s string) string {
+	lines := strings.Split(strings.TrimSpace(s), "\n")
+	l := strings.TrimSpace(lines[len(lines)-1])
+	if _, after, ok := strings.Cut(l, "': "); ok {
+		return after
+	}
+	return l
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,201 @@
+// Package config reads the settings file that the platform hands over (TOML) and
+// the operators' own settings (JSON, checked against a published schema).
+package config
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Settings is the platform's file. Fields that are not named here are ignored.
+type Settings struct {
+	Node       string    `toml:"host_name"`
+	Zone       string    `toml:"domain"`
+	Listen     string    `toml:"bind"`
+	PeerListen string    `toml:"internal_addr"`
+	Peers      []Peer    `toml:"siblings"`
+	Services   Services  `toml:"outside"`
+	Params     Params    `toml:"params"`
+	Operator   *Operator `toml:"-"`
+}
+
+// Peer is another controller node.
+type Peer struct {
+	Node string `toml:"host_name"`
+	Zone string `toml:"domain"`
+	Addr string `toml:"address"`
+}
+
+// Services are the addresses of what the controllers use.
+type Services struct {
+	Cloud string `toml:"cloud"`
+	State string `toml:"state"`
+}
+
+// Params describe the deployment.
+type Params struct {
+	Nodes      int         `toml:"initial_size"`
+	Zones      []string    `toml:"zones"`
+	ClockOffMS float64     `toml:"clock_error_ms"`
+	Teams      []Team      `toml:"teams"`
+	Objectives []Objective `toml:"objectives"`
+	Workers    Workers     `toml:"workers"`
+	State      State       `toml:"state"`
+	Cloud      Cloud       `toml:"cloud"`
+	Limits     Limits      `toml:"limits"`
+}
+
+// Team has a guarantee and a limit; a limit of 0 means there is none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective restates an aim.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Workers has the times of the workers' protocol.
+type Workers struct {
+	ReportS float64 `toml:"report_s"`
+	LeaseS  float64 `toml:"lease_s"`
+	CancelS float64 `toml:"cancel_s"`
+}
+
+// State has the limits of the state service.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud has the limits of the cloud's interface.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Limits are what the node itself may use.
+type Limits struct {
+	CPUShare       float64 `toml:"core_share"`
+	MemoryMB       float64 `toml:"memory_mb"`
+	MaxConnections int     `toml:"max_connections"`
+}
+
+// Seconds turns a number of seconds into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Load reads and checks the platform's file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads and checks the text of the platform's file.
+func Parse(data []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := toml.Unmarshal(data, s); err != nil {
+		if de, ok := err.(*toml.DecodeError); ok {
+			row, _ := de.Position()
+			key := ""
+			for i, k := range de.Key() {
+				if i > 0 {
+					key += "."
+				}
+				key += k
+			}
+			return nil, fmt.Errorf("line %d: %s: %s", row, key, de.Error())
+		}
+		return nil, err
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	s.Operator = DefaultOperator()
+	return s, nil
+}
+
+func (s *Settings) check() error {
+	if s.Node == "" {
+		return fmt.Errorf("host_name: is missing")
+	}
+	addrs := []struct{ field, addr string }{
+		{"bind", s.Listen}, {"internal_addr", s.PeerListen},
+		{"outside.cloud", s.Services.Cloud}, {"outside.state", s.Services.State},
+	}
+	seen := map[string]bool{s.Node: true}
+	for i, p := range s.Peers {
+		addrs = append(addrs, struct{ field, addr string }{fmt.Sprintf("siblings[%d].address", i), p.Addr})
+		if p.Node == "" || seen[p.Node] {
+			return fmt.Errorf("siblings[%d].host_name: is missing or used twice", i)
+		}
+		seen[p.Node] = true
+	}
+	for _, a := range addrs {
+		if a.addr == "" {
+			return fmt.Errorf("%s: is missing", a.field)
+		}
+		if _, port, err := net.SplitHostPort(a.addr); err != nil || port == "" {
+			return fmt.Errorf("%s: %q is no address of the form host:port", a.field, a.addr)
+		}
+	}
+	p := &s.Params
+	positive := []struct {
+		field string
+		v     float64
+	}{
+		{"params.workers.report_s", p.Workers.ReportS},
+		{"params.workers.lease_s", p.Workers.LeaseS},
+		{"params.workers.cancel_s", p.Workers.CancelS},
+		{"params.state.rps", p.State.RPS},
+		{"params.state.write_rps", p.State.WriteRPS},
+		{"params.state.value_kb", p.State.ValueKB},
+		{"params.state.txn_ops", float64(p.State.TxnOps)},
+		{"params.cloud.rps", p.Cloud.RPS},
+		{"params.cloud.list_lag_s", p.Cloud.ListLagS},
+		{"params.limits.core_share", p.Limits.CPUShare},
+		{"params.limits.memory_mb", p.Limits.MemoryMB},
+		{"params.limits.max_connections", float64(p.Limits.MaxConnections)},
+	}
+	for _, f := range positive {
+		if !(f.v > 0) || f.v > 1e9 {
+			return fmt.Errorf("%s: must be above 0, is %v", f.field, f.v)
+		}
+	}
+	if p.State.TxnOps < 4 {
+		return fmt.Errorf("params.state.txn_ops: must be at least 4, is %d", p.State.TxnOps)
+	}
+	if p.ClockOffMS < 0 {
+		return fmt.Errorf("params.clock_error_ms: must not be negative, is %v", p.ClockOffMS)
+	}
+	teams := map[string]bool{}
+	for i, t := range p.Teams {
+		if t.Name == "" || teams[t.Name] {
+			return fmt.Errorf("params.teams[%d].name: is missing or used twice", i)
+		}
+		teams[t.Name] = true
+		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
+			return fmt.Errorf("params.teams[%d]: amounts must not be negative", i)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,301 @@
+package core
+
+import (
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/config"
+	"bitternwing/internal/wire"
+)
+
+// Core is the state machine of one controller node.
+type Core struct {
+	set *config.Settings
+	op  *config.Operator
+	// incarnation tells this process from earlier ones of the same node.
+	incarnation string
+	t           times
+
+	now     Time
+	out     []Effect
+	nextID  uint64
+	pending map[uint64]func(Result)
+
+	dir   *directory
+	users *users
+	elect *election
+	lead  *leader // nil unless this node holds a term
+	peers []*peer
+
+	catalog     []wire.MachineType
+	catalogAt   time.Duration
+	catalogBusy bool
+
+	// What was last seen of the state service; health and outage mode go by it.
+	stateOKAt   time.Duration
+	stateDown   bool
+	stateAsking bool
+	probeAt     time.Duration
+	lastReport  time.Duration // when a worker last reported here; negative: never
+	wake        time.Duration
+}
+
+// times are the durations derived from the settings, each a ratio of one of them.
+type times struct {
+	report    time.Duration // workers' report interval
+	lease     time.Duration // workers' lease
+	cancel    time.Duration // time for a cancelled job's tasks to be gone
+	leaderTTL time.Duration // life of the leader's lease
+	listLag   time.Duration
+	probe     time.Duration // how often the state service is looked at
+	retry     time.Duration // pause after a refusal
+	round     time.Duration
+	eventGap  time.Duration // least time between rounds that events ask for
+	batchGap  time.Duration // least time between compare batches of a node
+	watchGap  time.Duration // least time between two watches
+}
+
+func timesOf(s *config.Settings, op *config.Operator) times {
+	p := s.Params
+	t := times{
+		report:  config.Seconds(p.Workers.ReportS),
+		lease:   config.Seconds(p.Workers.LeaseS),
+		cancel:  config.Seconds(p.Workers.CancelS),
+		listLag: config.Seconds(p.Cloud.ListLagS),
+		round:   config.Seconds(op.RoundS),
+	}
+	nodes := float64(len(s.Peers) + 1)
+	t.leaderTTL = time.Duration(float64(t.lease) * op.LeaderTTLLeases)
+	t.probe = t.report
+	t.retry = t.report / 4
+	t.eventGap = t.report / 8
+	// A node's polls use at most a sixth of its share of the requests, a watch
+	// at most a fifth.
+	t.batchGap = config.Seconds(6 * nodes / p.State.RPS / 3)
+	t.watchGap = config.Seconds(5 * nodes / p.State.RPS / 2)
+	return t
+}
+
+// New makes the core of a node.
+func New(s *config.Settings, incarnation string) *Core {
+	op := s.Operator
+	if op == nil {
+		op = config.DefaultOperator()
+	}
+	c := &Core{set: s, op: op, incarnation: incarnation, t: timesOf(s, op),
+		pending: map[uint64]func(Result){}, lastReport: -1}
+	c.dir = newDirectory()
+	c.users = newUsers(c)
+	c.elect = newElection(c)
+	for _, p := range s.Peers {
+		c.peers = append(c.peers, &peer{node: p.Node})
+	}
+	return c
+}
+
+// Step takes an input and returns what to do. The slice is valid until the next
+// call.
+func (c *Core) Step(now Time, in Input) []Effect {
+	c.now = now
+	clear(c.out)
+	c.out = c.out[:0]
+	switch in := in.(type) {
+	case Submit:
+		c.users.submit(in)
+	case Poll:
+		c.users.poll(in)
+	case Cancel:
+		c.users.cancel(in)
+	case Checkin:
+		c.checkin(in)
+	case Result:
+		if f := c.pending[in.ID]; f != nil {
+			delete(c.pending, in.ID)
+			f(in)
+		}
+	case Tick:
+	}
+	c.run()
+	return c.out
+}
+
+// Wake tells when Step wants a Tick at the latest.
+func (c *Core) Wake() time.Duration { return c.wake }
+
+func (c *Core) at(t time.Duration) {
+	if t < c.wake {
+		c.wake = t
+	}
+}
+
+// run does what is due. Every part sets when it wants to be woken.
+func (c *Core) run() {
+	c.wake = c.now.Steady + c.t.probe
+	c.runCatalog()
+	c.runDirectory()
+	c.runProbe()
+	c.runPeers()
+	c.elect.run()
+	if c.lead != nil {
+		c.lead.run()
+	}
+	c.users.run()
+}
+
+// call registers what happens with a call's result and gives the call's ID.
+func (c *Core) call(f func(Result)) uint64 {
+	c.nextID++
+	c.pending[c.nextID] = f
+	return c.nextID
+}
+
+// stateCall is call for the state service: it also keeps what is known of its
+// health.
+func (c *Core) stateCall(f func(Result)) uint64 {
+	return c.call(func(r Result) {
+		c.sawState(r.Outcome)
+		f(r)
+	})
+}
+
+func (c *Core) sawState(o call.Outcome) {
+	down := o == call.Refused || o == call.Unknown
+	if !down {
+		c.stateOKAt = c.now.Steady
+	}
+	if down != c.stateDown {
+		c.stateDown = down
+		if down {
+			c.log(Info, "state service does not serve this node", "outcome", o.String())
+		} else {
+			c.log(Info, "state service serves this node")
+		}
+	}
+}
+
+func (c *Core) send(e Effect) { c.out = append(c.out, e) }
+
+func (c *Core) answer(req uint64, status int, body any) {
+	c.send(Answer{Req: req, Status: status, Body: body})
+}
+
+// errorBody is the body of answers that are no success.
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+// later tells a user to come back. It is the only answer for what can't be
+// confirmed now, and it is given at once.
+func (c *Core) later(req uint64, status int, why string) {
+	c.send(Answer{Req: req, Status: status, Body: errorBody{why}, RetryAfter: 1})
+}
+
+func (c *Core) log(l Level, msg string, pairs ...any) {
+	c.send(Log{Level: l, Message: msg, Pairs: pairs})
+}
+
+// runProbe looks at the state service when nothing else did for a while, so that
+// health and outage mode rest on fresh knowledge.
+func (c *Core) runProbe() {
+	every := c.t.probe
+	if c.stateDown {
+		every /= 2
+	}
+	due := c.stateOKAt + every
+	if c.stateAsking {
+		return
+	}
+	if c.now.Steady < due && !c.stateDown {
+		c.at(due)
+		return
+	}
+	if c.stateDown && c.now.Steady < c.probeAt {
+		c.at(c.probeAt)
+		return
+	}
+	c.stateAsking = true
+	c.probeAt = c.now.Steady + every
+	id := c.stateCall(func(Result) { c.stateAsking = false })
+	c.send(StateTxn{ID: id, Txn: wire.Txn{If: []wire.Cond{c.dir.leadCond()}}})
+}
+
+// Healthy tells whether this node can take requests. A node that alone is refused
+// by the state service is unhealthy; in an outage for all, nodes stay healthy, so
+// that users get their 503 at once and nothing has to be added again afterwards.
+func (c *Core) Healthy() bool {
+	if !c.dir.ready || c.catalog == nil {
+		return false
+	}
+	if !c.stateDown {
+		return true
+	}
+	if c.now.Steady-c.stateOKAt < c.t.report {
+		return true
+	}
+	return c.allRefused()
+}
+
+// PeerStatus is what this node tells the others of itself.
+func (c *Core) PeerStatus() PeerStatus {
+	s := PeerStatus{StateDown: c.stateDown || !c.dir.ready, Term: c.dir.term.Term, ReportAge: -1}
+	if c.lead != nil {
+		s.Leads = true
+		s.Term = max(s.Term, c.lead.term)
+	}
+	if c.lastReport >= 0 {
+		s.ReportAge = c.now.Steady - c.lastReport
+	}
+	return s
+}
+
+// runCatalog keeps the machine types. They change seldom; prices drift, so the
+// leader reads them anew now and then. The catalog is kept in the state service
+// too, so that a node can judge submissions while the cloud is down.
+func (c *Core) runCatalog() {
+	if c.catalogBusy || !c.dir.ready {
+		return
+	}
+	if c.catalog == nil && c.dir.catalog != nil {
+		c.catalog = c.dir.catalog
+		c.catalogAt = c.now.Steady
+	}
+	every := 30 * c.t.listLag
+	if c.catalog == nil {
+		every = c.t.probe
+	} else if c.lead == nil {
+		return
+	}
+	due := c.catalogAt + every
+	if c.catalogAt != 0 && c.now.Steady < due {
+		c.at(due)
+		return
+	}
+	c.catalogBusy = true
+	c.catalogAt = c.now.Steady
+	id := c.call(func(r Result) {
+		c.catalogBusy = false
+		if r.Outcome != call.OK || len(r.Catalog.Types) == 0 {
+			return
+		}
+		c.catalog = r.Catalog.Types
+	})
+	c.send(CloudCatalog{ID: id})
+}
+
+func (c *Core) machineType(name string) *wire.MachineType {
+	for i := range c.catalog {
+		if c.catalog[i].Name == name {
+			return &c.catalog[i]
+		}
+	}
+	return nil
+}
+
+func (c *Core) team(name string) *config.Team {
+	for i := range c.set.Params.Teams {
+		if c.set.Params.Teams[i].Name == name {
+			return &c.set.Params.Teams[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/directory.go
@@ -0,0 +1,248 @@
+package core
+
+import (
+	"encoding/json"
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/wire"
+)
+
+// The keys. Everything below watched is fed to each node by one watch; final
+// states and run records are read when they are needed.
+const (
+	watched    = "w/"
+	keyActive  = "w/a/"      // a job that still needs attention
+	keyCounts  = "w/n/"      // counts of running and done tasks, in shards
+	keyLead    = "w/lead"    // who leads, on a lease
+	keyTerm    = "w/term"    // the term, counted up with each win
+	keyCatalog = "w/catalog" // the machine types
+	keyFinal   = "f/"        // a job's final state, kept for good
+	keyRuns    = "r/"        // run records
+)
+
+// activeValue is a job that is neither done nor wholly gone after a cancel.
+type activeValue struct {
+	Job         *wire.Job `json:"job"`
+	AtMS        int64     `json:"at"`
+	CancelledMS int64     `json:"x,omitempty"`
+}
+
+// finalValue is a job's final state.
+type finalValue struct {
+	State string `json:"s"`
+	Done  int    `json:"n"`
+}
+
+type leadValue struct {
+	Node        string `json:"node"`
+	Incarnation string `json:"inc"`
+	Lease       uint64 `json:"lease"`
+	Term        uint64 `json:"term"`
+}
+
+type termValue struct {
+	Term uint64 `json:"term"`
+	Node string `json:"node"`
+}
+
+// counts of a job: running, done.
+type counts [2]int
+
+type entry struct {
+	activeValue
+	version uint64
+}
+
+// directory is the watched part of the state service as this node last saw it.
+// It may lag; what is told to users is confirmed first.
+type directory struct {
+	ready    bool
+	revision uint64
+
+	jobs        map[string]*entry
+	lead        leadValue
+	leadVersion uint64
+	term        termValue
+	termVersion uint64
+	catalog     []wire.MachineType
+	countShards map[string]map[string]counts
+
+	// finals are final states seen here; they never change, so they need no
+	// confirmation. The oldest makes way.
+	finals     map[string]finalValue
+	finalOrder []string
+
+	loading  *directory // being read, when set
+	busy     bool
+	openedAt time.Duration
+	notNow   time.Duration // not before
+}
+
+func newDirectory() *directory {
+	return &directory{jobs: map[string]*entry{}, countShards: map[string]map[string]counts{},
+		finals: map[string]finalValue{}}
+}
+
+func (d *directory) leadCond() wire.Cond { return wire.Cond{Key: keyLead, Version: d.leadVersion} }
+
+// apply takes a key's value, or its end where value is nil.
+func (d *directory) apply(key string, value json.RawMessage, version uint64) {
+	switch {
+	case len(key) > len(keyActive) && key[:len(keyActive)] == keyActive:
+		id := key[len(keyActive):]
+		if old := d.jobs[id]; old != nil && old.version >= version {
+			return
+		}
+		if value == nil {
+			delete(d.jobs, id)
+			return
+		}
+		var v activeValue
+		if json.Unmarshal(value, &v) != nil || v.Job == nil {
+			return
+		}
+		d.jobs[id] = &entry{v, version}
+	case key == keyLead:
+		d.leadVersion, d.lead = 0, leadValue{}
+		if value != nil && json.Unmarshal(value, &d.lead) == nil {
+			d.leadVersion = version
+		}
+	case key == keyTerm:
+		var t termValue
+		if value != nil && json.Unmarshal(value, &t) == nil && version > d.termVersion {
+			d.term, d.termVersion = t, version
+		}
+	case key == keyCatalog:
+		var t []wire.MachineType
+		if value != nil && json.Unmarshal(value, &t) == nil {
+			d.catalog = t
+		}
+	case len(key) > len(keyCounts) && key[:len(keyCounts)] == keyCounts:
+		var m map[string]counts
+		if value == nil || json.Unmarshal(value, &m) != nil {
+			m = nil
+		}
+		d.countShards[key] = m
+	}
+}
+
+// keepFinal remembers a final state, up to a bound.
+func (c *Core) keepFinal(id string, f finalValue) {
+	d := c.dir
+	if _, ok := d.finals[id]; ok {
+		return
+	}
+	if most := int(100 * c.set.Params.Limits.MemoryMB); len(d.finalOrder) >= most {
+		delete(d.finals, d.finalOrder[0])
+		d.finalOrder = d.finalOrder[1:]
+	}
+	d.finals[id] = f
+	d.finalOrder = append(d.finalOrder, id)
+}
+
+// runDirectory reads the watched keys and then follows them.
+func (c *Core) runDirectory() {
+	d := c.dir
+	if d.busy {
+		return
+	}
+	if c.now.Steady < d.notNow {
+		c.at(d.notNow)
+		return
+	}
+	d.busy = true
+	if !d.ready || d.loading != nil {
+		if d.loading == nil {
+			d.loading = newDirectory()
+		}
+		c.readDirectory("")
+		return
+	}
+	d.openedAt = c.now.Steady
+	id := c.call(func(r Result) {
+		d.busy = false
+		gap := c.t.watchGap
+		if c.lead == nil {
+			gap *= 3
+		}
+		d.notNow = d.openedAt + gap
+		switch r.Outcome {
+		case call.OK:
+			c.sawState(r.Outcome)
+			c.applyChanges(r.Changes)
+		case call.TooOld:
+			d.loading = newDirectory()
+		default:
+			if r.Outcome == call.Refused {
+				c.sawState(r.Outcome)
+			}
+			d.notNow = c.now.Steady + c.t.retry
+		}
+	})
+	c.send(StateWatch{ID: id, Prefix: watched, After: d.revision, Wait: c.t.lease / 2})
+}
+
+func (c *Core) applyChanges(ch wire.Changes) {
+	for _, e := range ch.Events {
+		key, value := e.Put, e.Value
+		if e.Delete != "" {
+			key, value = e.Delete, nil
+		}
+		c.dir.apply(key, value, e.Version)
+		c.noticeJob(key)
+	}
+	c.dir.revision = max(c.dir.revision, ch.Revision)
+}
+
+// noticeJob hands a changed job to the leader.
+func (c *Core) noticeJob(key string) {
+	if c.lead != nil && len(key) > len(keyActive) && key[:len(keyActive)] == keyActive {
+		c.lead.jobChanged(key[len(keyActive):])
+	}
+}
+
+// readDirectory reads all pages of the watched keys. The revision of the first
+// page is where the watch begins: what changed while reading comes once more.
+func (c *Core) readDirectory(after string) {
+	d := c.dir
+	id := c.stateCall(func(r Result) {
+		if r.Outcome != call.OK {
+			d.busy, d.loading = false, newDirectory()
+			d.notNow = c.now.Steady + c.t.retry
+			return
+		}
+		l := d.loading
+		if l.revision == 0 {
+			l.revision = r.Page.Revision
+		}
+		for _, it := range r.Page.Items {
+			l.apply(it.Key, it.Value, it.Version)
+		}
+		if n := len(r.Page.Items); r.Page.More && n > 0 {
+			c.readDirectory(r.Page.Items[n-1].Key)
+			return
+		}
+		old := d.jobs
+		d.jobs, d.lead, d.leadVersion = l.jobs, l.lead, l.leadVersion
+		if l.termVersion > d.termVersion {
+			d.term, d.termVersion = l.term, l.termVersion
+		}
+		d.countShards, d.revision = l.countShards, l.revision
+		if l.catalog != nil {
+			d.catalog = l.catalog
+		}
+		d.loading, d.busy, d.ready = nil, false, true
+		if c.lead != nil {
+			for id := range old {
+				if d.jobs[id] == nil {
+					c.lead.jobChanged(id)
+				}
+			}
+			for id := range d.jobs {
+				c.lead.jobChanged(id)
+			}
+		}
+	})
+	c.send(StateList{ID: id, Prefix: watched, After: after})
+}
--- /dev/null
+++ b/internal/core/election.go
@@ -0,0 +1,198 @@
+package core
+
+import (
+	"encoding/json"
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/wire"
+)
+
+// election decides whether this node leads. The lead key stands on a lease; the
+// term key has none and is counted up with each win. Safety rests on the term
+// alone: every write of a leader is conditional on the version of its term key,
+// and the term is the token that workers compare. The lease only keeps two nodes
+// from taking turns.
+type election struct {
+	c    *Core
+	busy bool
+
+	lease    uint64
+	deadline time.Duration // the lease is good until here, by this node's clock
+	notNow   time.Duration // no candidacy before this
+	extendAt time.Duration
+	extend   bool // an extend is under way
+}
+
+func newElection(c *Core) *election { return &election{c: c} }
+
+// drift is what the steady clock may be off, doubled for safety.
+const drift = 0.001
+
+func (e *election) life() time.Duration {
+	return time.Duration(float64(e.c.t.leaderTTL) * (1 - drift))
+}
+
+func (e *election) run() {
+	c := e.c
+	if c.lead != nil {
+		e.keep()
+		return
+	}
+	if e.busy || !c.dir.ready {
+		return
+	}
+	if c.dir.leadVersion != 0 {
+		// An earlier process of this very node still holds the lease: it is dead,
+		// so its lease may end now. The same goes for a win of our own that we
+		// only learn of here.
+		if l := c.dir.lead; l.Node == c.set.Node && c.now.Steady >= e.notNow {
+			e.busy = true
+			e.notNow = c.now.Steady + c.t.retry
+			e.revoke(l.Lease, func() { e.busy = false })
+		}
+		return
+	}
+	if c.now.Steady < e.notNow {
+		c.at(e.notNow)
+		return
+	}
+	if c.stateDown {
+		return
+	}
+	e.stand()
+}
+
+func (e *election) revoke(lease uint64, then func()) {
+	id := e.c.stateCall(func(Result) {
+		if then != nil {
+			then()
+		}
+	})
+	e.c.send(StateRevoke{ID: id, Lease: lease})
+}
+
+// stand runs for the next term: a lease, then the lead and the term in one
+// transaction.
+func (e *election) stand() {
+	c := e.c
+	e.busy = true
+	fail := func() {
+		e.busy = false
+		e.notNow = c.now.Steady + c.t.retry
+	}
+	id := c.stateCall(func(g Result) {
+		if g.Outcome != call.OK {
+			fail()
+			return
+		}
+		if c.dir.leadVersion != 0 {
+			e.revoke(g.Lease, nil)
+			fail()
+			return
+		}
+		term := c.dir.term.Term + 1
+		lead, err1 := json.Marshal(leadValue{c.set.Node, c.incarnation, g.Lease, term})
+		tv, err2 := json.Marshal(termValue{term, c.set.Node})
+		if err1 != nil || err2 != nil {
+			fail()
+			return
+		}
+		id := c.stateCall(func(r Result) {
+			if r.Outcome == call.OK {
+				e.busy = false
+				e.win(term, r.Txn.Revision, g)
+				return
+			}
+			// Unknown: if the transaction was or gets applied, the watch shows
+			// this node as leader and the lease is revoked from there.
+			e.revoke(g.Lease, nil)
+			fail()
+		})
+		c.send(StateTxn{ID: id, Txn: wire.Txn{
+			If:   []wire.Cond{{Key: keyLead}, {Key: keyTerm, Version: c.dir.termVersion}},
+			Then: []wire.Op{{Put: keyLead, Value: lead, Lease: g.Lease}, {Put: keyTerm, Value: tv}},
+		}})
+	})
+	c.send(StateGrant{ID: id, TTL: c.t.leaderTTL})
+}
+
+func (e *election) win(term, version uint64, grant Result) {
+	c := e.c
+	e.lease = grant.Lease
+	// The lease's time began when the service made it, which was no earlier than
+	// the request was sent.
+	e.deadline = grant.Sent + e.life()
+	e.extendAt = c.now.Steady
+	e.extend = false
+	c.log(Info, "leading", "term", term)
+	c.lead = newLeader(c, term, version)
+	if version > c.dir.termVersion {
+		c.dir.term, c.dir.termVersion = termValue{term, c.set.Node}, version
+	}
+}
+
+// keep renews the lease of a leader. Past its deadline a leader only waits: it
+// neither writes nor starts anything until an extend tells that it still holds
+// the lease, as after an outage of the state service, or that it lost it.
+func (e *election) keep() {
+	c := e.c
+	if c.dir.term.Term > c.lead.term {
+		e.lose("a newer term is known")
+		return
+	}
+	if c.workersElsewhere(c.lead.since) && len(c.lead.machines) > 0 && e.inTime() {
+		// Workers don't reach this node, others they do: make way.
+		lease := e.lease
+		e.notNow = c.now.Steady + c.t.lease
+		e.lose("workers report to other nodes only")
+		e.notNow = c.now.Steady + c.t.lease
+		e.revoke(lease, nil)
+		return
+	}
+	if e.extend {
+		return
+	}
+	if c.now.Steady < e.extendAt {
+		c.at(e.extendAt)
+		return
+	}
+	e.extend = true
+	lease := e.lease
+	id := c.stateCall(func(r Result) {
+		if c.lead == nil || e.lease != lease {
+			return
+		}
+		e.extend = false
+		switch r.Outcome {
+		case call.OK:
+			e.deadline = max(e.deadline, r.Sent+e.life())
+			e.extendAt = r.Sent + c.t.leaderTTL/4
+		case call.Missing:
+			e.lose("the lease ended")
+		default:
+			e.extendAt = c.now.Steady + c.t.leaderTTL/12
+		}
+	})
+	c.send(StateExtend{ID: id, Lease: e.lease})
+}
+
+// inTime tells whether this leader's lease is certainly good.
+func (e *election) inTime() bool {
+	if e.c.now.Steady < e.deadline {
+		e.c.at(e.deadline)
+		return true
+	}
+	return false
+}
+
+func (e *election) lose(why string) {
+	c := e.c
+	if c.lead == nil {
+		return
+	}
+	c.log(Info, "no longer leading", "term", c.lead.term, "why", why)
+	c.lead = nil
+	e.lease = 0
+	e.notNow = c.now.Steady + c.t.retry
+}
--- /dev/null
+++ b/internal/core/fleet.go
@@ -0,0 +1,439 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"bitternwing/internal/wire"
+)
+
+// machine is a worker's machine as the leader knows it.
+type machine struct {
+	name, kind, zone, addr string
+	spot                   bool
+	mt                     *wire.MachineType
+
+	since    time.Duration // when this leader first knew of it
+	rentedAt time.Duration // when it was asked for, as far as known
+	listed   bool          // seen in the cloud's list
+	listedAt time.Duration
+	missing  int  // complete lists in a row that lack it
+	failed   bool // the cloud says that it stopped
+	seenUp   bool // it has reported at some time, in this term or an earlier one
+
+	up      bool // it has reported in this term
+	session uint64
+	seq     uint64
+	token   uint64
+	heard   time.Duration
+	notice  bool
+
+	runs      map[string]*placement // by task name
+	exits     []wire.TaskReport     // exited tasks of the last report
+	strays    []wire.TaskReport     // tasks it holds that no record explains
+	releasing bool
+	idleSince time.Duration
+	images    []image // most recently used last
+	full      time.Duration
+
+	// Failure accounting, see faults.go.
+	errors map[string]int // by job, since something last ran well here
+	sick   bool
+}
+
+type image struct {
+	name  string
+	gb    float64
+	ready bool
+}
+
+func (m *machine) add(p *placement)    { m.runs[p.name()] = p }
+func (m *machine) remove(p *placement) { delete(m.runs, p.name()) }
+
+// sorted gives the machine's placements in order.
+func (m *machine) sorted() []*placement {
+	ps := make([]*placement, 0, len(m.runs))
+	for _, p := range m.runs {
+		ps = append(ps, p)
+	}
+	sort.Slice(ps, func(a, b int) bool {
+		if ps[a].job != ps[b].job {
+			return ps[a].job.before(ps[b].job)
+		}
+		return ps[a].task < ps[b].task
+	})
+	return ps
+}
+
+// machine gives a machine by name and takes it up if it is new.
+func (l *leader) machine(name string) *machine {
+	if m := l.machines[name]; m != nil {
+		return m
+	}
+	m := &machine{name: name, since: l.c.now.Steady, rentedAt: l.c.now.Steady, heard: l.c.now.Steady,
+		idleSince: l.c.now.Steady, runs: map[string]*placement{}, errors: map[string]int{}}
+	l.machines[name] = m
+	i := sort.Search(len(l.fleet), func(i int) bool { return l.fleet[i].name > name })
+	l.fleet = append(l.fleet, nil)
+	copy(l.fleet[i+1:], l.fleet[i:])
+	l.fleet[i] = m
+	return m
+}
+
+// describe fills in what kind of machine it is.
+func (m *machine) describe(kind, zone, addr string, spot bool) {
+	m.kind, m.zone, m.spot = kind, zone, spot
+	if addr != "" {
+		m.addr = addr
+	}
+}
+
+// gone drops a machine: there is evidence that it and all on it are no more.
+func (l *leader) gone(m *machine, why string) {
+	for _, p := range m.sorted() {
+		l.end(p)
+	}
+	if l.machines[m.name] != m {
+		return
+	}
+	delete(l.machines, m.name)
+	for i, x := range l.fleet {
+		if x == m {
+			l.fleet = append(l.fleet[:i], l.fleet[i+1:]...)
+			break
+		}
+	}
+	l.released[m.name] = l.c.now.Steady
+	l.c.log(Info, "machine gone", "machine", m.name, "why", why)
+	l.wantRound()
+}
+
+// end ends a placement: its attempt is not and will not be on its machine.
+func (l *leader) end(p *placement) {
+	j := p.job
+	if j.placed[p.task] != p {
+		p.machine.remove(p)
+		return
+	}
+	delete(j.placed, p.task)
+	p.machine.remove(p)
+	if len(p.machine.runs) == 0 {
+		p.machine.idleSince = l.c.now.Steady
+	}
+	j.cursor = min(j.cursor, p.task)
+	l.mark(l.chunkOf(j, p.task))
+	l.wantRound()
+	l.finishIfDone(j)
+}
+
+// checkin answers a worker's report.
+func (c *Core) checkin(in Checkin) {
+	r := in.Report
+	c.lastReport = c.now.Steady
+	l := c.lead
+	if l == nil {
+		to := ""
+		if c.dir.leadVersion != 0 && c.dir.lead.Node != c.set.Node {
+			to = c.dir.lead.Node
+		}
+		c.answer(in.Req, 421, wire.Redirect{Leader: to})
+		return
+	}
+	// A worker that knows a newer term would drop what this node says; a node
+	// past its deadline is not entitled to say anything.
+	if r.Token > l.term || !l.entitled() {
+		c.answer(in.Req, 421, wire.Redirect{})
+		return
+	}
+	c.answer(in.Req, 200, wire.ReportAnswer{Token: l.term, Commands: l.report(r)})
+}
+
+// report takes in a report and gives the commands of its answer.
+func (l *leader) report(r *wire.Report) []wire.Command {
+	none := []wire.Command{}
+	if !l.loaded {
+		return none // the answer renews the lease; what runs is not yet known
+	}
+	if _, was := l.released[r.Machine]; was {
+		return none
+	}
+	m := l.machine(r.Machine)
+	if m.up && (r.Session < m.session || r.Session == m.session && r.Seq <= m.seq) {
+		// A late copy. It proves nothing, and its answer reaches nobody.
+		return none
+	}
+	now := l.c.now.Steady
+	if !m.up {
+		l.c.log(Debug, "machine up", "machine", m.name, "after", (now - m.rentedAt).String())
+		l.wantRound()
+	}
+	if m.up && r.Session > m.session {
+		l.c.log(Info, "machine in a new session", "machine", m.name, "tasks", len(m.runs))
+	}
+	m.describe(r.Type, r.Zone, r.Addr, r.Spot)
+	m.up, m.seenUp, m.missing = true, true, 0
+	m.session, m.seq, m.token, m.heard = r.Session, r.Seq, r.Token, now
+	if r.NoticeS != nil && !m.notice {
+		m.notice = true
+		l.c.log(Info, "machine will be taken", "machine", m.name, "in_s", *r.NoticeS)
+		l.wantRound()
+	}
+	l.evidence(m, r)
+	return l.commands(m, r)
+}
+
+// evidence draws from a report what has ended. A report is newer than all before
+// it here. What it lacks is proven absent only if it carries this term's token:
+// the worker then had taken an answer of this term, after which no earlier start
+// can still take effect, and each answer of this term before it was either taken
+// or dropped.
+func (l *leader) evidence(m *machine, r *wire.Report) {
+	now := l.c.now.Steady
+	settled := r.Token == l.term
+	reported := make(map[string]bool, len(r.Tasks))
+	m.exits, m.strays = m.exits[:0], m.strays[:0]
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		p := m.runs[t.Task]
+		if p == nil || p.attempt != t.Attempt || p.session != r.Session {
+			l.unexplained(m, t)
+			continue
+		}
+		if t.State == wire.TaskExited {
+			m.exits = append(m.exits, *t)
+			reported[t.Task] = true
+			l.exited(p, t)
+			continue
+		}
+		reported[t.Task] = true
+		if p.phase < seen {
+			p.phase = seen
+		}
+		if p.state != t.State {
+			p.state = t.State
+			if t.State == wire.TaskRunning && p.ranAt == 0 {
+				p.ranAt = now
+				m.imageReady(p.job.spec.Image)
+			}
+		}
+		if p.ranAt != 0 && (!p.job.proven || len(m.errors) > 0) {
+			l.ranWell(p, false)
+		}
+	}
+	for _, p := range m.sorted() {
+		switch {
+		case p.session < r.Session:
+			// The worker killed and forgot all of its earlier session.
+			l.c.log(Debug, "task lost with its session", "task", p.name(), "attempt", p.attempt)
+			l.end(p)
+		case reported[p.name()] || p.session > r.Session || !settled:
+		case p.phase == seen,
+			p.phase == sent && (p.sentSeq == inherited || r.Seq > p.sentSeq):
+			l.c.log(Debug, "task absent", "task", p.name(), "attempt", p.attempt)
+			l.end(p)
+		}
+	}
+}
+
+// unexplained handles a task in a report that no placement here explains.
+func (l *leader) unexplained(m *machine, t *wire.TaskReport) {
+	id, task, ok := wire.ParseTask(t.Task)
+	if !ok {
+		return
+	}
+	j := l.jobs[id]
+	if t.State != wire.TaskExited {
+		m.strays = append(m.strays, *t)
+		return
+	}
+	m.exits = append(m.exits, *t)
+	if t.Why == wire.WhyDone && j != nil && task < j.spec.Tasks && j.array() && !l.isDone(j, task) {
+		// Done is true whichever attempt says it.
+		l.setDone(j, task)
+		if p := j.placed[task]; p != nil {
+			if p.phase < sent {
+				l.end(p)
+			} else {
+				p.stop, p.stopWhy = stopNow, "done elsewhere"
+			}
+		}
+		l.finishIfDone(j)
+	}
+}
+
+// exited ends a placement whose task has exited.
+func (l *leader) exited(p *placement, t *wire.TaskReport) {
+	j := p.job
+	l.c.log(Debug, "task exited", "task", t.Task, "attempt", t.Attempt, "why", t.Why, "machine", p.machine.name)
+	switch t.Why {
+	case wire.WhyDone:
+		if j.array() {
+			l.setDone(j, p.task)
+		}
+		l.ranWell(p, true)
+	case wire.WhyError:
+		l.erred(p)
+	case wire.WhyNoRoom:
+		p.machine.full = l.c.now.Steady + l.c.t.report*2
+	case wire.WhyBusy, wire.WhyUnknown:
+		j.waitFor = max(j.waitFor, l.c.now.Steady+l.c.t.report*2)
+	}
+	l.end(p)
+}
+
+// most commands in an answer, so that its one line stays within the protocol's 64
+// KiB; the rest follows with the next.
+const mostCommands = 400
+
+// commands gives a machine its orders.
+func (l *leader) commands(m *machine, r *wire.Report) []wire.Command {
+	cmds := []wire.Command{}
+	for _, t := range m.exits {
+		if len(cmds) < mostCommands && l.forgettable(&t) {
+			cmds = append(cmds, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	zero := 0.0
+	for _, t := range m.strays {
+		// No record explains it, and it has no right to run.
+		cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+	}
+	mayStart := l.c.elect.inTime()
+	for _, p := range m.sorted() {
+		if len(cmds) >= mostCommands {
+			break
+		}
+		switch {
+		case p.session != m.session:
+		case p.stop != keep && p.phase >= sent:
+			grace := zero
+			if p.stop == stopSaving {
+				if p.state == wire.TaskSaving {
+					continue
+				}
+				grace = 1.5 * p.job.spec.SaveS
+			}
+			cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: p.name(), Attempt: p.attempt, GraceS: &grace})
+		case p.phase == committed && p.stop == keep && mayStart && !p.job.cancelled:
+			p.phase, p.sentSeq = sent, r.Seq
+			cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: p.name(), Attempt: p.attempt})
+		}
+	}
+	return cmds
+}
+
+// forgettable tells whether an exit may be forgotten: only once all that it tells
+// is in the state service, for after that a repeated start would run again.
+func (l *leader) forgettable(t *wire.TaskReport) bool {
+	id, task, ok := wire.ParseTask(t.Task)
+	if !ok {
+		return true
+	}
+	j := l.jobs[id]
+	if j == nil || task >= j.spec.Tasks {
+		return l.c.dir.jobs[id] == nil || task >= l.c.dir.jobs[id].Job.Tasks
+	}
+	ch := j.chunks[task/l.chunkSize()]
+	if ch != nil && !ch.clean() {
+		return false
+	}
+	p := j.placed[task]
+	return p == nil || p.attempt != t.Attempt
+}
+
+// watchMachines looks for machines that are silent too long and stops what runs on
+// those that will be taken.
+func (l *leader) watchMachines() {
+	now := l.c.now.Steady
+	limit := time.Duration(float64(l.c.t.lease) * l.c.op.SilentLeases)
+	silent, up := 0, 0
+	for _, m := range l.fleet {
+		if m.up || m.seenUp {
+			up++
+			if now-m.heard > l.c.t.lease/2 {
+				silent++
+			}
+		}
+	}
+	// If most are silent, it is rather this node or its network: wait longer.
+	if silent > 2 && silent*2 > up {
+		limit *= 3
+	}
+	for _, m := range append([]*machine(nil), l.fleet...) {
+		if (m.up || m.seenUp) && !m.releasing {
+			if due := m.heard + limit; now >= due {
+				l.rentals.release(m, "silent")
+			} else {
+				l.c.at(due)
+			}
+		}
+		if m.notice || m.sick {
+			for _, p := range m.sorted() {
+				if p.stop != keep {
+					continue
+				}
+				if p.phase < sent {
+					l.end(p)
+				} else if p.job.spec.Checkpoint > 0 {
+					p.stop, p.stopWhy = stopSaving, "drain"
+				} else if m.sick {
+					p.stop, p.stopWhy = stopNow, "drain"
+				}
+			}
+			if m.sick && len(m.runs) == 0 {
+				l.rentals.release(m, "sick")
+			}
+		}
+	}
+}
+
+// imageReady notes that a machine has an image.
+func (m *machine) imageReady(name string) {
+	for i := range m.images {
+		if m.images[i].name == name {
+			m.images[i].ready = true
+		}
+	}
+}
+
+// touch notes that a machine will have an image; the least recently used make way.
+func (m *machine) touch(name string, gb float64) {
+	img := image{name: name, gb: gb}
+	sum := gb
+	for i := range m.images {
+		if m.images[i].name == name {
+			img = m.images[i]
+			m.images = append(m.images[:i], m.images[i+1:]...)
+			break
+		}
+	}
+	m.images = append(m.images, img)
+	if m.mt == nil {
+		return
+	}
+	for i := len(m.images) - 2; i >= 0; i-- {
+		sum += m.images[i].gb
+		if sum > m.mt.CacheGB && m.mt.CacheGB > 0 {
+			m.images = append([]image(nil), m.images[i+1:]...)
+			break
+		}
+	}
+}
+
+// warmth of a machine for an image: 0 it is there, 1 it is being fetched, 2 it
+// has to be fetched, 3 it has to share the fetch with others.
+func (m *machine) warmth(name string) int {
+	w := 2
+	for i := range m.images {
+		if m.images[i].name == name {
+			if m.images[i].ready {
+				return 0
+			}
+			return 1
+		}
+		if !m.images[i].ready {
+			w = 3
+		}
+	}
+	return w
+}
--- /dev/null
+++ b/internal/core/fulfillment.go
@@ -0,0 +1,183 @@
+package core
+
+import (
+	"container/heap"
+
+	"bitternwing/internal/config"
+)
+
+// This file is the order of the design document: which elastic job is fed and
+// which is shrunk.
+//
+// An array is elastic: its bounds are one task and its unfinished tasks. A service
+// has a fixed size and is none of this file's matter, nor is an array with a
+// single unfinished task (its bounds are equal, and the score would divide by
+// zero).
+
+func (j *job) minInstance() int { return min(1, j.unfinished()) }
+func (j *job) maxInstance() int { return j.unfinished() }
+
+func (j *job) elastic() bool {
+	return j.array() && !j.cancelled && j.maxInstance() > j.minInstance()
+}
+
+// instances counts what a job holds and is to keep: what was told to stop is
+// taken away already, although its room is not free yet.
+func (j *job) instances() int {
+	n := 0
+	for _, p := range j.placed {
+		if p.stop == keep {
+			n++
+		}
+	}
+	return n
+}
+
+// score is the fulfillment score: current less minimum, over maximum less minimum.
+func score(current, least, most int) float64 {
+	return float64(current-least) / float64(most-least)
+}
+
+// hungry is a job waiting to be fed.
+type hungry struct {
+	job     *job
+	current int
+	from    int // where to look for its next task
+}
+
+func (h *hungry) score() float64 {
+	return score(h.current, h.job.minInstance(), h.job.maxInstance())
+}
+
+// lessFulfilled orders elastic jobs: by score, then by what an instance asks of
+// GPUs, CPU and memory (the smaller first: more of them find room), then by age.
+func lessFulfilled(a, b *hungry) bool {
+	if x, y := a.score(), b.score(); x != y {
+		return x < y
+	}
+	s, t := a.job.spec, b.job.spec
+	switch {
+	case s.GPUs != t.GPUs:
+		return s.GPUs < t.GPUs
+	case s.CPUs != t.CPUs:
+		return s.CPUs < t.CPUs
+	case s.MemoryGB != t.MemoryGB:
+		return s.MemoryGB < t.MemoryGB
+	}
+	return a.job.before(b.job)
+}
+
+// feedQueue has the least fulfilled job on top.
+type feedQueue []*hungry
+
+func (q feedQueue) Len() int           { return len(q) }
+func (q feedQueue) Less(a, b int) bool { return lessFulfilled(q[a], q[b]) }
+func (q feedQueue) Swap(a, b int)      { q[a], q[b] = q[b], q[a] }
+func (q *feedQueue) Push(x any)        { *q = append(*q, x.(*hungry)) }
+func (q *feedQueue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+// feed gives free room, one instance at a time, to the least fulfilled job below
+// 1.0. A job that finds no room for its next instance, or has reached its team's
+// limit, is out of this round.
+func (r *round) feed() {
+	l := r.l
+	q := feedQueue{}
+	for _, j := range l.order {
+		if j.array() && r.ready(j) && j.unplaced() > 0 {
+			q = append(q, &hungry{job: j, current: j.instances()})
+		}
+	}
+	heap.Init(&q)
+	for len(q) > 0 && r.budget() {
+		h := q[0]
+		task := l.nextTask(h.job, h.from)
+		if task < 0 || h.current >= h.job.maxInstance() || !r.use.allows(h.job, 1) {
+			heap.Pop(&q)
+			continue
+		}
+		m := r.fit(h.job, task)
+		if m == nil {
+			heap.Pop(&q)
+			continue
+		}
+		r.place(h.job, task, m)
+		l.mark(l.chunkOf(h.job, task))
+		h.current++
+		h.from = task + 1
+		heap.Fix(&q, 0)
+	}
+}
+
+// mayStop tells whether the protocol lets a task of victim be stopped for job j: j
+// is of higher priority, or j lies within its team's guarantee and the victim's
+// team, another one, runs beyond its own.
+func (r *round) mayStop(j, victim *job) bool {
+	if victim.team == nil {
+		return true
+	}
+	if priority(j) > priority(victim) {
+		return true
+	}
+	return r.guaranteed[j.id] && j.spec.Team != victim.spec.Team && r.use.beyond(victim.team)
+}
+
+// shrinkable gives an elastic job's score for giving way; false if it is at its
+// minimum.
+func (r *round) shrinkable(j *job) (float64, bool) {
+	if !j.elastic() {
+		return 0, false
+	}
+	n := j.instances()
+	if n <= j.minInstance() {
+		return 0, false
+	}
+	return score(n, j.minInstance(), j.maxInstance()), true
+}
+
+// usage is what the teams' tasks use, whatever state they are in: until there is
+// evidence that a task is gone it counts.
+type usage map[string]*[2]float64 // GPUs, CPUs
+
+func (u usage) of(team string) *[2]float64 {
+	x := u[team]
+	if x == nil {
+		x = new([2]float64)
+		u[team] = x
+	}
+	return x
+}
+
+func (u usage) add(j *job, n int) {
+	x := u.of(j.spec.Team)
+	x[0] += float64(n) * j.spec.GPUs
+	x[1] += float64(n) * j.spec.CPUs
+}
+
+// allows tells whether n more tasks keep the team within its limit.
+func (u usage) allows(j *job, n int) bool {
+	if j.team == nil {
+		return false
+	}
+	x := u.of(j.spec.Team)
+	return !over(x[0]+float64(n)*j.spec.GPUs, j.team.GPUsMax) && !over(x[1]+float64(n)*j.spec.CPUs, j.team.CPUsMax)
+}
+
+// beyond tells whether a team uses more than its guarantee.
+func (u usage) beyond(t *config.Team) bool {
+	x := u.of(t.Name)
+	return beyondGuarantee(x[0], x[1], t)
+}
+
+func beyondGuarantee(gpus, cpus float64, t *config.Team) bool {
+	const eps = 1e-9
+	if t.GPUs > 0 && gpus > t.GPUs+eps || t.CPUs > 0 && cpus > t.CPUs+eps {
+		return true
+	}
+	// A team without any guarantee is beyond it with all that it runs.
+	return t.GPUs == 0 && t.CPUs == 0 && (gpus > eps || cpus > eps)
+}
--- /dev/null
+++ b/internal/core/io.go
@@ -0,0 +1,169 @@
+// Package core decides everything: what users are told, who leads, which machines
+// are rented and what runs where. It is a state machine. Each input is handed to
+// Step with the time at which it came; Step returns what to send, write and
+// answer. There is no clock, no I/O, no goroutine and no randomness in here, so a
+// kept trace plays the same way each time.
+package core
+
+import (
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/wire"
+)
+
+// Time is the moment of an input: the steady clock of this process and the time
+// of day in milliseconds.
+type Time struct {
+	Steady time.Duration
+	WallMS int64
+}
+
+// Input is something that happened.
+type Input interface{ input() }
+
+// Tick is the passing of time.
+type Tick struct{}
+
+// Submit, Poll and Cancel are requests of users. Req names the waiting request.
+type (
+	Submit struct {
+		Req uint64
+		Job *wire.Job
+	}
+	Poll struct {
+		Req uint64
+		ID  string
+	}
+	Cancel struct {
+		Req uint64
+		ID  string
+	}
+)
+
+// Checkin is a worker's report.
+type Checkin struct {
+	Req    uint64
+	Report *wire.Report
+}
+
+// Result is the result of a call this core asked for.
+type Result struct {
+	ID      uint64
+	Outcome call.Outcome
+	Sent    time.Duration // steady time just before the request was sent
+
+	Item     wire.Item
+	Page     wire.Page
+	Txn      wire.TxnAnswer
+	Lease    uint64
+	Changes  wire.Changes
+	Catalog  wire.Catalog
+	Names    []string
+	Machines wire.MachineList
+	Peer     PeerStatus
+}
+
+// PeerStatus is what another node says of itself.
+type PeerStatus struct {
+	StateDown bool
+	Term      uint64
+	Leads     bool
+	ReportAge time.Duration // negative: no worker ever reported to it
+}
+
+func (Tick) input()    {}
+func (Submit) input()  {}
+func (Poll) input()    {}
+func (Cancel) input()  {}
+func (Checkin) input() {}
+func (Result) input()  {}
+
+// Effect is something to do.
+type Effect interface{ effect() }
+
+// Answer ends a waiting request. A RetryAfter above 0 goes into the header of
+// that name, in seconds.
+type Answer struct {
+	Req        uint64
+	Status     int
+	Body       any
+	RetryAfter int
+}
+
+// The calls; each is answered by one Result with its ID.
+type (
+	StateGet struct {
+		ID  uint64
+		Key string
+	}
+	StateList struct {
+		ID            uint64
+		Prefix, After string
+	}
+	StateTxn struct {
+		ID  uint64
+		Txn wire.Txn
+	}
+	StateGrant struct {
+		ID  uint64
+		TTL time.Duration
+	}
+	StateExtend struct{ ID, Lease uint64 }
+	StateRevoke struct{ ID, Lease uint64 }
+	StateWatch  struct {
+		ID     uint64
+		Prefix string
+		After  uint64
+		Wait   time.Duration
+	}
+	CloudCatalog struct{ ID uint64 }
+	CloudRent    struct {
+		ID      uint64
+		Request wire.RentRequest
+	}
+	CloudRelease struct {
+		ID    uint64
+		Names []string
+	}
+	CloudList struct {
+		ID    uint64
+		After string
+	}
+	PeerAsk struct {
+		ID   uint64
+		Node string
+	}
+)
+
+// Level is the level of a log line.
+type Level int
+
+// The levels.
+const (
+	Debug Level = iota
+	Info
+	Error
+)
+
+// Log is a line for the log: a message and pairs of names and values.
+type Log struct {
+	Level   Level
+	Message string
+	Pairs   []any
+}
+
+func (Answer) effect()       {}
+func (StateGet) effect()     {}
+func (StateList) effect()    {}
+func (StateTxn) effect()     {}
+func (StateGrant) effect()   {}
+func (StateExtend) effect()  {}
+func (StateRevoke) effect()  {}
+func (StateWatch) effect()   {}
+func (CloudCatalog) effect() {}
+func (CloudRent) effect()    {}
+func (CloudRelease) effect() {}
+func (CloudList) effect()    {}
+func (PeerAsk) effect()      {}
+func (Log) effect()          {}
--- /dev/null
+++ b/internal/core/jobs.go
@@ -0,0 +1,291 @@
+package core
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math/bits"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"bitternwing/internal/config"
+	"bitternwing/internal/wire"
+)
+
+// job is a job as the leader works on it.
+type job struct {
+	id          string
+	spec        *wire.Job
+	at          int64  // time of day of its acceptance, in milliseconds
+	version     uint64 // of its key
+	cancelled   bool
+	cancelledAt time.Duration // on the steady clock
+	final       bool          // its last write is on the way
+
+	team   *config.Team
+	chunks map[int]*chunk
+	placed map[int]*placement // by task
+	done   int
+	cursor int // no task below this is both undone and unplaced
+
+	// Failure accounting, see faults.go.
+	proven  bool // a task of it ran well somewhere
+	failed  map[string]bool
+	fails   int
+	waitFor time.Duration // no start before this
+}
+
+// chunk is the run record of a range of tasks: what must not be forgotten about
+// them. next is the highest attempt used for any task of the range, so that no
+// attempt is ever used twice.
+type chunk struct {
+	job      *job
+	index    int
+	next     uint64
+	done     []uint64 // bits
+	version  uint64   // of its key; 0: not written yet
+	dirty    bool
+	inFlight bool
+	reading  bool
+}
+
+// placement is an attempt of a task on a machine. It lives from the moment it is
+// decided until there is evidence that the attempt is not and will not be there.
+type placement struct {
+	job     *job
+	task    int
+	attempt uint64
+	machine *machine
+	session uint64
+	phase   phase
+	sentSeq uint64 // the report in whose answer its start went out
+	state   string // as last reported
+	since   time.Duration
+	ranAt   time.Duration // when first seen running; 0: not yet
+	stop    stopKind
+	stopWhy string
+}
+
+type phase int
+
+const (
+	uncommitted phase = iota // not yet in the state service: nothing was sent
+	committed                // may be sent
+	sent                     // sent by this leader, or perhaps by an earlier one
+	seen                     // reported by the machine
+)
+
+type stopKind int
+
+const (
+	keep stopKind = iota
+	stopSaving
+	stopNow
+)
+
+// inherited marks a placement of an earlier term, whose start may have gone out.
+const inherited = ^uint64(0)
+
+func (p *placement) name() string { return wire.TaskName(p.job.id, p.task) }
+
+func (l *leader) chunkSize() int {
+	// A placement takes at most about an eighth of a KiB in a record.
+	return max(8, int(8*l.c.set.Params.State.ValueKB))
+}
+
+func (l *leader) chunkOf(j *job, task int) *chunk {
+	i := task / l.chunkSize()
+	ch := j.chunks[i]
+	if ch == nil {
+		ch = &chunk{job: j, index: i, done: make([]uint64, (l.chunkSize()+63)/64)}
+		j.chunks[i] = ch
+	}
+	return ch
+}
+
+func (l *leader) isDone(j *job, task int) bool {
+	ch := j.chunks[task/l.chunkSize()]
+	if ch == nil {
+		return false
+	}
+	b := task % l.chunkSize()
+	return ch.done[b/64]&(1<<(b%64)) != 0
+}
+
+func (l *leader) setDone(j *job, task int) {
+	if l.isDone(j, task) {
+		return
+	}
+	ch := l.chunkOf(j, task)
+	b := task % l.chunkSize()
+	ch.done[b/64] |= 1 << (b % 64)
+	j.done++
+	l.mark(ch)
+}
+
+// nextTask gives the lowest task from a number on that is neither done nor
+// placed; -1 if there is none.
+func (l *leader) nextTask(j *job, from int) int {
+	for t := max(from, j.cursor); t < j.spec.Tasks; t++ {
+		if j.placed[t] == nil && !l.isDone(j, t) {
+			return t
+		}
+		if t == j.cursor {
+			j.cursor++
+		}
+	}
+	return -1
+}
+
+// unplaced counts the tasks that still need a place.
+func (j *job) unplaced() int { return j.spec.Tasks - j.done - len(j.placed) }
+
+// unfinished counts the tasks that are not done.
+func (j *job) unfinished() int { return j.spec.Tasks - j.done }
+
+func (j *job) array() bool { return j.spec.Kind == wire.KindArray }
+
+func (j *job) counts() counts {
+	running := 0
+	for _, p := range j.placed {
+		if p.state == wire.TaskRunning || p.state == wire.TaskSaving {
+			running++
+		}
+	}
+	return counts{running, j.done}
+}
+
+func (j *job) before(k *job) bool {
+	if j.at != k.at {
+		return j.at < k.at
+	}
+	return j.id < k.id
+}
+
+// record is a chunk as it is written.
+type record struct {
+	Next   uint64               `json:"n"`
+	Done   string               `json:"d,omitempty"` // ranges, "0-4,7"
+	Placed map[string]recordRun `json:"p,omitempty"`
+}
+
+// recordRun is attempt, machine, session, as a list for brevity.
+type recordRun struct {
+	Attempt uint64
+	Machine string
+	Session uint64
+}
+
+func (r recordRun) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]any{r.Attempt, r.Machine, r.Session})
+}
+
+func (r *recordRun) UnmarshalJSON(b []byte) error {
+	return json.Unmarshal(b, &[]any{&r.Attempt, &r.Machine, &r.Session})
+}
+
+func runKey(job string, index int) string { return keyRuns + job + "/" + strconv.Itoa(index) }
+
+// encode gives a chunk's record and the placements in it.
+func (l *leader) encode(ch *chunk) (json.RawMessage, []*placement) {
+	r := record{Next: ch.next, Done: rangesOf(ch.done)}
+	var ps []*placement
+	lo := ch.index * l.chunkSize()
+	for t := lo; t < min(lo+l.chunkSize(), ch.job.spec.Tasks); t++ {
+		if p := ch.job.placed[t]; p != nil {
+			ps = append(ps, p)
+		}
+	}
+	if len(ps) > 0 {
+		r.Placed = make(map[string]recordRun, len(ps))
+		for _, p := range ps {
+			r.Placed[strconv.Itoa(p.task)] = recordRun{p.attempt, p.machine.name, p.session}
+		}
+	}
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic(fmt.Sprintf("a run record can't be encoded: %v", err)) // only plain values are in it
+	}
+	return b, ps
+}
+
+func rangesOf(words []uint64) string {
+	var b strings.Builder
+	start := -1
+	n := len(words) * 64
+	for i := 0; i <= n; i++ {
+		set := i < n && words[i/64]&(1<<(i%64)) != 0
+		switch {
+		case set && start < 0:
+			start = i
+		case !set && start >= 0:
+			if b.Len() > 0 {
+				b.WriteByte(',')
+			}
+			b.WriteString(strconv.Itoa(start))
+			if i-1 > start {
+				b.WriteByte('-')
+				b.WriteString(strconv.Itoa(i - 1))
+			}
+			start = -1
+		}
+	}
+	return b.String()
+}
+
+func readRanges(s string, words []uint64) int {
+	if s == "" {
+		return 0
+	}
+	for _, part := range strings.Split(s, ",") {
+		a, b, found := strings.Cut(part, "-")
+		if !found {
+			b = a
+		}
+		x, err1 := strconv.Atoi(a)
+		y, err2 := strconv.Atoi(b)
+		if err1 != nil || err2 != nil {
+			continue
+		}
+		for i := max(0, x); i <= y && i < len(words)*64; i++ {
+			words[i/64] |= 1 << (i % 64)
+		}
+	}
+	n := 0
+	for _, w := range words {
+		n += bits.OnesCount64(w)
+	}
+	return n
+}
+
+// addJob takes a job up.
+func (l *leader) addJob(id string, e *entry) *job {
+	j := &job{id: id, spec: e.Job, at: e.AtMS, version: e.version, team: l.c.team(e.Job.Team),
+		chunks: map[int]*chunk{}, placed: map[int]*placement{}}
+	l.jobs[id] = j
+	i := sort.Search(len(l.order), func(i int) bool { return j.before(l.order[i]) })
+	l.order = append(l.order, nil)
+	copy(l.order[i+1:], l.order[i:])
+	l.order[i] = j
+	return j
+}
+
+func (l *leader) dropJob(j *job) {
+	delete(l.jobs, j.id)
+	for i, k := range l.order {
+		if k == j {
+			l.order = append(l.order[:i], l.order[i+1:]...)
+			break
+		}
+	}
+}
+
+func countShard(id string) string {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return keyCounts + strconv.Itoa(int(h.Sum32()%countShards))
+}
+
+const countShards = 8
--- /dev/null
+++ b/internal/core/leader.go
@@ -0,0 +1,255 @@
+package core
+
+import (
+	"encoding/json"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/wire"
+)
+
+// leader is the state of a node that holds a term. All of it is rebuilt at a win:
+// first from the records in the state service, then from workers' reports.
+type leader struct {
+	c       *Core
+	term    uint64
+	version uint64 // of the term key; every write is conditional on it
+	since   time.Duration
+
+	loaded  bool // the records are read
+	reading bool
+	runs    map[string]wire.Item // records read so far
+	runsAll bool
+
+	jobs     map[string]*job
+	order    []*job // by acceptance
+	machines map[string]*machine
+	fleet    []*machine              // by name
+	released map[string]time.Duration // names given back, so that late reports of them don't count
+
+	writes  writer
+	rentals rentals
+	rounds  rounds
+}
+
+func newLeader(c *Core, term, version uint64) *leader {
+	l := &leader{c: c, term: term, version: version, since: c.now.Steady,
+		runs: map[string]wire.Item{}, jobs: map[string]*job{}, machines: map[string]*machine{},
+		released: map[string]time.Duration{}}
+	l.writes.init(l)
+	l.rentals.init(l)
+	l.rounds.at = c.now.Steady
+	return l
+}
+
+// call registers a result that counts only while this term lasts.
+func (l *leader) call(f func(Result)) uint64 {
+	return l.c.call(func(r Result) {
+		if l.c.lead == l {
+			f(r)
+		}
+	})
+}
+
+func (l *leader) stateCall(f func(Result)) uint64 {
+	return l.c.stateCall(func(r Result) {
+		if l.c.lead == l {
+			f(r)
+		}
+	})
+}
+
+func (l *leader) run() {
+	if !l.loaded {
+		l.load()
+		if !l.loaded {
+			return
+		}
+	}
+	l.watchMachines()
+	l.cancels()
+	l.round()
+	l.writes.run()
+	l.rentals.run()
+}
+
+// entitled tells whether this leader may act for the controllers: in time, or in
+// an outage of the state service that all nodes confirm, in which nobody can win
+// a term.
+func (l *leader) entitled() bool { return l.c.elect.inTime() || l.c.allRefused() }
+
+// load reads the run records and waits until the watch has come as far as the
+// win. Both are then complete: later writes of earlier terms fail.
+func (l *leader) load() {
+	if !l.reading && !l.runsAll {
+		l.readRuns("")
+	}
+	if !l.runsAll || l.c.dir.revision < l.version {
+		return
+	}
+	ids := make([]string, 0, len(l.c.dir.jobs))
+	for id := range l.c.dir.jobs {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		l.addJob(id, l.c.dir.jobs[id])
+	}
+	keys := make([]string, 0, len(l.runs))
+	for k := range l.runs {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	for _, k := range keys {
+		l.takeRecord(k, l.runs[k])
+	}
+	l.runs = nil
+	l.loaded = true
+	for _, j := range append([]*job(nil), l.order...) {
+		l.jobChanged(j.id)
+		l.finishIfDone(j)
+	}
+	l.c.log(Info, "records read", "term", l.term, "jobs", len(l.jobs))
+	l.wantRound()
+}
+
+func (l *leader) readRuns(after string) {
+	l.reading = true
+	id := l.stateCall(func(r Result) {
+		l.reading = false
+		if r.Outcome != call.OK {
+			l.runs = map[string]wire.Item{}
+			return
+		}
+		for _, it := range r.Page.Items {
+			l.runs[it.Key] = it
+		}
+		if n := len(r.Page.Items); r.Page.More && n > 0 {
+			l.readRuns(r.Page.Items[n-1].Key)
+			return
+		}
+		l.runsAll = true
+	})
+	l.c.send(StateList{ID: id, Prefix: keyRuns, After: after})
+}
+
+// takeRecord takes a run record of earlier terms. Each placement in it may be
+// running, or its start still on the way, until its machine tells.
+func (l *leader) takeRecord(key string, it wire.Item) {
+	id, num, ok := strings.Cut(strings.TrimPrefix(key, keyRuns), "/")
+	index, err := strconv.Atoi(num)
+	j := l.jobs[id]
+	if !ok || err != nil || j == nil {
+		l.writes.orphan(key, it.Version)
+		return
+	}
+	var r record
+	if json.Unmarshal(it.Value, &r) != nil {
+		l.c.log(Error, "a run record can't be read", "key", key)
+		return
+	}
+	ch := l.chunkOf(j, index*l.chunkSize())
+	ch.version, ch.next = it.Version, r.Next
+	j.done += readRanges(r.Done, ch.done)
+	tasks := make([]int, 0, len(r.Placed))
+	for t := range r.Placed {
+		if n, err := strconv.Atoi(t); err == nil && n >= 0 && n < j.spec.Tasks {
+			tasks = append(tasks, n)
+		}
+	}
+	sort.Ints(tasks)
+	for _, t := range tasks {
+		run := r.Placed[strconv.Itoa(t)]
+		m := l.machine(run.Machine)
+		m.seenUp = true
+		p := &placement{job: j, task: t, attempt: run.Attempt, machine: m, session: run.Session,
+			phase: sent, sentSeq: inherited, since: l.c.now.Steady}
+		j.placed[t] = p
+		m.add(p)
+	}
+}
+
+// jobChanged takes a change of a job's key from the watch.
+func (l *leader) jobChanged(id string) {
+	if !l.loaded {
+		return
+	}
+	e, j := l.c.dir.jobs[id], l.jobs[id]
+	if e == nil {
+		return // only the leader ends jobs, and drops them itself
+	}
+	if j == nil {
+		if _, over := l.c.dir.finals[id]; over {
+			return
+		}
+		j = l.addJob(id, e)
+		l.wantRound()
+	}
+	j.version = max(j.version, e.version)
+	if e.CancelledMS != 0 && !j.cancelled {
+		l.cancelJob(j, e.CancelledMS)
+	}
+}
+
+// cancelJob stops all of a job. What was not yet sent never will be.
+func (l *leader) cancelJob(j *job, atMS int64) {
+	age := time.Duration(max(0, l.c.now.WallMS-atMS)) * time.Millisecond
+	j.cancelled = true
+	j.cancelledAt = l.c.now.Steady - age
+	for _, p := range j.byTask() {
+		if p.phase < sent {
+			l.end(p)
+			continue
+		}
+		p.stop, p.stopWhy = stopNow, "cancelled"
+	}
+	l.wantRound()
+	l.finishIfDone(j)
+}
+
+// byTask gives a job's placements in order.
+func (j *job) byTask() []*placement {
+	ps := make([]*placement, 0, len(j.placed))
+	for _, p := range j.placed {
+		ps = append(ps, p)
+	}
+	sort.Slice(ps, func(a, b int) bool { return ps[a].task < ps[b].task })
+	return ps
+}
+
+// finishIfDone writes a job's final state once all its tasks are done, or all are
+// gone after a cancel.
+func (l *leader) finishIfDone(j *job) {
+	if j.final || len(j.placed) > 0 {
+		return
+	}
+	if j.cancelled || j.array() && j.done >= j.spec.Tasks {
+		j.final = true
+		l.writes.finish(j)
+	}
+}
+
+// cancels sees to it that a cancelled job's tasks are gone in time: a machine that
+// does not obey is released.
+func (l *leader) cancels() {
+	if !l.entitled() {
+		return
+	}
+	for _, j := range l.order {
+		if !j.cancelled || len(j.placed) == 0 {
+			continue
+		}
+		// Releasing takes a call or two and a retry; half the time is left for it.
+		due := j.cancelledAt + l.c.t.cancel*4/10
+		if l.c.now.Steady < due {
+			l.c.at(due)
+			continue
+		}
+		for _, p := range j.byTask() {
+			l.rentals.release(p.machine, "a cancelled task does not go")
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,75 @@
+package core
+
+import (
+	"time"
+
+	"bitternwing/internal/call"
+)
+
+// peer is what is known of another node.
+type peer struct {
+	node    string
+	asking  bool
+	askedAt time.Duration
+	heardAt time.Duration // 0: never
+	reached bool          // the last question was answered
+	status  PeerStatus
+}
+
+func (c *Core) runPeers() {
+	for _, p := range c.peers {
+		due := p.askedAt + c.t.report
+		if p.asking {
+			continue
+		}
+		if p.askedAt != 0 && c.now.Steady < due {
+			c.at(due)
+			continue
+		}
+		p.asking = true
+		p.askedAt = c.now.Steady
+		id := c.call(func(r Result) {
+			p.asking = false
+			p.reached = r.Outcome == call.OK
+			if p.reached {
+				p.heardAt = c.now.Steady
+				p.status = r.Peer
+			}
+		})
+		c.send(PeerAsk{ID: id, Node: p.node})
+	}
+}
+
+// fresh tells whether a peer was heard within the last few questions.
+func (c *Core) fresh(p *peer) bool {
+	return p.reached && p.heardAt != 0 && c.now.Steady-p.heardAt < 3*c.t.report
+}
+
+// allRefused tells whether every other node says that the state service refuses
+// it as well and none knows a newer term. One node that doesn't answer is enough
+// for a no: it may be served, and lead.
+func (c *Core) allRefused() bool {
+	term := c.dir.term.Term
+	for _, p := range c.peers {
+		if !c.fresh(p) || !p.status.StateDown || p.status.Term > term {
+			return false
+		}
+	}
+	return true
+}
+
+// workersElsewhere tells whether workers report to other nodes while none has
+// reported here for a while: the network between workers and this node is gone,
+// and a leader should make way for one that they reach.
+func (c *Core) workersElsewhere(since time.Duration) bool {
+	quiet := c.t.lease / 3
+	if c.now.Steady-max(since, c.lastReport) < quiet {
+		return false
+	}
+	for _, p := range c.peers {
+		if c.fresh(p) && p.status.ReportAge >= 0 && p.status.ReportAge < quiet/2 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/placement.go
@@ -0,0 +1,98 @@
+package core
+
+import "math"
+
+// allowed tells whether a job's next task may run on a machine: type, zone and
+// kind of machine, given where the job's other tasks are. Tasks that are stopping
+// or out of sight count as being where they are.
+func (r *round) allowed(j *job, m *machine) bool {
+	s := j.spec
+	if m.spot && !s.Spot || s.Zone != "" && s.Zone != m.zone || !allowsType(s, m.kind) {
+		return false
+	}
+	if r.l.avoids(j, m) {
+		return false
+	}
+	if !s.OneZone && !s.Spread {
+		return true
+	}
+	here := 0
+	for _, p := range j.placed {
+		switch {
+		case p.machine.zone == m.zone:
+			here++
+		case s.OneZone:
+			return false
+		}
+	}
+	return !s.Spread || here < (s.Tasks+1)/2
+}
+
+// fit finds the machine for a job's next task: warm images first, except that what
+// may run on cheap machines prefers those; then the tightest, so that others empty
+// and can be returned.
+func (r *round) fit(j *job, task int) *machine {
+	var best *host
+	bestScore := math.Inf(1)
+	for _, h := range r.hosts {
+		if !h.free.holds(j.spec) || !r.allowed(j, h.m) {
+			continue
+		}
+		left := 1.0
+		if h.m.mt.GPUs > 0 {
+			left = (h.free.gpus - j.spec.GPUs) / h.m.mt.GPUs
+		} else if h.m.mt.CPUs > 0 {
+			left = (h.free.cpus - j.spec.CPUs) / h.m.mt.CPUs
+		}
+		score := left + 2*float64(h.m.warmth(j.spec.Image))
+		if j.spec.Spot && !h.m.spot {
+			score += 4
+		}
+		if score < bestScore {
+			best, bestScore = h, score
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.m
+}
+
+func (r *round) host(m *machine) *host {
+	for _, h := range r.hosts {
+		if h.m == m {
+			return h
+		}
+	}
+	return nil
+}
+
+// place decides a placement; the caller marks its record once it stands. It is
+// written before anything is sent.
+func (r *round) place(j *job, task int, m *machine) *placement {
+	l := r.l
+	ch := l.chunkOf(j, task)
+	ch.next++
+	p := &placement{job: j, task: task, attempt: ch.next, machine: m, session: m.session, since: l.c.now.Steady}
+	j.placed[task] = p
+	m.add(p)
+	m.touch(j.spec.Image, j.spec.ImageGB)
+	h := r.host(m)
+	h.free.take(j.spec)
+	h.soon.take(j.spec)
+	r.use.add(j, 1)
+	r.placed++
+	return p
+}
+
+// unplace takes back a placement of this very round.
+func (r *round) unplace(p *placement) {
+	delete(p.job.placed, p.task)
+	p.machine.remove(p)
+	p.job.cursor = min(p.job.cursor, p.task)
+	h := r.host(p.machine)
+	h.free.give(p.job.spec)
+	h.soon.give(p.job.spec)
+	r.use.add(p.job, -1)
+	r.placed--
+}
--- /dev/null
+++ b/internal/core/records.go
@@ -0,0 +1,406 @@
+package core
+
+import (
+	"encoding/json"
+	"sort"
+	"strconv"
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/config"
+	"bitternwing/internal/wire"
+)
+
+// writer brings what the leader decided into the state service, many changes to a
+// transaction and within the write rate. Each transaction is conditional on the
+// term, and on the version of each key that it changes: one that is applied late
+// changes nothing.
+type writer struct {
+	l        *leader
+	dirty    []*chunk
+	finishes []*job
+	orphans  []wire.Cond
+	inFlight int
+
+	tokens   float64
+	tokensAt time.Duration
+
+	countsAt   time.Duration
+	countsBusy bool
+	countsLast map[string]string
+	catalogOut bool
+}
+
+func (w *writer) init(l *leader) {
+	w.l = l
+	w.countsLast = map[string]string{}
+	w.tokensAt = l.c.now.Steady
+	w.tokens = w.rate()
+}
+
+// rate leaves a part of the writes to submissions and cancels at all nodes.
+func (w *writer) rate() float64 { return 0.6 * w.l.c.set.Params.State.WriteRPS }
+
+func (l *leader) mark(ch *chunk) {
+	if !ch.dirty {
+		ch.dirty = true
+		l.writes.dirty = append(l.writes.dirty, ch)
+	}
+}
+
+// clean tells whether all that is known about a chunk is in the state service.
+func (ch *chunk) clean() bool { return !ch.dirty && !ch.inFlight }
+
+func (w *writer) finish(j *job) { w.finishes = append(w.finishes, j) }
+
+func (w *writer) orphan(key string, version uint64) {
+	w.orphans = append(w.orphans, wire.Cond{Key: key, Version: version})
+}
+
+func (w *writer) refill() {
+	now := w.l.c.now.Steady
+	w.tokens = min(w.rate(), w.tokens+w.rate()*(now-w.tokensAt).Seconds())
+	w.tokensAt = now
+}
+
+func (w *writer) run() {
+	c := w.l.c
+	w.refill()
+	for w.inFlight < 2 && !c.stateDown {
+		if w.tokens < 1 {
+			c.at(c.now.Steady + config.Seconds(1/w.rate()))
+			return
+		}
+		if !w.one() {
+			break
+		}
+	}
+	w.counts()
+	w.writeCatalog()
+}
+
+// batch is a transaction being put together.
+type batch struct {
+	txn    wire.Txn
+	size   int
+	seen   map[string]bool
+	chunks []*chunk
+	placed []*placement
+	jobs   []*job
+	orphan []wire.Cond
+}
+
+func (b *batch) cond(key string, version uint64) {
+	if !b.seen[key] {
+		b.seen[key] = true
+		b.txn.If = append(b.txn.If, wire.Cond{Key: key, Version: version})
+	}
+}
+
+// one sends one transaction; false if there is nothing to write.
+func (w *writer) one() bool {
+	l, c := w.l, w.l.c
+	ops := min(c.set.Params.State.TxnOps, int(w.tokens))
+	b := &batch{seen: map[string]bool{}}
+	b.cond(keyTerm, l.version)
+
+	// Ends of jobs first: users wait for them.
+	var laterJobs []*job
+	for i, j := range w.finishes {
+		if len(b.txn.Then)+2 > ops {
+			laterJobs = append(laterJobs, w.finishes[i:]...)
+			break
+		}
+		if !w.addFinish(b, j, ops) {
+			laterJobs = append(laterJobs, j)
+		}
+	}
+	w.finishes = laterJobs
+
+	var laterChunks []*chunk
+	for _, ch := range w.dirty {
+		if ch.job.final || l.jobs[ch.job.id] != ch.job {
+			ch.dirty = false
+			continue
+		}
+		if ch.inFlight || ch.reading || len(b.txn.Then) >= ops || len(b.txn.If)+2 > 4*c.set.Params.State.TxnOps ||
+			b.size > wire.MaxBody/2 {
+			laterChunks = append(laterChunks, ch)
+			continue
+		}
+		w.addChunk(b, ch)
+	}
+	w.dirty = laterChunks
+
+	for len(w.orphans) > 0 && len(b.txn.Then) < ops {
+		o := w.orphans[0]
+		w.orphans = w.orphans[1:]
+		b.cond(o.Key, o.Version)
+		b.txn.Then = append(b.txn.Then, wire.Op{Delete: o.Key})
+		b.orphan = append(b.orphan, o)
+	}
+	if len(b.txn.Then) == 0 {
+		return false
+	}
+	w.tokens -= float64(len(b.txn.Then))
+	w.inFlight++
+	id := l.stateCall(func(r Result) {
+		w.inFlight--
+		w.settle(b, r)
+	})
+	c.send(StateTxn{ID: id, Txn: b.txn})
+	return true
+}
+
+func (w *writer) addChunk(b *batch, ch *chunk) {
+	value, placed := w.l.encode(ch)
+	key := runKey(ch.job.id, ch.index)
+	b.cond(key, ch.version)
+	for _, p := range placed {
+		if p.phase == uncommitted {
+			// A new placement stands only while the job is not cancelled.
+			b.cond(keyActive+ch.job.id, ch.job.version)
+			b.placed = append(b.placed, p)
+		}
+	}
+	b.txn.Then = append(b.txn.Then, wire.Op{Put: key, Value: value})
+	b.size += len(value) + 128
+	b.chunks = append(b.chunks, ch)
+	ch.dirty, ch.inFlight = false, true
+}
+
+// addFinish adds a job's end: its final state is put, its other keys go. Records
+// that don't fit any more are left to be swept as orphans.
+func (w *writer) addFinish(b *batch, j *job, ops int) bool {
+	indexes := make([]int, 0, len(j.chunks))
+	for i, ch := range j.chunks {
+		if ch.inFlight || ch.reading {
+			return false
+		}
+		if ch.version != 0 {
+			indexes = append(indexes, i)
+		}
+	}
+	sort.Ints(indexes)
+	state := finalValue{State: wire.JobDone, Done: j.done}
+	if j.cancelled {
+		state.State = wire.JobCancelled
+	}
+	value, err := json.Marshal(state)
+	if err != nil {
+		return false
+	}
+	b.cond(keyActive+j.id, j.version)
+	b.txn.Then = append(b.txn.Then, wire.Op{Put: keyFinal + j.id, Value: value}, wire.Op{Delete: keyActive + j.id})
+	for _, i := range indexes {
+		key, version := runKey(j.id, i), j.chunks[i].version
+		if len(b.txn.Then) < ops && len(b.txn.If)+2 < 4*w.l.c.set.Params.State.TxnOps {
+			b.cond(key, version)
+			b.txn.Then = append(b.txn.Then, wire.Op{Delete: key})
+		}
+	}
+	b.size += 256 * (2 + len(indexes))
+	b.jobs = append(b.jobs, j)
+	return true
+}
+
+// settle takes a transaction's outcome. Unless it is known to have been applied,
+// all of it is written again from what is known now; if an unknown one was applied
+// after all, the versions no longer match and are read.
+func (w *writer) settle(b *batch, r Result) {
+	l, c := w.l, w.l.c
+	failed := map[string]bool{}
+	if r.Outcome == call.Conflict {
+		for _, k := range r.Txn.Failed {
+			failed[k] = true
+		}
+		if failed[keyTerm] {
+			c.elect.lose("the term moved on")
+			return
+		}
+	}
+	ok := r.Outcome == call.OK
+	for _, ch := range b.chunks {
+		ch.inFlight = false
+		key := runKey(ch.job.id, ch.index)
+		switch {
+		case ok:
+			ch.version = r.Txn.Revision
+		case failed[key]:
+			l.mark(ch)
+			w.reread(ch)
+		default:
+			l.mark(ch)
+		}
+		if failed[keyActive+ch.job.id] {
+			w.rereadJob(ch.job)
+		}
+	}
+	for _, p := range b.placed {
+		if ok && p.phase == uncommitted {
+			p.phase = committed
+		}
+	}
+	for _, j := range b.jobs {
+		switch {
+		case ok:
+			c.keepFinal(j.id, finalValue{State: map[bool]string{true: wire.JobCancelled, false: wire.JobDone}[j.cancelled], Done: j.done})
+			for i, ch := range j.chunks {
+				if ch.version != 0 && !b.seen[runKey(j.id, i)] {
+					w.orphan(runKey(j.id, i), ch.version)
+				}
+			}
+			l.dropJob(j)
+			c.log(Info, "job ended", "job", j.id, "cancelled", j.cancelled)
+		case failed[keyActive+j.id]:
+			w.rereadJob(j)
+			w.finish(j)
+		default:
+			for i, ch := range j.chunks {
+				if failed[runKey(j.id, i)] {
+					w.reread(ch)
+				}
+			}
+			w.finish(j)
+		}
+	}
+	if !ok {
+		for _, o := range b.orphan {
+			if !failed[o.Key] {
+				w.orphans = append(w.orphans, o)
+			}
+		}
+		if r.Outcome == call.Invalid {
+			c.log(Error, "a transaction was malformed", "ops", len(b.txn.Then))
+		}
+	}
+}
+
+// reread finds the version of a record whose last write had an unknown outcome.
+// Only the version counts: the leader is the only writer of its term.
+func (w *writer) reread(ch *chunk) {
+	if ch.reading {
+		return
+	}
+	ch.reading = true
+	id := w.l.stateCall(func(r Result) {
+		ch.reading = false
+		switch r.Outcome {
+		case call.OK:
+			ch.version = r.Item.Version
+		case call.Missing:
+			ch.version = 0
+		}
+	})
+	w.l.c.send(StateGet{ID: id, Key: runKey(ch.job.id, ch.index)})
+}
+
+// rereadJob finds out what became of a job's key without waiting for the watch.
+func (w *writer) rereadJob(j *job) {
+	l, c := w.l, w.l.c
+	id := l.stateCall(func(r Result) {
+		switch r.Outcome {
+		case call.OK:
+			c.dir.apply(keyActive+j.id, r.Item.Value, r.Item.Version)
+			l.jobChanged(j.id)
+		case call.Missing:
+			// Its end, whose outcome was unknown, was applied.
+			if j.final && l.jobs[j.id] == j {
+				for i, f := range w.finishes {
+					if f == j {
+						w.finishes = append(w.finishes[:i], w.finishes[i+1:]...)
+						break
+					}
+				}
+				for i, ch := range j.chunks {
+					if ch.version != 0 {
+						w.orphan(runKey(j.id, i), ch.version)
+					}
+				}
+				l.dropJob(j)
+			}
+		}
+	})
+	c.send(StateGet{ID: id, Key: keyActive + j.id})
+}
+
+// counts writes how many tasks run and are done, for display at other nodes, at
+// most every report interval and only with writes to spare.
+func (w *writer) counts() {
+	l, c := w.l, w.l.c
+	if w.countsBusy || c.stateDown {
+		return
+	}
+	if due := w.countsAt + c.t.report; c.now.Steady < due {
+		c.at(due)
+		return
+	}
+	if w.tokens < w.rate()/2 {
+		return
+	}
+	w.countsAt = c.now.Steady
+	shards := map[string]map[string]counts{}
+	for _, j := range l.order {
+		if n := j.counts(); n != (counts{}) {
+			k := countShard(j.id)
+			if shards[k] == nil {
+				shards[k] = map[string]counts{}
+			}
+			if float64(len(shards[k])) < 24*c.set.Params.State.ValueKB {
+				shards[k][j.id] = n
+			}
+		}
+	}
+	txn := wire.Txn{If: []wire.Cond{{Key: keyTerm, Version: l.version}}}
+	keys := map[string]string{}
+	for i := 0; i < countShards; i++ {
+		k := keyCounts + strconv.Itoa(i)
+		if shards[k] == nil {
+			shards[k] = map[string]counts{}
+		}
+		value, err := json.Marshal(shards[k])
+		if err != nil || string(value) == w.countsLast[k] || len(shards[k]) == 0 && w.countsLast[k] == "" {
+			continue
+		}
+		keys[k] = string(value)
+		txn.Then = append(txn.Then, wire.Op{Put: k, Value: value})
+	}
+	if len(txn.Then) > c.set.Params.State.TxnOps {
+		txn.Then = txn.Then[:c.set.Params.State.TxnOps]
+	}
+	if len(txn.Then) == 0 {
+		return
+	}
+	w.tokens -= float64(len(txn.Then))
+	w.countsBusy = true
+	id := l.stateCall(func(r Result) {
+		w.countsBusy = false
+		if r.Outcome == call.OK {
+			for _, op := range txn.Then {
+				w.countsLast[op.Put] = keys[op.Put]
+			}
+		}
+	})
+	c.send(StateTxn{ID: id, Txn: txn})
+}
+
+// writeCatalog keeps the machine types where a node finds them while the cloud is
+// down.
+func (w *writer) writeCatalog() {
+	l, c := w.l, w.l.c
+	if w.catalogOut || c.catalog == nil || c.dir.catalog != nil || c.stateDown {
+		return
+	}
+	value, err := json.Marshal(c.catalog)
+	if err != nil || float64(len(value)) > 1024*c.set.Params.State.ValueKB {
+		return
+	}
+	w.catalogOut = true
+	id := l.stateCall(func(r Result) {
+		if r.Outcome == call.Refused {
+			w.catalogOut = false
+		}
+	})
+	c.send(StateTxn{ID: id, Txn: wire.Txn{If: []wire.Cond{{Key: keyTerm, Version: l.version}},
+		Then: []wire.Op{{Put: keyCatalog, Value: value}}}})
+}
--- /dev/null
+++ b/internal/core/round.go
@@ -0,0 +1,338 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"bitternwing/internal/wire"
+)
+
+// rounds says when decision rounds are held: regularly, and soon after something
+// changed. A round has a budget of probes (tries to fit a task on the fleet); where
+// it runs out, the next round goes on from there.
+type rounds struct {
+	at     time.Duration
+	lastAt time.Duration
+	resume string // the job at which the last round stopped; "": none
+}
+
+// wantRound asks for a round soon: a recorded exception to the round length of the
+// design, for starts that are due within seconds.
+func (l *leader) wantRound() {
+	if l.c.op.EventRounds {
+		l.rounds.at = min(l.rounds.at, l.rounds.lastAt+l.c.t.eventGap)
+	}
+}
+
+// room is what is free of a machine.
+type room struct{ gpus, cpus, mem float64 }
+
+func (r room) holds(s *wire.Job) bool {
+	const eps = 1e-9
+	return r.gpus+eps >= s.GPUs && r.cpus+eps >= s.CPUs && r.mem+eps >= s.MemoryGB
+}
+
+func (r *room) take(s *wire.Job) { r.gpus -= s.GPUs; r.cpus -= s.CPUs; r.mem -= s.MemoryGB }
+func (r *room) give(s *wire.Job) { r.gpus += s.GPUs; r.cpus += s.CPUs; r.mem += s.MemoryGB }
+
+// round is one decision round.
+type round struct {
+	l          *leader
+	hosts      []*host
+	use        usage
+	guaranteed map[string]bool
+	probes     int
+	placed     int
+	want       []want // what found no room, for the rentals
+}
+
+// host is a machine that may take tasks in this round.
+type host struct {
+	m    *machine
+	free room
+	soon room // free once what was told to stop is gone
+}
+
+// want is a number of tasks of a job without a place.
+type want struct {
+	job   *job
+	tasks int
+}
+
+func priority(j *job) int { return wire.Priority(j.spec.Priority) }
+
+// budget counts a probe; false once the round has used its budget.
+func (r *round) budget() bool {
+	r.probes--
+	return r.probes > 0
+}
+
+// usable tells whether a machine may be given tasks: heard of lately, and not on
+// its way out.
+func (l *leader) usable(m *machine) bool {
+	return m.up && m.mt != nil && !m.releasing && !m.notice && !m.sick && !m.failed &&
+		l.c.now.Steady-m.heard < 3*l.c.t.report && l.c.now.Steady >= m.full
+}
+
+// freeOf gives what is free of a machine now, and once all that stops is gone.
+func (l *leader) freeOf(m *machine) (free, soon room) {
+	free = room{m.mt.GPUs, m.mt.CPUs, m.mt.MemoryGB}
+	for _, p := range m.runs {
+		free.take(p.job.spec)
+	}
+	for _, t := range m.strays {
+		if id, _, ok := wire.ParseTask(t.Task); ok && l.jobs[id] != nil {
+			free.take(l.jobs[id].spec)
+		} else {
+			free = room{}
+		}
+	}
+	soon = free
+	for _, p := range m.runs {
+		if p.stop != keep {
+			soon.give(p.job.spec)
+		}
+	}
+	return free, soon
+}
+
+// ready tells whether a job may be given tasks now.
+func (r *round) ready(j *job) bool {
+	return !j.cancelled && !j.final && j.team != nil && r.l.c.now.Steady >= j.waitFor
+}
+
+// round decides what starts and what stops.
+func (l *leader) round() {
+	now := l.c.now.Steady
+	if now < l.rounds.at {
+		l.c.at(l.rounds.at)
+		return
+	}
+	l.rounds.lastAt = now
+	l.rounds.at = now + l.c.t.round
+	l.c.at(l.rounds.at)
+	if l.c.catalog == nil || !l.c.elect.inTime() || l.c.stateDown {
+		l.rounds.at = now + l.c.t.report
+		l.c.at(l.rounds.at)
+		return
+	}
+	r := &round{l: l, use: usage{}, probes: l.probeBudget()}
+	for _, m := range l.fleet {
+		if m.mt == nil {
+			m.mt = l.c.machineType(m.kind)
+		}
+		if l.usable(m) {
+			free, soon := l.freeOf(m)
+			r.hosts = append(r.hosts, &host{m, free, soon})
+		}
+	}
+	for _, j := range l.order {
+		if len(j.placed) > 0 {
+			r.use.add(j, len(j.placed))
+		}
+	}
+	r.guaranteed = l.withinGuarantee()
+	stopped := r.minimums()
+	if stopped == "" {
+		r.feed()
+	}
+	if r.probes <= 0 {
+		// Out of budget: go on soon, from where this round stopped.
+		l.rounds.resume = stopped
+		l.rounds.at = now + l.c.t.report
+		l.c.at(l.rounds.at)
+	} else {
+		l.rounds.resume = ""
+	}
+	if r.placed > 0 {
+		l.c.log(Debug, "round", "placed", r.placed, "waiting", len(r.want))
+	}
+	l.plan(r)
+}
+
+// probeBudget is the number of probes that a round may make: the share of the
+// processor that operators allow for rounds, over what a probe of this fleet
+// costs (some tens of nanoseconds a machine).
+func (l *leader) probeBudget() int {
+	const perMachine = 50e-9
+	share := l.c.op.RoundBudget * l.c.set.Params.Limits.CPUShare * l.c.t.report.Seconds()
+	return max(64, int(share/(perMachine*float64(len(l.fleet)+1))))
+}
+
+// withinGuarantee finds the jobs that fit into their team's guarantee together with
+// the team's earlier unfinished jobs.
+func (l *leader) withinGuarantee() map[string]bool {
+	sums := map[string]*[2]float64{}
+	in := map[string]bool{}
+	for _, j := range l.order {
+		if j.cancelled || j.team == nil {
+			continue
+		}
+		s := sums[j.spec.Team]
+		if s == nil {
+			s = new([2]float64)
+			sums[j.spec.Team] = s
+		}
+		s[0] += float64(j.unfinished()) * j.spec.GPUs
+		s[1] += float64(j.unfinished()) * j.spec.CPUs
+		in[j.id] = !beyondGuarantee(s[0], s[1], j.team)
+	}
+	return in
+}
+
+// minimums serves what lacks its minimum: services that are not whole, and arrays
+// without a task. What finds no room takes it from the most fulfilled. It returns
+// the job at which the budget ran out.
+func (r *round) minimums() string {
+	l := r.l
+	var lacking []*job
+	for _, j := range l.order {
+		if !r.ready(j) || j.unplaced() == 0 {
+			continue
+		}
+		if !j.array() || j.instances() < j.minInstance() {
+			lacking = append(lacking, j)
+		}
+	}
+	sort.SliceStable(lacking, func(a, b int) bool {
+		x, y := lacking[a], lacking[b]
+		if g, h := r.guaranteed[x.id], r.guaranteed[y.id]; g != h {
+			return g
+		}
+		if p, q := priority(x), priority(y); p != q {
+			return p > q
+		}
+		return x.before(y)
+	})
+	from := 0
+	for i, j := range lacking {
+		if j.id == l.rounds.resume {
+			from = i
+		}
+	}
+	for i := range lacking {
+		j := lacking[(from+i)%len(lacking)]
+		if r.probes <= 0 {
+			return j.id
+		}
+		need := 1
+		if !j.array() {
+			need = j.unplaced()
+		}
+		if !r.use.allows(j, need) {
+			continue
+		}
+		if r.whole(j, need) {
+			continue
+		}
+		r.want = append(r.want, want{j, need})
+		r.shrinkFor(j, need)
+	}
+	return ""
+}
+
+// whole places the next tasks of a job, all of them or none.
+func (r *round) whole(j *job, need int) bool {
+	l := r.l
+	var done []*placement
+	from := 0
+	for len(done) < need {
+		task := l.nextTask(j, from)
+		if task < 0 {
+			break
+		}
+		r.budget()
+		m := r.fit(j, task)
+		if m == nil {
+			for _, p := range done {
+				r.unplace(p)
+			}
+			return false
+		}
+		done = append(done, r.place(j, task, m))
+		from = task + 1
+	}
+	for _, p := range done {
+		l.mark(l.chunkOf(j, p.task))
+	}
+	return true
+}
+
+// shrinkFor makes room for a job: on the machines where the fewest instances have to
+// go, the most fulfilled jobs above their minimum give way. What it counts on is
+// held back from others in this round, and each round works it out anew, so an
+// instance that is already stopping is not asked for twice.
+func (r *round) shrinkFor(j *job, need int) {
+	held := 0
+	for held < need {
+		var best *host
+		var bestStops []*placement
+		for _, h := range r.hosts {
+			if !r.allowed(j, h.m) {
+				continue
+			}
+			r.budget()
+			stops, ok := r.stopsFor(j, h)
+			if ok && (best == nil || len(stops) < len(bestStops) ||
+				len(stops) == len(bestStops) && h.m.warmth(j.spec.Image) < best.m.warmth(j.spec.Image)) {
+				best, bestStops = h, stops
+			}
+		}
+		if best == nil {
+			return
+		}
+		for _, p := range bestStops {
+			p.stop, p.stopWhy = stopSaving, "shrunk"
+			if p.phase < sent {
+				r.l.end(p)
+				best.free.give(p.job.spec)
+			}
+			best.soon.give(p.job.spec)
+			r.l.c.log(Debug, "shrunk", "task", p.name(), "for", j.id)
+		}
+		best.soon.take(j.spec)
+		// What is free there now is for this job too, as far as it needs it.
+		best.free.gpus = min(best.free.gpus, max(0, best.soon.gpus))
+		best.free.cpus = min(best.free.cpus, max(0, best.soon.cpus))
+		best.free.mem = min(best.free.mem, max(0, best.soon.mem))
+		held++
+	}
+}
+
+// stopsFor gives the instances to stop on a machine so that a task of j fits, the
+// most fulfilled job's first.
+func (r *round) stopsFor(j *job, h *host) ([]*placement, bool) {
+	soon := h.soon
+	if soon.holds(j.spec) {
+		return nil, true
+	}
+	type victim struct {
+		p     *placement
+		score float64
+	}
+	var vs []victim
+	left := map[*job]int{}
+	for _, p := range h.m.sorted() {
+		if p.stop != keep || !r.mayStop(j, p.job) {
+			continue
+		}
+		if s, ok := r.shrinkable(p.job); ok {
+			vs = append(vs, victim{p, s})
+			left[p.job] = p.job.instances() - p.job.minInstance()
+		}
+	}
+	sort.SliceStable(vs, func(a, b int) bool { return vs[a].score > vs[b].score })
+	var stops []*placement
+	for _, v := range vs {
+		if left[v.p.job] == 0 {
+			continue
+		}
+		left[v.p.job]--
+		soon.give(v.p.job.spec)
+		stops = append(stops, v.p)
+		if soon.holds(j.spec) {
+			return stops, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,252 @@
+// Package node runs a core: it hands it inputs with the time, carries out what it
+// returns, and feeds the results back. All decisions are the core's.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"math"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/cloud"
+	"bitternwing/internal/config"
+	"bitternwing/internal/core"
+	"bitternwing/internal/peer"
+	"bitternwing/internal/server"
+	"bitternwing/internal/state"
+)
+
+// Node is a running controller node.
+type Node struct {
+	set   *config.Settings
+	log   *slog.Logger
+	start time.Time
+
+	mu   sync.Mutex // guards core
+	core *core.Core
+
+	inputs  chan core.Input
+	healthy atomic.Bool
+
+	reqMu   sync.Mutex
+	nextReq uint64
+	waiting map[uint64]chan core.Answer
+
+	state   *state.Client
+	cloud   *cloud.Client
+	peers   map[string]*peer.Client
+	patient time.Duration // how long a call may take
+}
+
+// New makes a node.
+func New(set *config.Settings, log *slog.Logger) (*Node, error) {
+	var inc [8]byte
+	if _, err := rand.Read(inc[:]); err != nil {
+		return nil, err
+	}
+	p := set.Params
+	nodes := float64(len(set.Peers) + 1)
+	n := &Node{
+		set: set, log: log, start: time.Now(),
+		core:    core.New(set, hex.EncodeToString(inc[:])),
+		inputs:  make(chan core.Input, 4*set.Operator.MaxPendingRequests),
+		waiting: map[uint64]chan core.Answer{},
+		// The leader needs more than the others; all of them never need all.
+		state: state.New(set.Services.State, p.State.RPS*math.Min(1, 2/nodes), max(4, p.Limits.MaxConnections/40)),
+		cloud: cloud.New(set.Services.Cloud, p.Cloud.RPS, 4),
+		peers: map[string]*peer.Client{},
+		// Workers wait four seconds at the most, users two for a poll.
+		patient: config.Seconds(p.Workers.ReportS),
+	}
+	for _, s := range set.Peers {
+		c, err := peer.NewClient(set.Node, s.Addr, n.patient)
+		if err != nil {
+			return nil, err
+		}
+		n.peers[s.Node] = c
+	}
+	return n, nil
+}
+
+// Run serves until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	var lc net.ListenConfig
+	public, err := lc.Listen(ctx, "tcp4", n.set.Listen)
+	if err != nil {
+		return err
+	}
+	inner, err := lc.Listen(ctx, "tcp4", n.set.PeerListen)
+	if err != nil {
+		public.Close()
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ps := peer.NewServer(n.set.Node, n.peerStatus)
+	hs := server.New(n, n.set.Params.Limits.MaxConnections*3/4)
+	errs := make(chan error, 2)
+	go func() { errs <- ps.Serve(inner) }()
+	go func() { errs <- hs.Serve(public) }()
+	n.log.Info("serving", "node", n.set.Node, "zone", n.set.Zone, "listen", n.set.Listen, "peers", len(n.set.Peers))
+	go n.loop(ctx)
+	select {
+	case <-ctx.Done():
+		err = nil
+	case err = <-errs:
+	}
+	hs.Close()
+	ps.Stop()
+	for _, c := range n.peers {
+		c.Close()
+	}
+	return err
+}
+
+func (n *Node) now() core.Time {
+	t := time.Now()
+	return core.Time{Steady: t.Sub(n.start) + time.Second, WallMS: t.UnixMilli()}
+}
+
+func (n *Node) steady() time.Duration { return time.Since(n.start) + time.Second }
+
+// loop is the one place where the core is stepped.
+func (n *Node) loop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var in core.Input = core.Tick{}
+	for {
+		n.mu.Lock()
+		effects := n.core.Step(n.now(), in)
+		for _, e := range effects {
+			n.carryOut(ctx, e)
+		}
+		wake := n.core.Wake()
+		n.healthy.Store(n.core.Healthy())
+		n.mu.Unlock()
+
+		timer.Reset(max(time.Millisecond, wake-n.steady()))
+		select {
+		case <-ctx.Done():
+			return
+		case in = <-n.inputs:
+		case <-timer.C:
+			in = core.Tick{}
+		}
+	}
+}
+
+// Healthy tells whether this node can take requests.
+func (n *Node) Healthy() bool { return n.healthy.Load() }
+
+func (n *Node) peerStatus() core.PeerStatus {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.PeerStatus()
+}
+
+// Ask hands the core a request and waits for its answer. ok is false if there is
+// none in time or too much waits already.
+func (n *Node) Ask(ctx context.Context, input func(req uint64) core.Input) (core.Answer, bool) {
+	ch := make(chan core.Answer, 1)
+	n.reqMu.Lock()
+	n.nextReq++
+	req := n.nextReq
+	n.waiting[req] = ch
+	n.reqMu.Unlock()
+	defer func() {
+		n.reqMu.Lock()
+		delete(n.waiting, req)
+		n.reqMu.Unlock()
+	}()
+	select {
+	case n.inputs <- input(req):
+	default:
+		return core.Answer{}, false
+	}
+	select {
+	case a := <-ch:
+		return a, true
+	case <-ctx.Done():
+		return core.Answer{}, false
+	}
+}
+
+// do makes a call in the background and feeds its result back.
+func (n *Node) do(ctx context.Context, id uint64, patience time.Duration, f func(context.Context, *core.Result)) {
+	sent := n.steady()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, patience)
+		defer cancel()
+		r := core.Result{ID: id, Sent: sent, Outcome: call.Unknown}
+		f(ctx, &r)
+		select {
+		case n.inputs <- r:
+		case <-ctx.Done():
+			// The loop is behind; it still has to learn of this.
+			n.inputs <- r
+		}
+	}()
+}
+
+// carryOut does one effect.
+func (n *Node) carryOut(ctx context.Context, e core.Effect) {
+	switch e := e.(type) {
+	case core.Answer:
+		n.reqMu.Lock()
+		ch := n.waiting[e.Req]
+		n.reqMu.Unlock()
+		if ch != nil {
+			ch <- e
+		}
+	case core.Log:
+		level := slog.LevelDebug
+		switch e.Level {
+		case core.Info:
+			level = slog.LevelInfo
+		case core.Error:
+			level = slog.LevelError
+		}
+		n.log.Log(ctx, level, e.Message, e.Pairs...)
+	case core.StateGet:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Item, r.Outcome = n.state.Get(ctx, e.Key) })
+	case core.StateList:
+		n.do(ctx, e.ID, 3*n.patient, func(ctx context.Context, r *core.Result) {
+			r.Page, r.Outcome = n.state.List(ctx, e.Prefix, e.After, 500)
+		})
+	case core.StateTxn:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Txn, r.Outcome = n.state.Txn(ctx, e.Txn) })
+	case core.StateGrant:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Lease, r.Outcome = n.state.Grant(ctx, e.TTL) })
+	case core.StateExtend:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Outcome = n.state.Extend(ctx, e.Lease) })
+	case core.StateRevoke:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Outcome = n.state.Revoke(ctx, e.Lease) })
+	case core.StateWatch:
+		n.do(ctx, e.ID, e.Wait+2*n.patient, func(ctx context.Context, r *core.Result) {
+			r.Changes, r.Outcome = n.state.Watch(ctx, e.Prefix, e.After, e.Wait)
+		})
+	case core.CloudCatalog:
+		n.do(ctx, e.ID, 4*n.patient, func(ctx context.Context, r *core.Result) { r.Catalog, r.Outcome = n.cloud.Catalog(ctx) })
+	case core.CloudRent:
+		n.do(ctx, e.ID, 4*n.patient, func(ctx context.Context, r *core.Result) {
+			names, o := n.cloud.Rent(ctx, e.Request)
+			r.Names, r.Outcome = names.Machines, o
+		})
+	case core.CloudRelease:
+		n.do(ctx, e.ID, 4*n.patient, func(ctx context.Context, r *core.Result) { r.Outcome = n.cloud.Release(ctx, e.Names) })
+	case core.CloudList:
+		n.do(ctx, e.ID, 4*n.patient, func(ctx context.Context, r *core.Result) { r.Machines, r.Outcome = n.cloud.List(ctx, e.After) })
+	case core.PeerAsk:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
+			if p := n.peers[e.Node]; p != nil {
+				r.Peer, r.Outcome = p.Status(ctx)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,151 @@
+// Package server is the HTTP side of a node: users, workers and health checks.
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"bitternwing/internal/core"
+	"bitternwing/internal/wire"
+)
+
+// Core answers requests.
+type Core interface {
+	// Ask hands over a request and waits for the answer.
+	Ask(ctx context.Context, input func(req uint64) core.Input) (core.Answer, bool)
+	Healthy() bool
+}
+
+// Users wait five seconds for a submission and two for a poll, workers four for an
+// answer; each gets one before.
+const (
+	userPatience   = 1800 * time.Millisecond
+	workerPatience = 3 * time.Second
+)
+
+// Server serves a node's public address.
+type Server struct {
+	core  Core
+	http  *http.Server
+	conns int
+}
+
+// New makes a server that holds at most conns connections open.
+func New(c Core, conns int) *Server {
+	s := &Server{core: c, conns: conns}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", s.health)
+	mux.HandleFunc("POST /v2/runs", s.submit)
+	mux.HandleFunc("GET /v2/runs/{id}", s.poll)
+	mux.HandleFunc("POST /v2/runs/{id}/cancel", s.cancel)
+	mux.HandleFunc("POST /checkin", s.checkin)
+	s.http = &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: 10 * time.Second,
+		ReadTimeout:       20 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		MaxHeaderBytes:    16 << 10,
+	}
+	return s
+}
+
+// Serve serves a listener until Close.
+func (s *Server) Serve(l net.Listener) error {
+	return s.http.Serve(netutil.LimitListener(l, s.conns))
+}
+
+// Close ends the server at once.
+func (s *Server) Close() { s.http.Close() }
+
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+func reply(w http.ResponseWriter, status, retryAfter int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status, data = http.StatusInternalServerError, []byte(`{"error":"internal"}`)
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(data)))
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(retryAfter))
+	}
+	w.WriteHeader(status)
+	w.Write(data)
+}
+
+func (s *Server) ask(w http.ResponseWriter, r *http.Request, patience time.Duration, input func(uint64) core.Input) {
+	ctx, cancel := context.WithTimeout(r.Context(), patience)
+	defer cancel()
+	a, ok := s.core.Ask(ctx, input)
+	if !ok {
+		reply(w, http.StatusServiceUnavailable, 1, errorBody{"no answer in time"})
+		return
+	}
+	reply(w, a.Status, a.RetryAfter, a.Body)
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	if s.core.Healthy() {
+		reply(w, http.StatusOK, 0, struct{}{})
+		return
+	}
+	reply(w, http.StatusServiceUnavailable, 0, errorBody{"can't take requests"})
+}
+
+// body reads a body within the protocol's limit; false if it was answered.
+func body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, wire.MaxBody+1))
+	if err != nil || len(data) > wire.MaxBody {
+		w.Header().Set("Connection", "close")
+		reply(w, http.StatusBadRequest, 0, errorBody{"body: is too large or broken off"})
+		return nil, false
+	}
+	return data, true
+}
+
+func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
+	data, ok := body(w, r)
+	if !ok {
+		return
+	}
+	job, err := wire.ParseJob(data)
+	if err != nil {
+		reply(w, http.StatusBadRequest, 0, errorBody{err.Error()})
+		return
+	}
+	s.ask(w, r, userPatience, func(req uint64) core.Input { return core.Submit{Req: req, Job: job} })
+}
+
+func (s *Server) poll(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	s.ask(w, r, userPatience, func(req uint64) core.Input { return core.Poll{Req: req, ID: id} })
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	io.Copy(io.Discard, io.LimitReader(r.Body, wire.MaxBody))
+	s.ask(w, r, userPatience, func(req uint64) core.Input { return core.Cancel{Req: req, ID: id} })
+}
+
+func (s *Server) checkin(w http.ResponseWriter, r *http.Request) {
+	data, ok := body(w, r)
+	if !ok {
+		return
+	}
+	report, err := wire.ParseReport(data)
+	if err != nil {
+		reply(w, http.StatusBadRequest, 0, errorBody{err.Error()})
+		return
+	}
+	s.ask(w, r, workerPatience, func(req uint64) core.Input { return core.Checkin{Req: req, Report: report} })
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,87 @@
+// Package state is the client of the state service.
+package state
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/wire"
+)
+
+// maxAnswer bounds what is read of an answer; watches have no limit of their own.
+const maxAnswer = 8 << 20
+
+// Client talks to the state service.
+type Client struct{ c *call.Client }
+
+// New makes a client that sends at most perSecond requests a second.
+func New(addr string, perSecond float64, conns int) *Client {
+	return &Client{call.New(addr, perSecond, conns, maxAnswer)}
+}
+
+// Get reads a key.
+func (s *Client) Get(ctx context.Context, key string) (wire.Item, call.Outcome) {
+	var item wire.Item
+	o := s.c.Do(ctx, "GET", "/kv/"+key, nil, &item)
+	if o == call.OK && item.Version == 0 {
+		o = call.Unknown
+	}
+	return item, o
+}
+
+// List reads a page of the keys below a prefix, after a key.
+func (s *Client) List(ctx context.Context, prefix, after string, limit int) (wire.Page, call.Outcome) {
+	q := url.Values{"under": {prefix}, "limit": {strconv.Itoa(limit)}}
+	if after != "" {
+		q.Set("after", after)
+	}
+	var page wire.Page
+	o := s.c.Do(ctx, "GET", "/kv?"+q.Encode(), nil, &page)
+	return page, o
+}
+
+// Txn runs a transaction.
+func (s *Client) Txn(ctx context.Context, txn wire.Txn) (wire.TxnAnswer, call.Outcome) {
+	if txn.If == nil {
+		txn.If = []wire.Cond{}
+	}
+	var a wire.TxnAnswer
+	o := s.c.Do(ctx, "POST", "/txn", txn, &a)
+	if o == call.OK && a.Revision == 0 {
+		o = call.Unknown
+	}
+	return a, o
+}
+
+// Grant makes a lease.
+func (s *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, call.Outcome) {
+	var a wire.LeaseAnswer
+	o := s.c.Do(ctx, "POST", "/grants", wire.LeaseRequest{TTLMillis: ttl.Milliseconds()}, &a)
+	if o == call.OK && a.Lease == 0 {
+		o = call.Unknown
+	}
+	return a.Lease, o
+}
+
+// Extend renews a lease.
+func (s *Client) Extend(ctx context.Context, lease uint64) call.Outcome {
+	return s.c.Do(ctx, "POST", fmt.Sprintf("/grants/%d/extend", lease), struct{}{}, nil)
+}
+
+// Revoke ends a lease.
+func (s *Client) Revoke(ctx context.Context, lease uint64) call.Outcome {
+	return s.c.Do(ctx, "DELETE", fmt.Sprintf("/grants/%d", lease), nil, nil)
+}
+
+// Watch waits for changes below a prefix after a revision.
+func (s *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (wire.Changes, call.Outcome) {
+	q := url.Values{"under": {prefix}, "after": {strconv.FormatUint(after, 10)},
+		"block_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	var c wire.Changes
+	o := s.c.Do(ctx, "GET", "/changes?"+q.Encode(), nil, &c)
+	return c, o
+}
--- /dev/null
+++ b/internal/wire/cloud.go
@@ -0,0 +1,66 @@
+package wire
+
+// MachineType is an entry of the cloud's catalog.
+type MachineType struct {
+	Name        string   `json:"label"`
+	CPUs        float64  `json:"vcpus"`
+	GPUs        float64  `json:"gpus"`
+	MemoryGB    float64  `json:"memory_gb"`
+	CacheGB     float64  `json:"local_gb"`
+	FetchGBPerS float64  `json:"pull_gb_per_s"`
+	Price       float64  `json:"hourly"`
+	SpotPrice   float64  `json:"low_price"`
+	BootS       float64  `json:"boot_s"`
+	Zones       []string `json:"halls"`
+}
+
+// Catalog is the answer of GET /catalog.
+type Catalog struct {
+	Types []MachineType `json:"rigs"`
+}
+
+// RentRequest asks for machines (POST /rentals).
+type RentRequest struct {
+	Request string `json:"hire"`
+	Type    string `json:"rig"`
+	Zone    string `json:"hall"`
+	Spot    bool   `json:"loaner"`
+	Count   int    `json:"number"`
+}
+
+// MaxRent is the most machines one request may ask for, MaxRelease the most
+// names one release may hold, MaxList the most machines in one page.
+const (
+	MaxRent    = 50
+	MaxRelease = 100
+	MaxList    = 500
+)
+
+// Names is a list of machine names: a rental's answer and a release's request.
+type Names struct {
+	Machines []string `json:"hosts"`
+}
+
+// Machine states in the cloud's list.
+const (
+	MachineBooting = "starting"
+	MachineRunning = "running"
+	MachineFailed  = "failed"
+)
+
+// Machine is an entry of the cloud's list.
+type Machine struct {
+	Name  string  `json:"ref"`
+	Addr  string  `json:"addr"`
+	Type  string  `json:"rig"`
+	Zone  string  `json:"hall"`
+	Spot  bool    `json:"loaner"`
+	State string  `json:"status"`
+	AgeS  float64 `json:"held_s"`
+}
+
+// MachineList is a page of the cloud's list.
+type MachineList struct {
+	Machines []Machine `json:"hosts"`
+	More     bool      `json:"truncated"`
+}
--- /dev/null
+++ b/internal/wire/user.go
@@ -0,0 +1,253 @@
+// Package wire holds the protocol's messages. Its field tags are the only place
+// where the protocol's own words for things appear; the rest of the program uses
+// the names of the Go fields.
+package wire
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// MaxBody is the protocol's limit on a request body.
+const MaxBody = 64 << 10
+
+// MaxTasks is the protocol's limit on the number of tasks of a job.
+const MaxTasks = 100_000
+
+// maxName bounds the names in a job, so that a job always fits a value of the
+// state service.
+const maxName = 256
+
+// maxTypes bounds the list of allowed machine types for the same reason.
+const maxTypes = 32
+
+// Kinds of jobs.
+const (
+	KindArray   = "batch"
+	KindService = "standing"
+)
+
+// Job states as told to users.
+const (
+	JobPending   = "pending"
+	JobRunning   = "running"
+	JobDone      = "done"
+	JobCancelled = "withdrawn"
+)
+
+// Priorities from the most to the least important.
+var priorities = map[string]int{"prod": 3, "high": 2, "standard": 1, "idle": 0}
+
+// Priority gives the rank of a priority; a larger one goes first.
+func Priority(name string) int { return priorities[name] }
+
+// Job is a submission (POST /v2/runs). It is stored in this form as well.
+type Job struct {
+	ID         string   `json:"ref"`
+	Class      string   `json:"lane"`
+	Team       string   `json:"broker"`
+	Kind       string   `json:"shape"`
+	Priority   string   `json:"urgency"`
+	Tasks      int      `json:"parcels"`
+	CPUs       float64  `json:"vcpus"`
+	GPUs       float64  `json:"gpus"`
+	MemoryGB   float64  `json:"memory_gb"`
+	Image      string   `json:"bundle"`
+	ImageGB    float64  `json:"image_gb"`
+	Types      []string `json:"rigs,omitempty"`
+	Zone       string   `json:"hall,omitempty"`
+	OneZone    bool     `json:"one_zone,omitempty"`
+	Spread     bool     `json:"apart,omitempty"`
+	Spot       bool     `json:"loaner,omitempty"`
+	EstimateS  float64  `json:"expect_s"`
+	Checkpoint float64  `json:"stamp_s"`
+	SaveS      float64  `json:"stow_s"`
+	DeadlineS  *float64 `json:"cutoff_s,omitempty"`
+}
+
+// JobState is the answer to users about a job.
+type JobState struct {
+	ID      string `json:"ref"`
+	State   string `json:"status"`
+	Done    *int   `json:"done,omitempty"`
+	Running *int   `json:"running,omitempty"`
+}
+
+var jobID = regexp.MustCompile(`^run-[0-9]{6,20}$`)
+
+// ValidJobID tells whether a job id has the protocol's form.
+func ValidJobID(id string) bool { return jobID.MatchString(id) }
+
+// TaskName is the protocol's name of a task.
+func TaskName(job string, task int) string { return job + "/" + strconv.Itoa(task) }
+
+// ParseTask takes a task's name apart.
+func ParseTask(name string) (job string, task int, ok bool) {
+	job, num, found := strings.Cut(name, "/")
+	if !found {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(num)
+	if err != nil || n < 0 || n >= MaxTasks {
+		return "", 0, false
+	}
+	return job, n, true
+}
+
+type fields struct {
+	raw map[string]json.RawMessage
+	err error
+}
+
+// get finds a field; null counts as absent.
+func (f *fields) get(name string) (json.RawMessage, bool) {
+	v, ok := f.raw[name]
+	if !ok || string(v) == "null" {
+		return nil, false
+	}
+	return v, true
+}
+
+func (f *fields) fail(name, what string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("%s: %s", name, what)
+	}
+}
+
+func (f *fields) text(name string, needed bool) string {
+	v, ok := f.get(name)
+	if !ok {
+		if needed {
+			f.fail(name, "is missing")
+		}
+		return ""
+	}
+	var s string
+	if json.Unmarshal(v, &s) != nil {
+		f.fail(name, "must be a string")
+		return ""
+	}
+	if s == "" || len(s) > maxName {
+		f.fail(name, fmt.Sprintf("must have 1 to %d bytes", maxName))
+	}
+	return s
+}
+
+func (f *fields) amount(name string, needed bool) *float64 {
+	v, ok := f.get(name)
+	if !ok {
+		if needed {
+			f.fail(name, "is missing")
+		}
+		return nil
+	}
+	var x float64
+	if json.Unmarshal(v, &x) != nil || math.IsInf(x, 0) || math.IsNaN(x) {
+		f.fail(name, "must be a number")
+		return nil
+	}
+	if x < 0 || x > 1e9 {
+		f.fail(name, "is out of range")
+	}
+	return &x
+}
+
+func (f *fields) must(name string) float64 {
+	if x := f.amount(name, true); x != nil {
+		return *x
+	}
+	return 0
+}
+
+func (f *fields) flag(name string) bool {
+	v, ok := f.get(name)
+	if !ok {
+		f.fail(name, "is missing")
+		return false
+	}
+	var b bool
+	if json.Unmarshal(v, &b) != nil {
+		f.fail(name, "must be true or false")
+	}
+	return b
+}
+
+// ParseJob reads and checks a submission. Names are matched to the letter and a
+// wrong type in any field is an error, which a plain decode into a struct would
+// not give (it folds case).
+func ParseJob(body []byte) (*Job, error) {
+	if len(body) > MaxBody {
+		return nil, errors.New("body: is too large")
+	}
+	f := &fields{}
+	if trimmed := bytes.TrimSpace(body); len(trimmed) == 0 || trimmed[0] != '{' {
+		return nil, errors.New("body: must be a JSON object")
+	}
+	if err := json.Unmarshal(body, &f.raw); err != nil {
+		return nil, errors.New("body: must be a JSON object")
+	}
+	j := &Job{
+		ID:         f.text("ref", true),
+		Class:      f.text("lane", true),
+		Team:       f.text("broker", true),
+		Kind:       f.text("shape", true),
+		Priority:   f.text("urgency", true),
+		CPUs:       f.must("vcpus"),
+		GPUs:       f.must("gpus"),
+		MemoryGB:   f.must("memory_gb"),
+		Image:      f.text("bundle", true),
+		ImageGB:    f.must("image_gb"),
+		Zone:       f.text("hall", false),
+		OneZone:    f.flag("one_zone"),
+		Spread:     f.flag("apart"),
+		Spot:       f.flag("loaner"),
+		EstimateS:  f.must("expect_s"),
+		Checkpoint: f.must("stamp_s"),
+		SaveS:      f.must("stow_s"),
+		DeadlineS:  f.amount("cutoff_s", false),
+	}
+	tasks := f.must("parcels")
+	if tasks != math.Trunc(tasks) || tasks < 1 || tasks > MaxTasks {
+		f.fail("parcels", fmt.Sprintf("must be a whole number from 1 to %d", MaxTasks))
+	}
+	j.Tasks = int(tasks)
+	if v, ok := f.get("rigs"); ok {
+		var types []*string
+		if json.Unmarshal(v, &types) != nil {
+			f.fail("rigs", "must be a list of names or null")
+		}
+		if len(types) > maxTypes {
+			f.fail("rigs", fmt.Sprintf("must have at most %d names", maxTypes))
+		}
+		j.Types = make([]string, 0, len(types))
+		for _, t := range types {
+			if t == nil || *t == "" || len(*t) > maxName {
+				f.fail("rigs", "must be a list of names or null")
+				break
+			}
+			j.Types = append(j.Types, *t)
+		}
+		if len(types) == 0 {
+			f.fail("rigs", "must name a machine type or be null")
+		}
+	}
+	if f.err != nil {
+		return nil, f.err
+	}
+	switch {
+	case !ValidJobID(j.ID):
+		return nil, errors.New("ref: is not a job id")
+	case j.Kind != KindArray && j.Kind != KindService:
+		return nil, errors.New("shape: is unknown")
+	}
+	if _, ok := priorities[j.Priority]; !ok {
+		return nil, errors.New("urgency: is unknown")
+	}
+	return j, nil
+}
