--- /dev/null
+++ b/internal/call/call_test.go
@@ -0,0 +1,69 @@
+package call
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// An unknown outcome is never taken for a refusal or a success.
+func TestOutcomes(t *testing.T) {
+	status, body := 200, `{}`
+	end := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if status == 0 {
+			<-end // no answer
+			return
+		}
+		w.WriteHeader(status)
+		w.Write([]byte(body))
+	}))
+	defer s.Close()
+	defer close(end)
+	c := New(s.Listener.Addr().String(), 1000, 2, 100)
+	do := func(c *Client) Outcome {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		var out struct{ X int }
+		return c.Do(ctx, "POST", "/x", struct{}{}, &out)
+	}
+	for _, x := range []struct {
+		status int
+		body   string
+		want   Outcome
+	}{
+		{200, `{"X":1}`, OK},
+		{200, `{"X":`, Unknown},
+		{200, `{"X":"` + string(make([]byte, 200)) + `"}`, Unknown},
+		{409, `{}`, Conflict},
+		{404, `{}`, Missing},
+		{400, `{}`, Invalid},
+		{410, `{}`, TooOld},
+		{429, `{}`, Refused},
+		{503, `not JSON`, Refused},
+		{500, `{}`, Unknown},
+		{302, `{}`, Unknown},
+		{0, ``, Unknown},
+	} {
+		status, body = x.status, x.body
+		if got := do(c); got != x.want {
+			t.Errorf("%d %.10q: %v, not %v", x.status, x.body, got, x.want)
+		}
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	if got := do(New(l.Addr().String(), 1000, 2, 100)); got != Refused {
+		t.Errorf("a connection that never stood: %v", got)
+	}
+	slow := New(s.Listener.Addr().String(), 1, 2, 100)
+	status, body = 200, `{}`
+	if a, b := do(slow), do(slow); a != OK || b != Refused {
+		t.Errorf("over the rate: %v, %v", a, b)
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,64 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+func good(t *testing.T) string {
+	t.Helper()
+	b, err := os.ReadFile("testdata/good.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+// Bad settings give one line that names the field; unknown fields are ignored.
+func TestSettings(t *testing.T) {
+	if _, err := Parse([]byte(good(t))); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ from, to, names string }{
+		{`host_name = "n-0"`, ``, "host_name"},
+		{`bind = "127.0.0.1:8080"`, `bind = "nowhere"`, "bind"},
+		{`bind = "127.0.0.1:8080"`, `bind = 8080`, "bind"},
+		{`state = "127.0.0.1:2379"`, ``, "outside.state"},
+		{`address = "127.0.0.2:8081"`, `address = ""`, "siblings[0].address"},
+		{`lease_s = 10.0`, `lease_s = -1.0`, "params.workers.lease_s"},
+		{`write_rps = 60.0`, `write_rps = "many"`, "params.state.write_rps"},
+		{`txn_ops = 12`, `txn_ops = 1`, "params.state.txn_ops"},
+		{`gpus_max = 8.0`, `gpus_max = -8.0`, "params.teams[0]"},
+		{`memory_mb = 98.0`, ``, "params.limits.memory_mb"},
+	} {
+		text := strings.Replace(good(t), c.from, c.to, 1)
+		if text == good(t) {
+			t.Fatalf("%q is not in the file", c.from)
+		}
+		_, err := Parse([]byte(text))
+		if err == nil || !strings.Contains(err.Error(), c.names) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q for %q: %v", c.to, c.from, err)
+		}
+	}
+}
+
+func TestOperator(t *testing.T) {
+	o, err := ParseOperator([]byte(`{"round_s": 2}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.RoundS != 2 || o.IdleBoots != DefaultOperator().IdleBoots {
+		t.Errorf("the given field did not go over the defaults: %+v", o)
+	}
+	for text, names := range map[string]string{
+		`{"round_s": "fast"}`: "/round_s",
+		`{"round_s": 0}`:      "/round_s",
+		`{"no_such": 1}`:      "no_such",
+		`{"round_s": 2`:       "JSON",
+	} {
+		if _, err := ParseOperator([]byte(text)); err == nil || !strings.Contains(err.Error(), names) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 
 	"bitternwing/internal/call"
@@ -188,6 +189,7 @@
 		key, value := e.Put, e.Value
 		if e.Delete != "" {
 			key, value = e.Delete, nil
+			c.noticeEnd(key)
 		}
 		c.dir.apply(key, value, e.Version)
 		c.noticeJob(key)
@@ -195,6 +197,22 @@
 	c.dir.revision = max(c.dir.revision, ch.Revision)
 }
 
+// noticeEnd remembers a job's final state from the end of its active key: only the
+// write of its final state deletes that key, and the watch lacks no change before
+// it, so what the job was last is what it ended as.
+func (c *Core) noticeEnd(key string) {
+	id, ok := strings.CutPrefix(key, keyActive)
+	e := c.dir.jobs[id]
+	if !ok || e == nil {
+		return
+	}
+	if e.CancelledMS != 0 {
+		c.keepFinal(id, finalValue{State: wire.JobCancelled, Done: c.countsOf(id)[1]})
+	} else {
+		c.keepFinal(id, finalValue{State: wire.JobDone, Done: e.Job.Tasks})
+	}
+}
+
 // noticeJob hands a changed job to the leader.
 func (c *Core) noticeJob(key string) {
 	if c.lead != nil && len(key) > len(keyActive) && key[:len(keyActive)] == keyActive {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -27,7 +27,7 @@
 	jobs     map[string]*job
 	order    []*job // by acceptance
 	machines map[string]*machine
-	fleet    []*machine              // by name
+	fleet    []*machine               // by name
 	released map[string]time.Duration // names given back, so that late reports of them don't count
 
 	writes  writer
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -85,8 +85,12 @@
 	return p
 }
 
-// unplace takes back a placement of this very round.
+// unplace takes back the last placement of this very round. Its attempt was never
+// written, so its number is free again.
 func (r *round) unplace(p *placement) {
+	if ch := r.l.chunkOf(p.job, p.task); ch.next == p.attempt && !ch.inFlight && !ch.dirty {
+		ch.next--
+	}
 	delete(p.job.placed, p.task)
 	p.machine.remove(p)
 	p.job.cursor = min(p.job.cursor, p.task)
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -367,7 +367,9 @@
 			p.bins = append(p.bins, &bin{offer: q.offer, mt: mt, room: room{mt.GPUs, mt.CPUs, mt.MemoryGB}})
 		}
 	}
+	counted := map[*job]int{}
 	for _, w := range r.want {
+		counted[w.job] += w.tasks
 		for i := 0; i < w.tasks; i++ {
 			if !p.put(w.job, w.job.spec.Spot) && !p.put(w.job, false) {
 				break
@@ -376,7 +378,7 @@
 	}
 	for _, j := range l.order {
 		if j.array() && r.ready(j) {
-			p.array(j)
+			p.array(j, j.unplaced()-counted[j])
 		}
 	}
 	p.spare()
@@ -468,10 +470,9 @@
 	return b
 }
 
-// array plans machines for an array's waiting tasks. A machine costs its boot time
+// array plans machines for an array's n further waiting tasks. A machine costs its boot time
 // before it helps, so one is rented only for about as much work as that.
-func (p *planner) array(j *job) {
-	n := j.unplaced()
+func (p *planner) array(j *job, n int) {
 	if x := p.r.use.of(j.spec.Team); j.team.GPUsMax > 0 && j.spec.GPUs > 0 {
 		n = min(n, int((j.team.GPUsMax-x[0])/j.spec.GPUs))
 	}
@@ -522,7 +523,7 @@
 			largest = max(largest, float64(j.spec.Tasks)*j.spec.GPUs)
 		}
 	}
-	if inUse == 0 {
+	if inUse == 0 || p.r.l.c.op.SpareShare == 0 {
 		return 0
 	}
 	return max(largest, inUse*p.r.l.c.op.SpareShare)
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -244,8 +244,8 @@
 		r.budget()
 		m := r.fit(j, task)
 		if m == nil {
-			for _, p := range done {
-				r.unplace(p)
+			for i := len(done) - 1; i >= 0; i-- {
+				r.unplace(done[i])
 			}
 			return false
 		}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,243 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bitternwing/internal/config"
+	"bitternwing/internal/node"
+	"bitternwing/internal/standin"
+	"bitternwing/internal/wire"
+)
+
+// The end-to-end tests run real nodes on loopback against the stand-ins, with all
+// intervals shortened. They wait for things to happen, up to a generous bound, and
+// assert no timing.
+
+const patience = 60 * time.Second
+
+type site struct {
+	t      *testing.T
+	state  *standin.StateServer
+	cloud  *standin.Cloud
+	addrs  map[string]string
+	peers  map[string]string
+	cancel map[string]context.CancelFunc
+	done   map[string]chan struct{}
+
+	mu     sync.Mutex
+	starts map[string]int // by task and attempt
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, state: standin.NewStateServer(), addrs: map[string]string{}, peers: map[string]string{},
+		cancel: map[string]context.CancelFunc{}, done: map[string]chan struct{}{}, starts: map[string]int{}}
+	types := []wire.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 512, CacheGB: 300, FetchGBPerS: 4,
+		Price: 16, SpotPrice: 5, BootS: 5, Zones: []string{"z1"}}}
+	s.cloud = standin.NewCloud(types, 50*time.Millisecond, 2*time.Second, func(machine, task string, attempt uint64) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.starts[fmt.Sprint(task, "#", attempt)]++
+	})
+	for _, n := range []string{"a", "b", "c"} {
+		s.addrs[n], s.peers[n] = standin.FreeAddr(), standin.FreeAddr()
+		s.cloud.SetNode(n, s.addrs[n])
+	}
+	for _, n := range []string{"a", "b", "c"} {
+		s.run(n)
+	}
+	t.Cleanup(func() {
+		for n := range s.cancel {
+			s.kill(n)
+		}
+		s.cloud.Close()
+		s.state.Close()
+	})
+	return s
+}
+
+func (s *site) run(name string) {
+	set := &config.Settings{Node: name, Zone: "z1", Listen: s.addrs[name], PeerListen: s.peers[name],
+		Services: config.Services{Cloud: s.cloud.Addr(), State: s.state.Addr()}, Operator: config.DefaultOperator()}
+	for _, p := range []string{"a", "b", "c"} {
+		if p != name {
+			set.Peers = append(set.Peers, config.Peer{Node: p, Addr: s.peers[p]})
+		}
+	}
+	set.Params = config.Params{Nodes: 3, Zones: []string{"z1"},
+		Teams:   []config.Team{{Name: "red", GPUs: 8, GPUsMax: 16}},
+		Workers: config.Workers{ReportS: 0.2, LeaseS: 2, CancelS: 10},
+		State:   config.State{RPS: 1000, WriteRPS: 500, ValueKB: 16, TxnOps: 12},
+		Cloud:   config.Cloud{RPS: 20, ListLagS: 0.2},
+		Limits:  config.Limits{CPUShare: 1, MemoryMB: 98, MaxConnections: 400}}
+	n, err := node.New(set, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	s.cancel[name], s.done[name] = cancel, done
+	go func() {
+		defer close(done)
+		if err := n.Run(ctx); err != nil {
+			s.t.Errorf("node %s: %v", name, err)
+		}
+	}()
+}
+
+func (s *site) kill(name string) {
+	s.cancel[name]()
+	<-s.done[name]
+	delete(s.cancel, name)
+}
+
+// call makes a request and decodes the answer; status 0: no answer.
+func (s *site) call(method, node, path, body string) (int, wire.JobState) {
+	req, err := http.NewRequest(method, "http://"+s.addrs[node]+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, wire.JobState{}
+	}
+	defer resp.Body.Close()
+	var st wire.JobState
+	data, _ := io.ReadAll(resp.Body)
+	json.NewDecoder(bytes.NewReader(data)).Decode(&st)
+	return resp.StatusCode, st
+}
+
+func (s *site) eventually(what string, f func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	s.t.Fatalf("never: %s", what)
+}
+
+func (s *site) submit(node, id, kind string, tasks, gpus int) {
+	s.t.Helper()
+	body := fmt.Sprintf(`{"ref":%q,"lane":"x","broker":"red","shape":%q,"urgency":"prod","parcels":%d,
+		"vcpus":1.0,"gpus":%d,"memory_gb":1.0,"bundle":"i","image_gb":1.0,"rigs":null,"hall":null,
+		"one_zone":false,"apart":false,"loaner":false,"expect_s":1.0,"stamp_s":0.0,"stow_s":0.0,"cutoff_s":null}`,
+		id, kind, tasks, gpus)
+	s.eventually("accepted "+id, func() bool {
+		code, _ := s.call("POST", node, "/v2/runs", body)
+		return code == 201 || code == 200
+	})
+}
+
+func (s *site) state3(id, want string) {
+	s.t.Helper()
+	for _, n := range []string{"a", "b", "c"} {
+		if s.cancel[n] == nil {
+			continue
+		}
+		s.eventually(fmt.Sprintf("%s is %s at %s", id, want, n), func() bool {
+			code, st := s.call("GET", n, "/v2/runs/"+id, "")
+			return code == 200 && st.State == want
+		})
+	}
+}
+
+func (s *site) leader() string {
+	leader := ""
+	s.eventually("a leader", func() bool {
+		for n := range s.cancel {
+			req := `{"host":"host-probe","shift":1,"tally":1,"baton":0,"rig":"none","hall":"z1","parcels":[]}`
+			code, _ := s.call("POST", n, "/checkin", req)
+			if code == 200 {
+				leader = n
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+func (s *site) onceEach() {
+	s.t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, n := range s.starts {
+		if n != 1 {
+			s.t.Errorf("%s was started %d times", k, n)
+		}
+	}
+}
+
+// TestLifeOfJobs submits, runs and cancels, kills the leader, and sees the next one
+// carry on: what runs goes on running, and new work gets done.
+func TestLifeOfJobs(t *testing.T) {
+	s := newSite(t)
+	s.submit("a", "run-000001", wire.KindService, 2, 4)
+	s.submit("b", "run-000002", wire.KindArray, 5, 1)
+	s.eventually("two replicas run", func() bool { return s.cloud.Running("run-000001") == 2 })
+	s.state3("run-000001", wire.JobRunning)
+	s.state3("run-000002", wire.JobDone)
+
+	s.kill(s.leader())
+	next := s.leader()
+	s.submit(next, "run-000004", wire.KindArray, 3, 1)
+	s.state3("run-000004", wire.JobDone)
+	s.state3("run-000002", wire.JobDone)
+	s.mu.Lock()
+	replicas := 0
+	for k := range s.starts {
+		if strings.HasPrefix(k, "run-000001/") {
+			replicas++
+		}
+	}
+	s.mu.Unlock()
+	if replicas != 2 {
+		t.Errorf("the service was started %d times over a failover, not once for each replica", replicas)
+	}
+
+	s.eventually("cancelled", func() bool {
+		code, st := s.call("POST", next, "/v2/runs/run-000001/cancel", "")
+		return code == 200 && st.State == wire.JobCancelled
+	})
+	s.eventually("replicas gone", func() bool { return s.cloud.Running("run-000001") == 0 })
+	s.state3("run-000001", wire.JobCancelled)
+	s.eventually("records swept", func() bool { return len(s.state.Keys("r/")) == 0 && len(s.state.Keys("w/a/")) == 0 })
+	if code, _ := s.call("GET", next, "/v2/runs/run-000999", ""); code != 404 {
+		t.Errorf("an unknown job got %d", code)
+	}
+	s.onceEach()
+}
+
+// TestOutage takes the state service away: users get 503 at once, what runs keeps
+// its leases, and afterwards all goes on.
+func TestOutage(t *testing.T) {
+	s := newSite(t)
+	s.submit("a", "run-000001", wire.KindService, 1, 4)
+	s.eventually("it runs", func() bool { return s.cloud.Running("run-000001") == 1 })
+	s.state.SetDown(true)
+	s.eventually("503", func() bool {
+		code, _ := s.call("GET", "b", "/v2/runs/run-000001", "")
+		return code == 503
+	})
+	// Longer than the workers' lease: without answers the replica would be killed.
+	time.Sleep(5 * time.Second)
+	s.state.SetDown(false)
+	s.submit("c", "run-000002", wire.KindArray, 2, 1)
+	s.state3("run-000002", wire.JobDone)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.starts["run-000001/0#1"] != 1 || s.starts["run-000001/0#2"] != 0 {
+		t.Errorf("the replica did not live through the outage: %v", s.starts)
+	}
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,202 @@
+// Package standin has stand-ins of what the controllers talk to (state service,
+// cloud, workers), for tests. They keep to the protocol's page and are no products.
+package standin
+
+import (
+	"encoding/json"
+	"sort"
+	"strings"
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/wire"
+)
+
+// Store is a state service without a clock or a network: it is told the time.
+type Store struct {
+	now      time.Duration
+	revision uint64
+	items    map[string]wire.Item
+	log      []change
+	leases   map[uint64]*lease
+	next     uint64
+}
+
+type change struct {
+	revision uint64
+	event    wire.Event
+}
+
+type lease struct {
+	ttl, ends time.Duration
+}
+
+// keptChanges is how many changes a watch can go back.
+const keptChanges = 10_000
+
+// NewStore makes an empty store.
+func NewStore() *Store {
+	return &Store{items: map[string]wire.Item{}, leases: map[uint64]*lease{}, revision: 1}
+}
+
+// At moves the time on and ends leases that are over.
+func (s *Store) At(now time.Duration) {
+	s.now = now
+	var over []uint64
+	for id, l := range s.leases {
+		if l.ends <= now {
+			over = append(over, id)
+		}
+	}
+	sort.Slice(over, func(a, b int) bool { return over[a] < over[b] })
+	for _, id := range over {
+		s.Revoke(id)
+	}
+}
+
+// Refresh gives every lease its full time again, as after an outage.
+func (s *Store) Refresh(now time.Duration) {
+	s.now = now
+	for _, l := range s.leases {
+		l.ends = s.now + l.ttl
+	}
+}
+
+// Revision is the number of the last change.
+func (s *Store) Revision() uint64 { return s.revision }
+
+// Get reads a key.
+func (s *Store) Get(key string) (wire.Item, call.Outcome) {
+	it, ok := s.items[key]
+	if !ok {
+		return wire.Item{}, call.Missing
+	}
+	return it, call.OK
+}
+
+// Keys gives all keys below a prefix, in order.
+func (s *Store) Keys(prefix string) []string {
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// List reads a page.
+func (s *Store) List(prefix, after string, limit int) wire.Page {
+	p := wire.Page{Items: []wire.Item{}, Revision: s.revision}
+	for _, k := range s.Keys(prefix) {
+		if k <= after {
+			continue
+		}
+		if len(p.Items) == limit {
+			p.More = true
+			break
+		}
+		p.Items = append(p.Items, s.items[k])
+	}
+	return p
+}
+
+// Txn runs a transaction.
+func (s *Store) Txn(t wire.Txn) (wire.TxnAnswer, call.Outcome) {
+	for _, op := range t.Then {
+		if op.Lease != 0 && s.leases[op.Lease] == nil {
+			return wire.TxnAnswer{}, call.Invalid
+		}
+	}
+	var failed []string
+	for _, c := range t.If {
+		if s.items[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return wire.TxnAnswer{Failed: failed, Revision: s.revision}, call.Conflict
+	}
+	if len(t.Then) > 0 {
+		s.revision++
+	}
+	for _, op := range t.Then {
+		if op.Delete != "" {
+			s.remove(op.Delete)
+			continue
+		}
+		value := append(json.RawMessage(nil), op.Value...)
+		s.items[op.Put] = wire.Item{Key: op.Put, Value: value, Version: s.revision, Lease: op.Lease}
+		s.note(wire.Event{Put: op.Put, Value: value, Version: s.revision})
+	}
+	return wire.TxnAnswer{Revision: s.revision}, call.OK
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; ok {
+		delete(s.items, key)
+		s.note(wire.Event{Delete: key, Version: s.revision})
+	}
+}
+
+func (s *Store) note(e wire.Event) {
+	s.log = append(s.log, change{s.revision, e})
+	if len(s.log) > keptChanges {
+		s.log = append([]change(nil), s.log[len(s.log)-keptChanges:]...)
+	}
+}
+
+// Grant makes a lease.
+func (s *Store) Grant(ttl time.Duration) uint64 {
+	s.next++
+	s.leases[s.next] = &lease{ttl, s.now + ttl}
+	return s.next
+}
+
+// Extend renews a lease.
+func (s *Store) Extend(id uint64) call.Outcome {
+	l := s.leases[id]
+	if l == nil {
+		return call.Missing
+	}
+	l.ends = s.now + l.ttl
+	return call.OK
+}
+
+// Revoke ends a lease and its keys.
+func (s *Store) Revoke(id uint64) call.Outcome {
+	if s.leases[id] == nil {
+		return call.Missing
+	}
+	delete(s.leases, id)
+	var keys []string
+	for k, it := range s.items {
+		if it.Lease == id {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	if len(keys) > 0 {
+		s.revision++
+	}
+	for _, k := range keys {
+		s.remove(k)
+	}
+	return call.OK
+}
+
+// Changes gives what changed below a prefix after a revision.
+func (s *Store) Changes(prefix string, after uint64) (wire.Changes, call.Outcome) {
+	if len(s.log) == keptChanges && s.log[0].revision > after+1 {
+		return wire.Changes{}, call.TooOld
+	}
+	c := wire.Changes{Revision: s.revision, Events: []wire.Event{}}
+	from := sort.Search(len(s.log), func(i int) bool { return s.log[i].revision > after })
+	for _, ch := range s.log[from:] {
+		if strings.HasPrefix(ch.event.Put+ch.event.Delete, prefix) {
+			c.Events = append(c.Events, ch.event)
+		}
+	}
+	return c, call.OK
+}
