--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -5,21 +5,27 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 )
 
 // An unknown outcome is never taken for a refusal or a success.
 func TestOutcomes(t *testing.T) {
-	status, body := 200, `{}`
+	var next atomic.Value // what the service answers
+	type reply struct {
+		status int
+		body   string
+	}
 	end := make(chan struct{})
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if status == 0 {
+		a := next.Load().(reply)
+		if a.status == 0 {
 			<-end // no answer
 			return
 		}
-		w.WriteHeader(status)
-		w.Write([]byte(body))
+		w.WriteHeader(a.status)
+		w.Write([]byte(a.body))
 	}))
 	defer s.Close()
 	defer close(end)
@@ -48,7 +54,7 @@
 		{302, `{}`, Unknown},
 		{0, ``, Unknown},
 	} {
-		status, body = x.status, x.body
+		next.Store(reply{x.status, x.body})
 		if got := do(c); got != x.want {
 			t.Errorf("%d %.10q: %v, not %v", x.status, x.body, got, x.want)
 		}
@@ -62,7 +68,7 @@
 		t.Errorf("a connection that never stood: %v", got)
 	}
 	slow := New(s.Listener.Addr().String(), 1, 2, 100)
-	status, body = 200, `{}`
+	next.Store(reply{200, `{}`})
 	if a, b := do(slow), do(slow); a != OK || b != Refused {
 		t.Errorf("over the rate: %v, %v", a, b)
 	}
