--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -214,6 +214,9 @@
 			if t.State == wire.TaskRunning && p.ranAt == 0 {
 				p.ranAt = now
 				m.imageReady(p.job.spec.Image)
+				l.c.log(Debug, "task runs", "task", t.Task, "class", p.job.spec.Class, "machine", m.name, "warmth", p.warmth,
+					"placed_ms", (p.since - l.c.now.Steady + time.Duration(l.c.now.WallMS-p.job.at)*time.Millisecond).Milliseconds(),
+					"ran_ms", (now - p.since).Milliseconds())
 			}
 		}
 		if p.ranAt != 0 && (!p.job.proven || len(m.errors) > 0) {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -61,6 +61,7 @@
 	session uint64
 	phase   phase
 	sentSeq uint64 // the report in whose answer its start went out
+	warmth  int    // of its machine when it was placed
 	state   string // as last reported
 	since   time.Duration
 	ranAt   time.Duration // when first seen running; 0: not yet
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -73,7 +73,7 @@
 	l := r.l
 	ch := l.chunkOf(j, task)
 	ch.next++
-	p := &placement{job: j, task: task, attempt: ch.next, machine: m, session: m.session, since: l.c.now.Steady}
+	p := &placement{job: j, task: task, attempt: ch.next, machine: m, session: m.session, since: l.c.now.Steady, warmth: m.warmth(j.spec.Image)}
 	j.placed[task] = p
 	m.add(p)
 	m.touch(j.spec.Image, j.spec.ImageGB)
