Keep workers alive for a leader out of their reach

Ruled out: the state service and the cloud, both served throughout. Change: a node that sees the leader's term current in the state service but can't reach it answers such workers with that token, starts nothing, stops what is cancelled, and passes the reports on.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,6 +24,7 @@
 	dir   *directory
 	users *users
 	elect *election
+	care  *caretaker
 	lead  *leader // nil unless this node holds a term
 	peers []*peer
 
@@ -87,6 +88,7 @@
 	c.dir = newDirectory()
 	c.users = newUsers(c)
 	c.elect = newElection(c)
+	c.care = newCaretaker(c)
 	for _, p := range s.Peers {
 		c.peers = append(c.peers, &peer{node: p.Node})
 	}
@@ -136,6 +138,7 @@
 	c.runProbe()
 	c.runPeers()
 	c.elect.run()
+	c.care.run()
 	if c.lead != nil {
 		c.lead.run()
 	}
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -193,6 +193,7 @@
 		}
 		c.dir.apply(key, value, e.Version)
 		c.noticeJob(key)
+		c.noticeKept(key, value)
 	}
 	c.dir.revision = max(c.dir.revision, ch.Revision)
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -26,6 +26,7 @@
 	seq     uint64
 	token   uint64
 	heard   time.Duration
+	kept    time.Duration // when another node last passed a report of it on
 	notice  bool
 
 	runs      map[string]*placement // by task name
@@ -132,6 +133,9 @@
 	c.lastReport = c.now.Steady
 	l := c.lead
 	if l == nil {
+		if c.care.checkin(in) {
+			return
+		}
 		to := ""
 		if c.dir.leadVersion != 0 && c.dir.lead.Node != c.set.Node {
 			to = c.dir.lead.Node
@@ -353,7 +357,7 @@
 	for _, m := range l.fleet {
 		if m.up || m.seenUp {
 			up++
-			if now-m.heard > l.c.t.lease/2 {
+			if now-m.lastHeard() > l.c.t.lease/2 {
 				silent++
 			}
 		}
@@ -364,7 +368,7 @@
 	}
 	for _, m := range append([]*machine(nil), l.fleet...) {
 		if (m.up || m.seenUp) && !m.releasing {
-			if due := m.heard + limit; now >= due {
+			if due := m.lastHeard() + limit; now >= due {
 				l.rentals.release(m, "silent")
 			} else {
 				l.c.at(due)
@@ -390,6 +394,9 @@
 	}
 }
 
+// lastHeard is when a report of a machine last came, here or by another node.
+func (m *machine) lastHeard() time.Duration { return max(m.heard, m.kept) }
+
 // imageReady notes that a machine has an image.
 func (m *machine) imageReady(name string) {
 	for i := range m.images {
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -258,7 +258,7 @@
 		if t.listSent < known+3*c.t.listLag {
 			continue
 		}
-		if m.up && c.now.Steady-m.heard < 3*c.t.listLag {
+		if m.up && c.now.Steady-m.lastHeard() < 3*c.t.listLag {
 			continue
 		}
 		m.missing++
