--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -34,7 +34,7 @@
 		SpareShare:         0.1,
 		IdleBoots:          1,
 		StuckBoots:         3,
-		SilentLeases:       2,
+		SilentLeases:       0.8,
 		LeaderTTLLeases:    0.3,
 		MaxPendingRequests: 256,
 	}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -353,22 +353,25 @@
 func (l *leader) watchMachines() {
 	now := l.c.now.Steady
 	limit := time.Duration(float64(l.c.t.lease) * l.c.op.SilentLeases)
-	silent, up := 0, 0
+	silent, up := map[string]int{}, map[string]int{}
 	for _, m := range l.fleet {
 		if m.up || m.seenUp {
-			up++
-			if now-m.lastHeard() > l.c.t.lease/2 {
-				silent++
+			up[m.zone]++
+			if now-m.lastHeard() > l.c.t.lease/3 {
+				silent[m.zone]++
 			}
 		}
 	}
-	// If most are silent, it is rather this node or its network: wait longer.
-	if silent > 2 && silent*2 > up {
-		limit *= 3
-	}
+
 	for _, m := range append([]*machine(nil), l.fleet...) {
 		if (m.up || m.seenUp) && !m.releasing {
-			if due := m.lastHeard() + limit; now >= due {
+			due := m.lastHeard() + limit
+			if n := silent[m.zone]; n > 3 && n*4 > up[m.zone] {
+				// If many of a zone are silent at once, it is rather the network or a
+				// change of leaders: wait longer.
+				due = m.lastHeard() + 3*max(limit, l.c.t.lease)
+			}
+			if now >= due {
 				l.rentals.release(m, "silent")
 			} else {
 				l.c.at(due)
