--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -68,6 +68,7 @@
 	termVersion uint64
 	catalog     []wire.MachineType
 	countShards map[string]map[string]counts
+	images      map[string]map[string][]string // by key, by machine
 
 	// finals are final states seen here; they never change, so they need no
 	// confirmation. The oldest makes way.
@@ -81,7 +82,7 @@
 }
 
 func newDirectory() *directory {
-	return &directory{jobs: map[string]*entry{}, countShards: map[string]map[string]counts{},
+	return &directory{jobs: map[string]*entry{}, countShards: map[string]map[string]counts{}, images: map[string]map[string][]string{},
 		finals: map[string]finalValue{}}
 }
 
@@ -119,6 +120,12 @@
 		if value != nil && json.Unmarshal(value, &t) == nil {
 			d.catalog = t
 		}
+	case strings.HasPrefix(key, keyImages):
+		var m map[string][]string
+		if value == nil || json.Unmarshal(value, &m) != nil {
+			m = nil
+		}
+		d.images[key] = m
 	case len(key) > len(keyCounts) && key[:len(keyCounts)] == keyCounts:
 		var m map[string]counts
 		if value == nil || json.Unmarshal(value, &m) != nil {
@@ -247,7 +254,7 @@
 		if l.termVersion > d.termVersion {
 			d.term, d.termVersion = l.term, l.termVersion
 		}
-		d.countShards, d.revision = l.countShards, l.revision
+		d.countShards, d.images, d.revision = l.countShards, l.images, l.revision
 		if l.catalog != nil {
 			d.catalog = l.catalog
 		}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -74,6 +74,7 @@
 	m := &machine{name: name, since: l.c.now.Steady, rentedAt: l.c.now.Steady, heard: l.c.now.Steady,
 		idleSince: l.c.now.Steady, runs: map[string]*placement{}, errors: map[string]int{}}
 	l.machines[name] = m
+	l.hint(m)
 	i := sort.Search(len(l.fleet), func(i int) bool { return l.fleet[i].name > name })
 	l.fleet = append(l.fleet, nil)
 	copy(l.fleet[i+1:], l.fleet[i:])
--- /dev/null
+++ b/internal/core/images.go
@@ -0,0 +1,110 @@
+package core
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/wire"
+)
+
+// Workers don't report which images they have. The leader remembers what it placed
+// where, and keeps it in the state service as a hint for its successors; being
+// wrong costs a fetch and breaks nothing.
+const keyImages = "w/i/"
+
+type imageHints struct {
+	l    *leader
+	at   time.Duration
+	busy bool
+	last map[string]string // by key, as written
+}
+
+// imageShards bounds the keys of the hints.
+const imageShards = 4
+
+func (h *imageHints) run() {
+	l, c := h.l, h.l.c
+	if h.busy || c.stateDown {
+		return
+	}
+	if due := h.at + c.t.lease/2; c.now.Steady < due {
+		c.at(due)
+		return
+	}
+	if l.writes.tokens < l.writes.rate()/2 {
+		return
+	}
+	h.at = c.now.Steady
+	shards := make([]map[string][]string, imageShards)
+	for i := range shards {
+		shards[i] = map[string][]string{}
+	}
+	most := int(c.set.Params.State.ValueKB * 1024 * 9 / 10)
+	sizes := [imageShards]int{}
+	i := 0
+	for _, m := range l.fleet {
+		names := []string{}
+		size := len(m.name) + 8
+		for _, img := range m.images {
+			if img.ready {
+				names = append(names, img.name)
+				size += len(img.name) + 8
+			}
+		}
+		if len(names) == 0 {
+			continue
+		}
+		for i < imageShards && sizes[i]+size > most {
+			i++
+		}
+		if i == imageShards {
+			break
+		}
+		shards[i][m.name] = names
+		sizes[i] += size
+	}
+	txn := wire.Txn{If: []wire.Cond{{Key: keyTerm, Version: l.version}}}
+	for i, s := range shards {
+		k := keyImages + strconv.Itoa(i)
+		value, err := json.Marshal(s)
+		if err != nil || string(value) == h.last[k] || len(s) == 0 && h.last[k] == "" {
+			continue
+		}
+		txn.Then = append(txn.Then, wire.Op{Put: k, Value: value})
+	}
+	if len(txn.Then) == 0 || len(txn.Then) > c.set.Params.State.TxnOps {
+		return
+	}
+	l.writes.tokens -= float64(len(txn.Then))
+	h.busy = true
+	id := l.stateCall(func(r Result) {
+		h.busy = false
+		if r.Outcome == call.OK {
+			for _, op := range txn.Then {
+				h.last[op.Put] = string(op.Value)
+			}
+		}
+	})
+	c.send(StateTxn{ID: id, Txn: txn})
+}
+
+// hint gives a machine, when first seen in this term, the images that the last
+// leader knew of.
+func (l *leader) hint(m *machine) {
+	for _, shard := range l.c.dir.images {
+		for _, name := range shard[m.name] {
+			m.images = append(m.images, image{name: name, gb: l.imageGB(name), ready: true})
+		}
+	}
+}
+
+func (l *leader) imageGB(name string) float64 {
+	for _, j := range l.order {
+		if j.spec.Image == name {
+			return j.spec.ImageGB
+		}
+	}
+	return 0
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -33,6 +33,7 @@
 	writes  writer
 	rentals rentals
 	rounds  rounds
+	images  imageHints
 }
 
 func newLeader(c *Core, term, version uint64) *leader {
@@ -42,6 +43,7 @@
 	l.writes.init(l)
 	l.rentals.init(l)
 	l.rounds.at = c.now.Steady
+	l.images = imageHints{l: l, at: c.now.Steady, last: map[string]string{}}
 	return l
 }
 
@@ -74,6 +76,7 @@
 	l.round()
 	l.writes.run()
 	l.rentals.run()
+	l.images.run()
 }
 
 // entitled tells whether this leader may act for the controllers: in time, or in
@@ -169,6 +172,7 @@
 			phase: sent, sentSeq: inherited, since: l.c.now.Steady}
 		j.placed[t] = p
 		m.add(p)
+		m.touch(j.spec.Image, j.spec.ImageGB)
 	}
 }
 
