--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -21,7 +21,8 @@
 	deadline time.Duration // the lease is good until here, by this node's clock
 	notNow   time.Duration // no candidacy before this
 	extendAt time.Duration
-	extend   bool // an extend is under way
+	extend   bool          // an extend is under way
+	vacantAt time.Duration // since when no leader is known; 0: one is
 }
 
 func newElection(c *Core) *election { return &election{c: c} }
@@ -43,6 +44,7 @@
 		return
 	}
 	if c.dir.leadVersion != 0 {
+		e.vacantAt = 0
 		// An earlier process of this very node still holds the lease: it is dead,
 		// so its lease may end now. The same goes for a win of our own that we
 		// only learn of here.
@@ -53,8 +55,11 @@
 		}
 		return
 	}
-	if c.now.Steady < e.notNow {
-		c.at(e.notNow)
+	if e.vacantAt == 0 {
+		e.vacantAt = c.now.Steady
+	}
+	if due := max(e.notNow, e.vacantAt+e.handicap()); c.now.Steady < due {
+		c.at(due)
 		return
 	}
 	if c.stateDown {
@@ -72,6 +77,36 @@
 	e.c.send(StateRevoke{ID: id, Lease: lease})
 }
 
+// handicap makes a node wait a little where another would lead better. Workers that
+// lose the leader try the nodes one after the other; if the next one is in the
+// leader's zone and the zone is cut off, they lose the time for two tries, which is
+// most of their lease.
+func (e *election) handicap() time.Duration {
+	c := e.c
+	next, first := "", ""
+	nextZone, firstZone := "", ""
+	for _, p := range c.set.Peers {
+		if p.Node > c.set.Node && (next == "" || p.Node < next) {
+			next, nextZone = p.Node, p.Zone
+		}
+		if first == "" || p.Node < first {
+			first, firstZone = p.Node, p.Zone
+		}
+	}
+	if next == "" {
+		nextZone = firstZone
+	}
+	if nextZone != c.set.Zone {
+		return 0
+	}
+	for _, p := range c.set.Peers {
+		if p.Zone != c.set.Zone {
+			return c.t.report / 2
+		}
+	}
+	return 0
+}
+
 // stand runs for the next term: a lease, then the lead and the term in one
 // transaction.
 func (e *election) stand() {
