Send starts to workers directly, with tokens that bound how late they act

Ruled out: placing (0.1 s) and writing (under 10 ms) as causes. Change: committed starts go to /orders; what they may still do later is bounded by a token per machine that is raised before a forget or an absence counts. A machine whose lease lapses although it reports gets nothing for a while.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -61,6 +61,14 @@
 	}
 }
 
+// Any makes a client for many addresses; Do then takes whole URLs as paths.
+func Any(perSecond float64, connsPerHost, conns int, maxBody int64) *Client {
+	c := New("", perSecond, connsPerHost, maxBody)
+	c.base = ""
+	c.http.Transport.(*http.Transport).MaxIdleConns = conns
+	return c
+}
+
 // Do sends a request and reads the answer into out where the status is 200 (or
 // 409 and 404, whose bodies matter as well). body and out may be nil.
 func (c *Client) Do(ctx context.Context, method, path string, body, out any) Outcome {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -16,6 +16,7 @@
 type Operator struct {
 	RoundS             float64 `json:"round_s"`
 	EventRounds        bool    `json:"event_rounds"`
+	DirectStarts       bool    `json:"direct_starts"`
 	RoundBudget        float64 `json:"round_budget"`
 	SpareShare         float64 `json:"spare_share"`
 	IdleBoots          float64 `json:"idle_boots"`
@@ -30,6 +31,7 @@
 	return &Operator{
 		RoundS:             5,
 		EventRounds:        true,
+		DirectStarts:       true,
 		RoundBudget:        0.25,
 		SpareShare:         0.1,
 		IdleBoots:          1,
--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -64,7 +64,7 @@
 	c, r := k.c, in.Report
 	now := c.now.Steady
 	term := c.dir.lead.Term
-	if !k.cutOff() || !k.current() || r.Token > term || len(r.Tasks) == 0 {
+	if !k.cutOff() || !k.current() || termOf(r.Token) > term || len(r.Tasks) == 0 {
 		// Without tasks there is nothing to keep alive: it had better find the leader.
 		return false
 	}
@@ -102,7 +102,7 @@
 			cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
 		}
 	}
-	c.answer(in.Req, 200, wire.ReportAnswer{Token: term, Commands: cmds})
+	c.answer(in.Req, 200, wire.ReportAnswer{Token: max(firstToken(term), r.Token), Commands: cmds})
 	return true
 }
 
@@ -211,7 +211,7 @@
 		return
 	}
 	for _, r := range reports {
-		if r != nil && r.Machine != "" && r.Token <= c.lead.term {
+		if r != nil && r.Machine != "" && termOf(r.Token) <= c.lead.term {
 			c.lead.relayed(r)
 		}
 	}
@@ -226,8 +226,9 @@
 	}
 	m.kept = l.c.now.Steady
 	m.describe(r.Type, r.Zone, r.Addr, r.Spot)
+	m.enter(r.Session)
 	m.up, m.seenUp, m.missing = true, true, 0
-	m.session, m.seq, m.token = r.Session, r.Seq, r.Token
+	m.seq, m.token = r.Seq, r.Token
 	m.notice = m.notice || r.NoticeS != nil
 	l.evidence(m, r)
 }
--- a/internal/core/faults.go
+++ b/internal/core/faults.go
@@ -16,6 +16,7 @@
 	p.job.fails = 0
 	p.job.failed = nil
 	clear(p.machine.errors)
+	p.machine.lapses = 0
 }
 
 // erred counts a failure.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -33,6 +33,9 @@
 	exits     []wire.TaskReport     // exited tasks of the last report
 	strays    []wire.TaskReport     // tasks it holds that no record explains
 	releasing bool
+	ordering  bool                   // direct commands are on the way
+	current   uint64                 // the token used with it
+	direct    map[attemptName]uint64 // attempts started directly, and with which token
 	idleSince time.Duration
 	images    []image // most recently used last
 	full      time.Duration
@@ -40,6 +43,12 @@
 	// Failure accounting, see faults.go.
 	errors map[string]int // by job, since something last ran well here
 	sick   bool
+	lapses int // sessions that ended while this leader knew it
+}
+
+type attemptName struct {
+	task    string
+	attempt uint64
 }
 
 type image struct {
@@ -146,11 +155,17 @@
 	}
 	// A worker that knows a newer term would drop what this node says; a node
 	// past its deadline is not entitled to say anything.
-	if r.Token > l.term || !l.entitled() {
+	if termOf(r.Token) > l.term || !l.entitled() {
 		c.answer(in.Req, 421, wire.Redirect{})
 		return
 	}
-	c.answer(in.Req, 200, wire.ReportAnswer{Token: l.term, Commands: l.report(r)})
+	cmds := l.report(r)
+	token := max(firstToken(l.term), r.Token)
+	if m := l.machines[r.Machine]; m != nil {
+		m.current = max(m.current, token)
+		token = l.token(m)
+	}
+	c.answer(in.Req, 200, wire.ReportAnswer{Token: token, Commands: cmds})
 }
 
 // report takes in a report and gives the commands of its answer.
@@ -174,10 +189,17 @@
 	}
 	if m.up && r.Session > m.session {
 		l.c.log(Info, "machine in a new session", "machine", m.name, "tasks", len(m.runs))
+		// Its lease ran out although reports came: answers may not reach it. It gets
+		// nothing for a while, and is given back if that goes on.
+		if m.lapses++; m.lapses > 1 {
+			m.sick = true
+		}
+		m.full = now + l.c.t.lease
 	}
 	m.describe(r.Type, r.Zone, r.Addr, r.Spot)
+	m.enter(r.Session)
 	m.up, m.seenUp, m.missing = true, true, 0
-	m.session, m.seq, m.token, m.heard = r.Session, r.Seq, r.Token, now
+	m.seq, m.token, m.heard = r.Seq, r.Token, now
 	if r.NoticeS != nil && !m.notice {
 		m.notice = true
 		l.c.log(Info, "machine will be taken", "machine", m.name, "in_s", *r.NoticeS)
@@ -187,6 +209,42 @@
 	return l.commands(m, r)
 }
 
+// enter takes a machine into a session. Direct commands of earlier ones are refused
+// by the worker from then on.
+func (m *machine) enter(session uint64) {
+	if session != m.session {
+		m.session, m.direct = session, nil
+	}
+}
+
+// A direct start may come late, or be repeated on the way, for as long as its token
+// and session match. That ends once the worker has seen a higher token. So each
+// machine has a token of its own within the term's range, and it is raised where the
+// end of a direct start matters: with a forget, after which a repeat would run the
+// attempt again, and when a report lacks the attempt, before it counts as absent.
+
+// tokensPerTerm is the range of a term's tokens.
+const tokensPerTerm = 1_000_000
+
+func firstToken(term uint64) uint64 { return term * tokensPerTerm }
+func termOf(token uint64) uint64    { return token / tokensPerTerm }
+
+// token gives the token for a machine, no lower than this term's first.
+func (l *leader) token(m *machine) uint64 {
+	m.current = max(m.current, firstToken(l.term))
+	return m.current
+}
+
+// raise makes a machine's token higher than one that was used with it.
+func (l *leader) raise(m *machine, used uint64) {
+	if used >= l.token(m) {
+		m.current = used + 1
+	}
+}
+
+// mayOrder tells whether the term's range has tokens left for direct starts.
+func (l *leader) mayOrder(m *machine) bool { return l.token(m)%tokensPerTerm < tokensPerTerm/2 }
+
 // evidence draws from a report what has ended. A report is newer than all before
 // it here. What it lacks is proven absent only if it carries this term's token:
 // the worker then had taken an answer of this term, after which no earlier start
@@ -194,7 +252,7 @@
 // or dropped.
 func (l *leader) evidence(m *machine, r *wire.Report) {
 	now := l.c.now.Steady
-	settled := r.Token == l.term
+	settled := termOf(r.Token) == l.term
 	reported := make(map[string]bool, len(r.Tasks))
 	m.exits, m.strays = m.exits[:0], m.strays[:0]
 	for i := range r.Tasks {
@@ -235,6 +293,15 @@
 			l.c.log(Debug, "task lost with its session", "task", p.name(), "attempt", p.attempt)
 			l.end(p)
 		case reported[p.name()] || p.session > r.Session || !settled:
+		case p.waits:
+		case p.direct != 0 && r.Token <= p.direct:
+			// Its direct start may take effect yet.
+			if p.answer == 0 || r.Seq > p.answer {
+				l.raise(m, p.direct)
+			}
+		case p.direct != 0:
+			l.c.log(Debug, "task absent", "task", p.name(), "attempt", p.attempt)
+			l.end(p)
 		case p.phase == seen,
 			p.phase == sent && (p.sentSeq == inherited || r.Seq > p.sentSeq):
 			l.c.log(Debug, "task absent", "task", p.name(), "attempt", p.attempt)
@@ -298,6 +365,11 @@
 	cmds := []wire.Command{}
 	for _, t := range m.exits {
 		if len(cmds) < mostCommands && l.forgettable(&t) {
+			name := attemptName{t.Task, t.Attempt}
+			if used, ok := m.direct[name]; ok {
+				l.raise(m, used)
+				delete(m.direct, name)
+			}
 			cmds = append(cmds, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
 		}
 	}
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -61,6 +61,7 @@
 	Catalog  wire.Catalog
 	Names    []string
 	Machines wire.MachineList
+	Report   wire.Report
 	Peer     PeerStatus
 }
 
@@ -130,6 +131,16 @@
 		ID    uint64
 		After string
 	}
+	// WorkerOrders sends commands to a worker directly. Its Result is OK or Conflict
+	// (nothing was executed) with the worker's report, Refused if it was certainly not
+	// sent, or Unknown: it may be executed at any later time.
+	WorkerOrders struct {
+		ID       uint64
+		Addr     string
+		Token    uint64
+		Session  uint64
+		Commands []wire.Command
+	}
 	PeerAsk struct {
 		ID   uint64
 		Node string
@@ -165,5 +176,6 @@
 func (CloudRent) effect()    {}
 func (CloudRelease) effect() {}
 func (CloudList) effect()    {}
+func (WorkerOrders) effect() {}
 func (PeerAsk) effect()      {}
 func (Log) effect()          {}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -61,6 +61,9 @@
 	session uint64
 	phase   phase
 	sentSeq uint64 // the report in whose answer its start went out
+	direct  uint64 // the token with which its start was sent directly; 0: it was not
+	waits   bool   // for the answer to a direct start
+	answer  uint64 // seq of that answer; 0: none came
 	warmth  int    // of its machine when it was placed
 	state   string // as last reported
 	since   time.Duration
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -28,6 +28,7 @@
 	order    []*job // by acceptance
 	machines map[string]*machine
 	fleet    []*machine               // by name
+	due      []*machine               // with starts that were just committed
 	released map[string]time.Duration // names given back, so that late reports of them don't count
 
 	writes  writer
@@ -75,6 +76,7 @@
 	l.cancels()
 	l.round()
 	l.writes.run()
+	l.orders()
 	l.rentals.run()
 	l.images.run()
 }
@@ -236,6 +238,59 @@
 	}
 }
 
+// orders sends committed starts to their machines directly, instead of waiting for
+// the next report. See token for what bounds how late they can take effect.
+func (l *leader) orders() {
+	if !l.c.op.DirectStarts || !l.c.elect.inTime() || l.c.stateDown {
+		l.due = l.due[:0]
+		return
+	}
+	for _, m := range l.due {
+		if m.ordering || !l.usable(m) || m.addr == "" || l.machines[m.name] != m || !l.mayOrder(m) {
+			continue
+		}
+		var ps []*placement
+		var cmds []wire.Command
+		token, session := l.token(m), m.session
+		for _, p := range m.sorted() {
+			if p.phase == committed && p.session == session && p.stop == keep && !p.job.cancelled && len(cmds) < mostCommands {
+				ps = append(ps, p)
+				cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: p.name(), Attempt: p.attempt})
+				p.phase, p.direct, p.waits = sent, token, true
+				if m.direct == nil {
+					m.direct = map[attemptName]uint64{}
+				}
+				m.direct[attemptName{p.name(), p.attempt}] = token
+			}
+		}
+		if len(ps) == 0 {
+			continue
+		}
+		m.ordering = true
+		id := l.call(func(r Result) {
+			m.ordering = false
+			for _, p := range ps {
+				p.waits = false
+				switch r.Outcome {
+				case call.OK:
+					p.answer = r.Report.Seq
+				case call.Conflict, call.Refused, call.Invalid:
+					// Not carried out; it goes with the answer to the next report.
+					if p.phase != sent {
+						break
+					}
+					p.phase, p.direct = committed, 0
+					if p.stop != keep {
+						l.end(p) // told to stop meanwhile: it never starts
+					}
+				}
+			}
+		})
+		l.c.send(WorkerOrders{ID: id, Addr: m.addr, Token: token, Session: session, Commands: cmds})
+	}
+	l.due = l.due[:0]
+}
+
 // cancels sees to it that a cancelled job's tasks are gone in time: a machine that
 // does not obey is released.
 func (l *leader) cancels() {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -239,6 +239,7 @@
 	for _, p := range b.placed {
 		if ok && p.phase == uncommitted {
 			p.phase = committed
+			l.due = append(l.due, p.machine)
 		}
 	}
 	for _, j := range b.jobs {
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -30,13 +30,14 @@
 //	+2s                    time passes
 //	submit a run-000001 kind=service tasks=2 gpus=4 team=red ...
 //	poll a run-000001      cancel a run-000001
-//	report a m1 session=1 seq=4 token=1 [spot] [zone=z2] [notice=20] [TASK#ATTEMPT=STATE[:why]] ...
+//	report a m1 session=1 seq=4 token=1 [addr=m1:1] [spot] [zone=z2] [notice=20] [TASK#ATTEMPT=STATE[:why]] ...
 //	state a refuse         its requests to the state service get 503
 //	state a lose           they are carried out, but the answers get lost
 //	state a hold           they get lost on the way, and come late: state a late
 //	state a serve          all is well again
 //	outage / outage over   the state service refuses all; leases start anew after
 //	peers cut / peers join
+//	orders lost / orders refused / orders conflict / orders ok
 //	cloud down / cloud up  cloud none (no capacity)
 //	cloud fails m1         the list shows m1 as failed
 //	cloud drops m1         m1 is gone without notice
@@ -92,6 +93,7 @@
 	names  []string
 	req    uint64
 	cut    bool
+	orders string // what becomes of direct orders; "": carried out
 
 	cloudDown, cloudNone bool
 	machines             map[string]*wire.Machine
@@ -189,6 +191,9 @@
 			w.store.Refresh(w.now)
 		}
 		return
+	case f[0] == "orders":
+		w.orders = strings.TrimPrefix(arg(1), "ok")
+		return
 	case f[0] == "peers":
 		w.cut = arg(1) == "cut"
 		return
@@ -301,13 +306,19 @@
 		case k == "seq":
 			r.Seq = uint64(num)
 		case k == "token":
-			r.Token = uint64(num)
+			// term, or term.count within the term
+			term, count, _ := strings.Cut(v, ".")
+			a, _ := strconv.ParseUint(term, 10, 64)
+			b, _ := strconv.ParseUint(count, 10, 64)
+			r.Token = a*1_000_000 + b
 		case k == "notice":
 			r.NoticeS = &num
 		case k == "spot":
 			r.Spot = true
 		case k == "zone":
 			r.Zone = v
+		case k == "addr":
+			r.Addr = v
 		default:
 			task, att, ok := strings.Cut(k, "#")
 			a, err := strconv.ParseUint(att, 10, 64)
@@ -487,6 +498,13 @@
 		}
 		sort.Slice(r.Machines.Machines, func(a, b int) bool { return r.Machines.Machines[a].Name < r.Machines.Machines[b].Name })
 		return r, true
+	case core.WorkerOrders:
+		r := core.Result{ID: e.ID, Outcome: call.OK, Report: wire.Report{Seq: 0}}
+		if w.orders != "" {
+			r.Outcome = map[string]call.Outcome{"lost": call.Unknown, "refused": call.Refused, "conflict": call.Conflict}[w.orders]
+		}
+		w.say(n, "orders %s token %s%s: %s", e.Addr, showToken(e.Token), showCommands(e.Commands), r.Outcome)
+		return r, true
 	case core.PeerAsk:
 		p := w.nodes[e.Node]
 		if p == nil || w.cut {
@@ -514,16 +532,27 @@
 	return strings.Join(ks, " ")
 }
 
+func showToken(token uint64) string {
+	if token%1_000_000 == 0 {
+		return fmt.Sprint(token / 1_000_000)
+	}
+	return fmt.Sprintf("%d.%d", token/1_000_000, token%1_000_000)
+}
+
+func showCommands(cmds []wire.Command) string {
+	var b strings.Builder
+	for _, c := range cmds {
+		fmt.Fprintf(&b, ", %s %s#%d", c.Op, c.Task, c.Attempt)
+		if c.GraceS != nil {
+			fmt.Fprintf(&b, " grace %v", *c.GraceS)
+		}
+	}
+	return b.String()
+}
+
 func (w *world) answer(n *node, a core.Answer) {
 	if ra, ok := a.Body.(wire.ReportAnswer); ok {
-		var b strings.Builder
-		for _, c := range ra.Commands {
-			fmt.Fprintf(&b, ", %s %s#%d", c.Op, c.Task, c.Attempt)
-			if c.GraceS != nil {
-				fmt.Fprintf(&b, " grace %v", *c.GraceS)
-			}
-		}
-		w.say(n, "%d token %d%s", a.Status, ra.Token, b.String())
+		w.say(n, "%d token %s%s", a.Status, showToken(ra.Token), showCommands(ra.Commands))
 		return
 	}
 	body, err := json.Marshal(a.Body)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"bitternwing/internal/peer"
 	"bitternwing/internal/server"
 	"bitternwing/internal/state"
+	"bitternwing/internal/wire"
 )
 
 // Node is a running controller node.
@@ -40,6 +41,7 @@
 
 	state   *state.Client
 	cloud   *cloud.Client
+	workers *call.Client
 	peers   map[string]*peer.Client
 	patient time.Duration // how long a call may take
 }
@@ -60,7 +62,9 @@
 		// The leader needs more than the others; all of them never need all.
 		state: state.New(set.Services.State, p.State.RPS*math.Min(1, 2/nodes), max(4, p.Limits.MaxConnections/40)),
 		cloud: cloud.New(set.Services.Cloud, p.Cloud.RPS, 4),
-		peers: map[string]*peer.Client{},
+		// One connection a worker, as long as there are not too many of them.
+		workers: call.Any(p.State.RPS, 1, max(4, p.Limits.MaxConnections/8), 1<<20),
+		peers:   map[string]*peer.Client{},
 		// Workers wait four seconds at the most, users two for a poll.
 		patient: config.Seconds(p.Workers.ReportS),
 	}
@@ -242,6 +246,11 @@
 		n.do(ctx, e.ID, 4*n.patient, func(ctx context.Context, r *core.Result) { r.Outcome = n.cloud.Release(ctx, e.Names) })
 	case core.CloudList:
 		n.do(ctx, e.ID, 4*n.patient, func(ctx context.Context, r *core.Result) { r.Machines, r.Outcome = n.cloud.List(ctx, e.After) })
+	case core.WorkerOrders:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
+			r.Outcome = n.workers.Do(ctx, "POST", "http://"+e.Addr+"/orders",
+				wire.Orders{Token: e.Token, Session: e.Session, Commands: e.Commands}, &r.Report)
+		})
 	case core.PeerAsk:
 		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
 			if p := n.peers[e.Node]; p != nil {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"sort"
 	"strings"
 	"sync"
@@ -21,6 +22,8 @@
 	name, kind, zone string
 	spot             bool
 	cancel           context.CancelFunc
+	addr             string
+	direct           *httptest.Server
 
 	mu      sync.Mutex
 	session uint64
@@ -34,11 +37,36 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &Worker{cloud: c, name: name, kind: kind, zone: zone, spot: spot, cancel: cancel, session: 1,
 		tasks: map[string]*wire.TaskReport{}, ticks: map[string]int{}}
+	w.direct = httptest.NewServer(http.HandlerFunc(w.orders))
+	w.addr = w.direct.Listener.Addr().String()
 	go w.run(ctx)
 	return w
 }
 
-func (w *Worker) stop() { w.cancel() }
+func (w *Worker) stop() {
+	w.cancel()
+	w.direct.CloseClientConnections()
+	w.direct.Close()
+}
+
+// orders carries out direct commands.
+func (w *Worker) orders(rw http.ResponseWriter, r *http.Request) {
+	var o wire.Orders
+	if r.URL.Path != "/orders" || json.NewDecoder(r.Body).Decode(&o) != nil {
+		answer(rw, 400, nil)
+		return
+	}
+	w.mu.Lock()
+	status := 409
+	if o.Token >= w.token && o.Session == w.session {
+		status = 200
+		w.token = o.Token
+		w.execute(o.Commands)
+	}
+	w.mu.Unlock()
+	body, _ := w.report()
+	answer(rw, status, json.RawMessage(body))
+}
 
 func (w *Worker) running(job string) int {
 	w.mu.Lock()
@@ -113,7 +141,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seq++
-	r := wire.Report{Machine: w.name, Addr: "127.0.0.1:1", Type: w.kind, Zone: w.zone, Spot: w.spot,
+	r := wire.Report{Machine: w.name, Addr: w.addr, Type: w.kind, Zone: w.zone, Spot: w.spot,
 		Session: w.session, Seq: w.seq, Token: w.token, Tasks: []wire.TaskReport{}}
 	var names []string
 	for n := range w.tasks {
@@ -152,7 +180,12 @@
 		return false
 	}
 	w.token = a.Token
-	for _, c := range a.Commands {
+	w.execute(a.Commands)
+	return true
+}
+
+func (w *Worker) execute(commands []wire.Command) {
+	for _, c := range commands {
 		t := w.tasks[c.Task]
 		switch c.Op {
 		case wire.OpStart:
@@ -172,5 +205,4 @@
 			}
 		}
 	}
-	return true
 }
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -67,6 +67,13 @@
 	Commands []Command `json:"orders"`
 }
 
+// Orders are commands sent to a worker directly (POST /orders).
+type Orders struct {
+	Token    uint64    `json:"baton"`
+	Session  uint64    `json:"shift"`
+	Commands []Command `json:"orders"`
+}
+
 // Redirect is the 421 answer to a report.
 type Redirect struct {
 	Leader string `json:"steward,omitempty"`
