--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -30,8 +30,9 @@
 }
 
 type keptWorker struct {
-	report *wire.Report
-	at     time.Duration
+	report    *wire.Report
+	since, at time.Duration // first and last kept
+	proven    bool          // it can't reach the leader
 }
 
 const keyKept = "w/k/"
@@ -40,23 +41,32 @@
 	return &caretaker{c: c, kept: map[string]*keptWorker{}, asked: map[string]time.Duration{}}
 }
 
-// cutOff tells whether the leader leads but can't be reached from here.
-func (k *caretaker) cutOff() bool {
+// leader gives the other node that leads, as far as this node knows.
+func (k *caretaker) leader() *peer {
 	c := k.c
 	if c.lead != nil || c.dir.leadVersion == 0 || c.dir.lead.Node == c.set.Node || c.stateDown {
-		return false
+		return nil
 	}
 	for _, p := range c.peers {
 		if p.node == c.dir.lead.Node {
-			return p.askedAt != 0 && !p.reached
+			return p
 		}
 	}
-	return false
+	return nil
+}
+
+// cutOff tells whether the leader leads but can't be reached from here.
+func (k *caretaker) cutOff() bool {
+	p := k.leader()
+	return p != nil && p.askedAt != 0 && !p.reached
 }
 
-// current tells whether the leader's term was seen in the state service just now.
-func (k *caretaker) current() bool {
-	return k.leadOK != 0 && k.c.now.Steady-k.leadOK < 2*k.c.t.report
+// current tells whether the leader's term was seen to be current just now, in the
+// state service or by the leader's own word.
+func (k *caretaker) current(p *peer) bool {
+	c := k.c
+	return k.leadOK != 0 && c.now.Steady-k.leadOK < 2*c.t.report ||
+		c.fresh(p) && p.status.Leads && p.status.Term == c.dir.lead.Term
 }
 
 // checkin answers a worker in the leader's place; false if that is not due.
@@ -64,28 +74,41 @@
 	c, r := k.c, in.Report
 	now := c.now.Steady
 	term := c.dir.lead.Term
-	if !k.cutOff() || !k.current() || termOf(r.Token) > term || len(r.Tasks) == 0 {
+	p := k.leader()
+	if p == nil || termOf(r.Token) > term || len(r.Tasks) == 0 {
 		// Without tasks there is nothing to keep alive: it had better find the leader.
 		return false
 	}
-	if _, known := k.kept[r.Machine]; !known {
-		// A worker of another zone may reach the leader from where it is: it is sent
-		// there first, and kept if it comes back.
-		at, was := k.asked[r.Machine]
-		if r.Zone != c.set.Zone && (!was || now-at > c.t.lease) {
-			if len(k.asked) > 10_000 {
-				clear(k.asked)
-			}
-			k.asked[r.Machine] = now
+	w := k.kept[r.Machine]
+	if w == nil {
+		if !k.current(p) {
 			return false
 		}
+		// A worker may reach the leader from where it is. Its lease is renewed once,
+		// for it has lost time already; then it is sent there, and kept if it comes
+		// back. One whose zone is cut off as this node's is needs no proof.
+		at, was := k.asked[r.Machine]
+		w = &keptWorker{report: r, since: now}
+		w.proven = was && now-at < c.t.lease || k.cutOff() && r.Zone == c.set.Zone
+		k.kept[r.Machine] = w
 		k.names = append(k.names, r.Machine)
 		c.log(Debug, "keeping worker for the leader", "machine", r.Machine, "leader", c.dir.lead.Node)
+	} else if !w.proven || !k.cutOff() && now-w.since > 2*c.t.lease {
+		// Where the leader is there for others, it tries again now and then.
+		k.drop(r.Machine)
+		if len(k.asked) > 10_000 {
+			clear(k.asked)
+		}
+		k.asked[r.Machine] = now
+		return false
 	}
-	if old := k.kept[r.Machine]; old == nil || r.Session > old.report.Session ||
-		r.Session == old.report.Session && r.Seq > old.report.Seq {
-		k.kept[r.Machine] = &keptWorker{r, now}
+	if !k.current(p) {
+		return false
+	}
+	if old := w.report; r.Session > old.Session || r.Session == old.Session && r.Seq > old.Seq {
+		w.report = r
 	}
+	w.at = now
 	if k.term != term {
 		k.term = term
 		c.log(Info, "keeping workers for a leader out of reach", "leader", c.dir.lead.Node, "term", term)
@@ -111,8 +134,7 @@
 func (k *caretaker) run() {
 	c := k.c
 	now := c.now.Steady
-	cut := k.cutOff()
-	if cut && !k.asking {
+	if (len(k.kept) > 0 || k.cutOff()) && !k.asking {
 		if now < k.askAt {
 			c.at(k.askAt)
 		} else {
@@ -127,15 +149,20 @@
 			c.send(StateTxn{ID: id, Txn: wire.Txn{If: []wire.Cond{c.dir.leadCond()}}})
 		}
 	}
-	if !cut {
-		if k.term != 0 {
-			c.log(Info, "no longer keeping workers", "workers", len(k.kept))
-			k.term = 0
-		}
+	if k.leader() == nil || k.term != 0 && c.dir.lead.Term != k.term {
 		clear(k.kept)
 		clear(k.asked)
 		k.names = k.names[:0]
 	}
+	for _, name := range append([]string(nil), k.names...) {
+		if now-k.kept[name].at > c.t.lease {
+			k.drop(name)
+		}
+	}
+	if k.term != 0 && len(k.kept) == 0 {
+		c.log(Info, "no longer keeping workers")
+		k.term = 0
+	}
 	if k.writing || len(k.names) == 0 && k.shards == 0 || c.stateDown {
 		return
 	}
@@ -147,6 +174,16 @@
 	k.write()
 }
 
+func (k *caretaker) drop(name string) {
+	delete(k.kept, name)
+	for i, n := range k.names {
+		if n == name {
+			k.names = append(k.names[:i], k.names[i+1:]...)
+			return
+		}
+	}
+}
+
 // write passes the reports on, as many to a key as fit.
 func (k *caretaker) write() {
 	c := k.c
@@ -163,9 +200,6 @@
 	most := min(int(c.set.Params.State.ValueKB*1024), wire.MaxBody/4) * 9 / 10
 	for _, name := range k.names {
 		w := k.kept[name]
-		if c.now.Steady-w.at > c.t.lease {
-			continue
-		}
 		b, err := json.Marshal(w.report)
 		if err != nil || len(b) > most {
 			continue
