--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -144,12 +144,38 @@
 	} else {
 		l.rounds.resume = ""
 	}
-	if r.placed > 0 {
-		l.c.log(Debug, "round", "placed", r.placed, "waiting", len(r.want))
-	}
+	r.note()
 	l.plan(r)
 }
 
+// note writes what a round came to, for whoever looks for the cause of a wait: tasks
+// of arrays without a place, how many of them their teams' limits hold back, and the
+// room that is free.
+func (r *round) note() {
+	if r.placed == 0 && len(r.want) == 0 {
+		return
+	}
+	unplaced, limited := 0, 0
+	for _, j := range r.l.order {
+		if j.array() && r.ready(j) && j.unplaced() > 0 {
+			unplaced += j.unplaced()
+			if !r.use.allows(j, 1) {
+				limited += j.unplaced()
+			}
+		}
+	}
+	free, spot := 0.0, 0.0
+	for _, h := range r.hosts {
+		if h.m.spot {
+			spot += h.free.gpus
+		} else {
+			free += h.free.gpus
+		}
+	}
+	r.l.c.log(Debug, "round", "placed", r.placed, "waiting", len(r.want), "array_tasks", unplaced,
+		"at_limit", limited, "free", free, "free_spot", spot)
+}
+
 // probeBudget is the number of probes that a round may make: the share of the
 // processor that operators allow for rounds, over what a probe of this fleet
 // costs (some tens of nanoseconds a machine).
