--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -386,14 +386,10 @@
 		switch {
 		case p.session != m.session:
 		case p.stop != keep && p.phase >= sent:
-			grace := zero
-			if p.stop == stopSaving {
-				if p.state == wire.TaskSaving {
-					continue
-				}
-				grace = 1.5 * p.job.spec.SaveS
+			if p.stop == stopSaving && p.state == wire.TaskSaving {
+				continue
 			}
-			cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: p.name(), Attempt: p.attempt, GraceS: &grace})
+			cmds = append(cmds, p.stopCommand())
 		case p.phase == committed && p.stop == keep && mayStart && !p.job.cancelled:
 			p.phase, p.sentSeq = sent, r.Seq
 			cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: p.name(), Attempt: p.attempt})
@@ -402,6 +398,15 @@
 	return cmds
 }
 
+// stopCommand stops a task, with time to save where it is to save.
+func (p *placement) stopCommand() wire.Command {
+	grace := 0.0
+	if p.stop == stopSaving {
+		grace = 1.5 * p.job.spec.SaveS
+	}
+	return wire.Command{Op: wire.OpStop, Task: p.name(), Attempt: p.attempt, GraceS: &grace}
+}
+
 // forgettable tells whether an exit may be forgotten: only once all that it tells
 // is in the state service, for after that a repeated start would run again.
 func (l *leader) forgettable(t *wire.TaskReport) bool {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -70,6 +70,7 @@
 	ranAt   time.Duration // when first seen running; 0: not yet
 	stop    stopKind
 	stopWhy string
+	stopOut bool // the stop went out directly; reports' answers repeat it
 }
 
 type phase int
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -210,7 +210,8 @@
 			l.end(p)
 			continue
 		}
-		p.stop, p.stopWhy = stopNow, "cancelled"
+		p.stop, p.stopWhy, p.stopOut = stopNow, "cancelled", false
+		l.due = append(l.due, p.machine)
 	}
 	l.wantRound()
 	l.finishIfDone(j)
@@ -238,7 +239,7 @@
 	}
 }
 
-// orders sends committed starts to their machines directly, instead of waiting for
+// orders sends committed starts, and stops, to their machines directly, instead of waiting for
 // the next report. See token for what bounds how late they can take effect.
 func (l *leader) orders() {
 	if !l.c.op.DirectStarts || !l.c.elect.inTime() || l.c.stateDown {
@@ -253,6 +254,12 @@
 		var cmds []wire.Command
 		token, session := l.token(m), m.session
 		for _, p := range m.sorted() {
+			if p.stop != keep && p.phase >= sent && p.session == session && !p.stopOut && len(cmds) < mostCommands {
+				// A stop names its attempt; late or repeated it does no harm.
+				p.stopOut = true
+				cmds = append(cmds, p.stopCommand())
+				continue
+			}
 			if p.phase == committed && p.session == session && p.stop == keep && !p.job.cancelled && len(cmds) < mostCommands {
 				ps = append(ps, p)
 				cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: p.name(), Attempt: p.attempt})
@@ -263,7 +270,7 @@
 				m.direct[attemptName{p.name(), p.attempt}] = token
 			}
 		}
-		if len(ps) == 0 {
+		if len(cmds) == 0 {
 			continue
 		}
 		m.ordering = true
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -309,6 +309,7 @@
 		}
 		for _, p := range bestStops {
 			p.stop, p.stopWhy = stopSaving, "shrunk"
+			r.l.due = append(r.l.due, p.machine)
 			if p.phase < sent {
 				r.l.end(p)
 				best.free.give(p.job.spec)
