An end that was applied with an unknown outcome is not repeated for good

Found by a trace (cancel_before_start): a job's last transaction got no answer and was applied late; its repeats then conflicted forever, as fast as the write budget allowed. Now the job's key is read first, and the repeat waits for it.

--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -107,6 +107,9 @@
 	// Ends of jobs first: users wait for them.
 	var laterJobs []*job
 	for i, j := range w.finishes {
+		if l.jobs[j.id] != j {
+			continue
+		}
 		if len(b.txn.Then)+2 > ops {
 			laterJobs = append(laterJobs, w.finishes[i:]...)
 			break
@@ -243,6 +246,9 @@
 		}
 	}
 	for _, j := range b.jobs {
+		if l.jobs[j.id] != j {
+			continue // it was found to be over meanwhile
+		}
 		switch {
 		case ok:
 			c.keepFinal(j.id, finalValue{State: map[bool]string{true: wire.JobCancelled, false: wire.JobDone}[j.cancelled], Done: j.done})
@@ -254,8 +260,10 @@
 			l.dropJob(j)
 			c.log(Info, "job ended", "job", j.id, "cancelled", j.cancelled)
 		case failed[keyActive+j.id]:
+			// A cancel came first, or this very end was applied before, its outcome
+			// unknown. It is written again only once that is known: repeating it
+			// blindly would go on for good.
 			w.rereadJob(j)
-			w.finish(j)
 		default:
 			for i, ch := range j.chunks {
 				if failed[runKey(j.id, i)] {
@@ -304,15 +312,12 @@
 		case call.OK:
 			c.dir.apply(keyActive+j.id, r.Item.Value, r.Item.Version)
 			l.jobChanged(j.id)
+			if j.final {
+				w.finish(j)
+			}
 		case call.Missing:
 			// Its end, whose outcome was unknown, was applied.
 			if j.final && l.jobs[j.id] == j {
-				for i, f := range w.finishes {
-					if f == j {
-						w.finishes = append(w.finishes[:i], w.finishes[i+1:]...)
-						break
-					}
-				}
 				for i, ch := range j.chunks {
 					if ch.version != 0 {
 						w.orphan(runKey(j.id, i), ch.version)
@@ -320,6 +325,10 @@
 				}
 				l.dropJob(j)
 			}
+		default:
+			if j.final {
+				w.finish(j)
+			}
 		}
 	})
 	c.send(StateGet{ID: id, Key: keyActive + j.id})
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -34,12 +34,14 @@
 //	state a refuse         its requests to the state service get 503
 //	state a lose           they are carried out, but the answers get lost
 //	state a hold           they get lost on the way, and come late: state a late
+//	state a slow           like hold, but for its transactions alone
 //	state a serve          all is well again
 //	outage / outage over   the state service refuses all; leases start anew after
 //	peers cut / peers join
 //	orders lost / orders refused / orders conflict / orders ok
 //	cloud down / cloud up  cloud none (no capacity)
 //	cloud fails m1         the list shows m1 as failed
+//	cloud hides m1         the list lacks m1, until cloud shows m1
 //	cloud drops m1         m1 is gone without notice
 //	cloud has m9           a machine nobody here asked for
 //	keys PREFIX            shows keys of the state service with their values
@@ -93,6 +95,7 @@
 	names  []string
 	req    uint64
 	cut    bool
+	hidden string // a machine that lists lack
 	orders string // what becomes of direct orders; "": carried out
 
 	cloudDown, cloudNone bool
@@ -207,6 +210,10 @@
 			w.cloudNone = true
 		case "fails":
 			w.machines[arg(2)].State = wire.MachineFailed
+		case "hides":
+			w.hidden = arg(2)
+		case "shows":
+			w.hidden = ""
 		case "drops":
 			delete(w.machines, arg(2))
 		case "has":
@@ -362,7 +369,7 @@
 			ws := n.watches
 			n.watches = nil
 			for _, e := range ws {
-				if w.outage || n.mode != "serve" {
+				if w.outage || n.mode != "serve" && n.mode != "slow" {
 					n.watches = append(n.watches, e)
 					continue
 				}
@@ -401,7 +408,7 @@
 	switch {
 	case w.refused(n):
 		r = core.Result{ID: r.ID, Outcome: call.Refused}
-	case n.mode != "serve":
+	case n.mode == "hold" || n.mode == "lose":
 		r = core.Result{ID: r.ID, Outcome: call.Unknown}
 	}
 	return r, true
@@ -424,7 +431,7 @@
 		switch {
 		case w.refused(n):
 			r.Outcome = call.Refused
-		case n.mode == "hold":
+		case n.mode == "hold" || n.mode == "slow":
 			n.held = append(n.held, e)
 			r.Outcome = call.Unknown
 		default:
@@ -494,6 +501,9 @@
 		}
 		r := core.Result{ID: e.ID, Outcome: call.OK}
 		for _, m := range w.machines {
+			if m.Name == w.hidden {
+				continue
+			}
 			r.Machines.Machines = append(r.Machines.Machines, *m)
 		}
 		sort.Slice(r.Machines.Machines, func(a, b int) bool { return r.Machines.Machines[a].Name < r.Machines.Machines[b].Name })
