--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -38,6 +38,7 @@
 //	state a serve          all is well again
 //	outage / outage over   the state service refuses all; leases start anew after
 //	peers cut / peers join
+//	budget 1e-9            nodes that start from here on have this round_budget
 //	orders lost / orders refused / orders conflict / orders ok
 //	cloud down / cloud up  cloud none (no capacity)
 //	cloud fails m1         the list shows m1 as failed
@@ -95,8 +96,9 @@
 	names  []string
 	req    uint64
 	cut    bool
-	hidden string // a machine that lists lack
-	orders string // what becomes of direct orders; "": carried out
+	budget float64 // the operators' round_budget, for nodes that start after
+	hidden string  // a machine that lists lack
+	orders string  // what becomes of direct orders; "": carried out
 
 	cloudDown, cloudNone bool
 	machines             map[string]*wire.Machine
@@ -145,6 +147,9 @@
 		Cloud:   config.Cloud{RPS: 2, ListLagS: 5},
 		Limits:  config.Limits{CPUShare: 0.06, MemoryMB: 98, MaxConnections: 600}}
 	s.Operator.SpareShare = 0
+	if w.budget > 0 {
+		s.Operator.RoundBudget = w.budget
+	}
 	return s
 }
 
@@ -194,6 +199,9 @@
 			w.store.Refresh(w.now)
 		}
 		return
+	case f[0] == "budget":
+		w.budget, _ = strconv.ParseFloat(arg(1), 64)
+		return
 	case f[0] == "orders":
 		w.orders = strings.TrimPrefix(arg(1), "ok")
 		return
@@ -223,7 +231,7 @@
 	case f[0] == "keys":
 		for _, k := range w.store.Keys(arg(1)) {
 			it, _ := w.store.Get(k)
-			fmt.Fprintf(&w.out, "| %s = %s\n", k, it.Value)
+			fmt.Fprintf(&w.out, "| %s = %.200s\n", k, it.Value)
 		}
 		return
 	}
@@ -427,6 +435,7 @@
 			w.say(n, "log %s%s", e.Message, b.String())
 		}
 	case core.StateTxn:
+		w.withinLimits(e.Txn)
 		r := core.Result{ID: e.ID}
 		switch {
 		case w.refused(n):
@@ -525,11 +534,27 @@
 	return core.Result{}, false
 }
 
+// withinLimits checks a transaction against the protocol's limits.
+func (w *world) withinLimits(t wire.Txn) {
+	p := w.settings("a").Params.State
+	body, err := json.Marshal(t)
+	if err != nil || len(body) > wire.MaxBody || len(t.Then) > p.TxnOps || len(t.If) > 4*p.TxnOps {
+		w.t.Errorf("a transaction of %d changes, %d conditions, %d bytes: %v", len(t.Then), len(t.If), len(body), err)
+	}
+	for _, op := range t.Then {
+		if float64(len(op.Value)) > 1024*p.ValueKB {
+			w.t.Errorf("a value of %d bytes for %s", len(op.Value), op.Put)
+		}
+	}
+}
+
 // keysOf shows the changes of a transaction, without the counts for display.
 func keysOf(t wire.Txn) string {
 	var ks []string
 	for _, op := range t.Then {
 		switch {
+		case len(op.Value) > 400:
+			ks = append(ks, op.Put+" (long)")
 		case strings.HasPrefix(op.Put, "w/n/"), strings.HasPrefix(op.Put, "w/i/"), op.Put == "w/catalog":
 		case op.Delete != "":
 			ks = append(ks, "-"+op.Delete)
