--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -275,8 +275,11 @@
 		num, _ := strconv.ParseFloat(v, 64)
 		switch k {
 		case "kind":
-			if v == "service" {
+			switch v {
+			case "service":
 				j.Kind, j.EstimateS = wire.KindService, 0
+			case "gang":
+				j.Kind = wire.KindGang
 			}
 		case "tasks":
 			j.Tasks = int(num)
