--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -322,7 +322,7 @@
 		return
 	}
 	m.exits = append(m.exits, *t)
-	if t.Why == wire.WhyDone && j != nil && task < j.spec.Tasks && j.ends() && !l.isDone(j, task) {
+	if t.Why == wire.WhyDone && j != nil && task < j.spec.Tasks && j.array() && !l.isDone(j, task) {
 		// Done is true whichever attempt says it.
 		l.setDone(j, task)
 		if p := j.placed[task]; p != nil {
@@ -342,7 +342,7 @@
 	l.c.log(Debug, "task exited", "task", t.Task, "attempt", t.Attempt, "why", t.Why, "machine", p.machine.name)
 	switch t.Why {
 	case wire.WhyDone:
-		if j.ends() {
+		if j.array() {
 			l.setDone(j, p.task)
 		}
 		l.ranWell(p, true)
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -150,10 +150,6 @@
 // unfinished counts the tasks that are not done.
 func (j *job) unfinished() int { return j.spec.Tasks - j.done }
 
-// ends tells whether a job's tasks come to an end by themselves: those of arrays and
-// gangs do.
-func (j *job) ends() bool { return j.spec.Kind != wire.KindService }
-
 func (j *job) array() bool { return j.spec.Kind == wire.KindArray }
 
 func (j *job) counts() counts {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -233,7 +233,7 @@
 	if j.final || len(j.placed) > 0 {
 		return
 	}
-	if j.cancelled || j.ends() && j.done >= j.spec.Tasks {
+	if j.cancelled || j.array() && j.done >= j.spec.Tasks {
 		j.final = true
 		l.writes.finish(j)
 	}
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -275,11 +275,8 @@
 		num, _ := strconv.ParseFloat(v, 64)
 		switch k {
 		case "kind":
-			switch v {
-			case "service":
+			if v == "service" {
 				j.Kind, j.EstimateS = wire.KindService, 0
-			case "gang":
-				j.Kind = wire.KindGang
 			}
 		case "tasks":
 			j.Tasks = int(num)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -422,7 +422,7 @@
 		return never
 	}
 	n := 1.0
-	if j.Kind != wire.KindArray {
+	if j.Kind == wire.KindService {
 		n = float64(j.Tasks)
 	}
 	if over(n*j.CPUs, team.CPUsMax) || over(n*j.GPUs, team.GPUsMax) {
--- a/internal/wire/user.go
+++ b/internal/wire/user.go
@@ -31,7 +31,6 @@
 const (
 	KindArray   = "batch"
 	KindService = "standing"
-	KindGang    = "ensemble" // all tasks run together, each to completion
 )
 
 // Job states as told to users.
@@ -244,7 +243,7 @@
 	switch {
 	case !ValidJobID(j.ID):
 		return nil, errors.New("ref: is not a job id")
-	case j.Kind != KindArray && j.Kind != KindService && j.Kind != KindGang:
+	case j.Kind != KindArray && j.Kind != KindService:
 		return nil, errors.New("shape: is unknown")
 	}
 	if _, ok := priorities[j.Priority]; !ok {
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -8,7 +8,6 @@
 // Task states in a worker's report.
 const (
 	TaskFetching = "pulling"
-	TaskWaiting  = "gathering" // of a gang: has its image, waits for the others
 	TaskRunning  = "running"
 	TaskSaving   = "saving"
 	TaskExited   = "exited"
