A lease that lapses in silence does not mark a machine; less state per machine

Cause looked for: after a long outage every worker's session is new, and each machine got nothing for a lease more, as if answers did not reach it. Change: only a lapse between answered reports counts so.

--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -262,7 +262,7 @@
 	m.describe(r.Type, r.Zone, r.Addr, r.Spot)
 	m.enter(r.Session)
 	m.up, m.seenUp, m.missing = true, true, 0
-	m.seq, m.token = r.Seq, r.Token
+	m.seq = r.Seq
 	m.notice = m.notice || r.NoticeS != nil
 	l.evidence(m, r)
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -24,7 +24,6 @@
 	up      bool // it has reported in this term
 	session uint64
 	seq     uint64
-	token   uint64
 	heard   time.Duration
 	kept    time.Duration // when another node last passed a report of it on
 	notice  bool
@@ -43,7 +42,7 @@
 	// Failure accounting, see faults.go.
 	errors map[string]int // by job, since something last ran well here
 	sick   bool
-	lapses int // sessions that ended while this leader knew it
+	lapses int // sessions that ended although its reports were answered
 }
 
 type attemptName struct {
@@ -189,17 +188,20 @@
 	}
 	if m.up && r.Session > m.session {
 		l.c.log(Info, "machine in a new session", "machine", m.name, "tasks", len(m.runs))
-		// Its lease ran out although reports came: answers may not reach it. It gets
-		// nothing for a while, and is given back if that goes on.
-		if m.lapses++; m.lapses > 1 {
-			m.sick = true
+		if now-m.heard < l.c.t.lease/2 {
+			// Its lease ran out although its reports came and were answered: answers
+			// may not reach it. It gets nothing for a while, and is given back if that
+			// goes on.
+			if m.lapses++; m.lapses > 1 {
+				m.sick = true
+			}
+			m.full = now + l.c.t.lease
 		}
-		m.full = now + l.c.t.lease
 	}
 	m.describe(r.Type, r.Zone, r.Addr, r.Spot)
 	m.enter(r.Session)
 	m.up, m.seenUp, m.missing = true, true, 0
-	m.seq, m.token, m.heard = r.Seq, r.Token, now
+	m.seq, m.heard = r.Seq, now
 	if r.NoticeS != nil && !m.notice {
 		m.notice = true
 		l.c.log(Info, "machine will be taken", "machine", m.name, "in_s", *r.NoticeS)
@@ -339,7 +341,7 @@
 // exited ends a placement whose task has exited.
 func (l *leader) exited(p *placement, t *wire.TaskReport) {
 	j := p.job
-	l.c.log(Debug, "task exited", "task", t.Task, "attempt", t.Attempt, "why", t.Why, "machine", p.machine.name)
+	l.c.log(Debug, "task exited", "task", t.Task, "attempt", t.Attempt, "why", t.Why, "told", p.stopWhy, "machine", p.machine.name)
 	switch t.Why {
 	case wire.WhyDone:
 		if j.array() {
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -112,7 +112,6 @@
 	held    []core.StateTxn
 	watches []core.StateWatch
 	opened  time.Duration
-	quiet   bool
 }
 
 func play(t *testing.T, text string) string {
