--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"sort"
 	"time"
 
 	"bitternwing/internal/call"
+	"bitternwing/internal/config"
 	"bitternwing/internal/wire"
 )
 
@@ -77,34 +79,46 @@
 	e.c.send(StateRevoke{ID: id, Lease: lease})
 }
 
-// handicap makes a node wait a little where another would lead better. Workers that
-// lose the leader try the nodes one after the other; if the next one is in the
-// leader's zone and the zone is cut off, they lose the time for two tries, which is
-// most of their lease.
+// handicap makes a node wait a little where another would lead better.
 func (e *election) handicap() time.Duration {
-	c := e.c
-	next, first := "", ""
-	nextZone, firstZone := "", ""
-	for _, p := range c.set.Peers {
-		if p.Node > c.set.Node && (next == "" || p.Node < next) {
-			next, nextZone = p.Node, p.Zone
+	if e.exposed(e.c.set.Node) {
+		return e.c.t.report / 2
+	}
+	return 0
+}
+
+// exposed tells whether a node would lead badly. Workers that lose the leader try the
+// nodes one after the other; if the next one is in the leader's zone and the zone is
+// cut off, they lose the time for two tries, which is most of their lease.
+func (e *election) exposed(node string) bool {
+	set := e.c.set
+	ring := append([]config.Peer{{Node: set.Node, Zone: set.Zone}}, set.Peers...)
+	sort.Slice(ring, func(a, b int) bool { return ring[a].Node < ring[b].Node })
+	other, bad := false, false
+	for i, n := range ring {
+		if n.Zone != set.Zone {
+			other = true
 		}
-		if first == "" || p.Node < first {
-			first, firstZone = p.Node, p.Zone
+		if n.Node == node {
+			bad = len(ring) > 1 && ring[(i+1)%len(ring)].Zone == n.Zone
 		}
 	}
-	if next == "" {
-		nextZone = firstZone
-	}
-	if nextZone != c.set.Zone {
-		return 0
+	return bad && other
+}
+
+// betterPlaced tells whether this leader is exposed while another node that is not
+// has been there for a while.
+func (e *election) betterPlaced() bool {
+	c := e.c
+	if c.now.Steady-c.lead.since < 2*c.t.lease || !e.exposed(c.set.Node) {
+		return false
 	}
-	for _, p := range c.set.Peers {
-		if p.Zone != c.set.Zone {
-			return c.t.report / 2
+	for _, p := range c.peers {
+		if c.fresh(p) && !p.status.StateDown && !e.exposed(p.node) {
+			return true
 		}
 	}
-	return 0
+	return false
 }
 
 // stand runs for the next term: a lease, then the lead and the term in one
@@ -176,11 +190,17 @@
 		e.lose("a newer term is known")
 		return
 	}
-	if c.workersElsewhere(c.lead.since) && len(c.lead.machines) > 0 && e.inTime() {
-		// Workers don't reach this node, others they do: make way.
+	why := ""
+	switch {
+	case !e.inTime():
+	case c.workersElsewhere(c.lead.since) && len(c.lead.machines) > 0:
+		why = "workers report to other nodes only"
+	case e.betterPlaced():
+		why = "another node is better placed"
+	}
+	if why != "" {
 		lease := e.lease
-		e.notNow = c.now.Steady + c.t.lease
-		e.lose("workers report to other nodes only")
+		e.lose(why)
 		e.notNow = c.now.Steady + c.t.lease
 		e.revoke(lease, nil)
 		return
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -38,6 +38,7 @@
 //	state a serve          all is well again
 //	outage / outage over   the state service refuses all; leases start anew after
 //	peers cut / peers join
+//	zones b=z2             where nodes are; z1 unless named
 //	budget 1e-9            nodes that start from here on have this round_budget
 //	orders lost / orders refused / orders conflict / orders ok
 //	cloud down / cloud up  cloud none (no capacity)
@@ -96,9 +97,10 @@
 	names  []string
 	req    uint64
 	cut    bool
-	budget float64 // the operators' round_budget, for nodes that start after
-	hidden string  // a machine that lists lack
-	orders string  // what becomes of direct orders; "": carried out
+	budget float64           // the operators' round_budget, for nodes that start after
+	zones  map[string]string // of nodes; "": z1
+	hidden string            // a machine that lists lack
+	orders string            // what becomes of direct orders; "": carried out
 
 	cloudDown, cloudNone bool
 	machines             map[string]*wire.Machine
@@ -133,10 +135,16 @@
 }
 
 func (w *world) settings(name string) *config.Settings {
-	s := &config.Settings{Node: name, Zone: "z1", Operator: config.DefaultOperator()}
+	zone := func(node string) string {
+		if z := w.zones[node]; z != "" {
+			return z
+		}
+		return "z1"
+	}
+	s := &config.Settings{Node: name, Zone: zone(name), Operator: config.DefaultOperator()}
 	for _, p := range []string{"a", "b", "c"} {
 		if p != name {
-			s.Peers = append(s.Peers, config.Peer{Node: p, Addr: "127.0.0.1:1"})
+			s.Peers = append(s.Peers, config.Peer{Node: p, Zone: zone(p), Addr: "127.0.0.1:1"})
 		}
 	}
 	s.Params = config.Params{Nodes: 3, Zones: []string{"z1", "z2"}, ClockOffMS: 5,
@@ -198,6 +206,13 @@
 			w.store.Refresh(w.now)
 		}
 		return
+	case f[0] == "zones":
+		w.zones = map[string]string{}
+		for _, kv := range f[1:] {
+			k, v, _ := strings.Cut(kv, "=")
+			w.zones[k] = v
+		}
+		return
 	case f[0] == "budget":
 		w.budget, _ = strconv.ParseFloat(arg(1), 64)
 		return
