A zone that is cut off whole keeps its workers alive

Change: with the state service and all nodes outside the zone out of reach, nodes answer with the worker's own token and start nothing; a node that workers of other zones still reach does not. A leader past its deadline queues no releases any more.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -22,6 +22,7 @@
 	IdleBoots          float64 `json:"idle_boots"`
 	StuckBoots         float64 `json:"stuck_boots"`
 	SilentLeases       float64 `json:"silent_leases"`
+	CutLeases          float64 `json:"cut_leases"`
 	LeaderTTLLeases    float64 `json:"leader_ttl_leases"`
 	MaxPendingRequests int     `json:"max_pending_requests"`
 }
@@ -37,6 +38,7 @@
 		IdleBoots:          1,
 		StuckBoots:         3,
 		SilentLeases:       0.8,
+		CutLeases:          12,
 		LeaderTTLLeases:    0.2,
 		MaxPendingRequests: 256,
 	}
--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -26,7 +26,8 @@
 	askAt   time.Duration
 	writing bool
 	writeAt time.Duration
-	shards  int // keys written last
+	shards  int  // keys written last
+	foreign bool // a worker of another zone came while this zone seemed cut off
 }
 
 type keptWorker struct {
@@ -73,10 +74,16 @@
 func (k *caretaker) checkin(in Checkin) bool {
 	c, r := k.c, in.Report
 	now := c.now.Steady
+	if len(r.Tasks) == 0 {
+		// There is nothing to keep alive: it had better find the leader.
+		return false
+	}
+	if c.stateDown {
+		return k.blind(in)
+	}
 	term := c.dir.lead.Term
 	p := k.leader()
-	if p == nil || termOf(r.Token) > term || len(r.Tasks) == 0 {
-		// Without tasks there is nothing to keep alive: it had better find the leader.
+	if p == nil || termOf(r.Token) > term {
 		return false
 	}
 	w := k.kept[r.Machine]
@@ -113,6 +120,12 @@
 		k.term = term
 		c.log(Info, "keeping workers for a leader out of reach", "leader", c.dir.lead.Node, "term", term)
 	}
+	c.answer(in.Req, 200, wire.ReportAnswer{Token: max(firstToken(term), r.Token), Commands: c.cancelledStops(r)})
+	return true
+}
+
+// cancelledStops stops the tasks of a report whose jobs are known to be cancelled.
+func (c *Core) cancelledStops(r *wire.Report) []wire.Command {
 	cmds := []wire.Command{}
 	zero := 0.0
 	for _, t := range r.Tasks {
@@ -125,7 +138,26 @@
 			cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
 		}
 	}
-	c.answer(in.Req, 200, wire.ReportAnswer{Token: max(firstToken(term), r.Token), Commands: cmds})
+	return cmds
+}
+
+// blind keeps a worker alive while this node can't reach the state service and so
+// can't know who leads: with the whole zone cut off, or with every node refused and
+// none left that leads. The answer repeats the worker's own token, so it overrules
+// nobody, and it starts nothing. It is safe whoever leads, since a placement never
+// ends by the clock: what runs here counts until there is evidence of its end. A node
+// that alone lost the network must not hold its workers, which could find the leader;
+// it shows by workers of other zones still reaching it.
+func (k *caretaker) blind(in Checkin) bool {
+	c, r := k.c, in.Report
+	cut := c.zoneCut()
+	if cut && r.Zone != c.set.Zone {
+		k.foreign = true
+	}
+	if !(cut && !k.foreign) && !(c.allRefused() && c.leadingPeer() == "") {
+		return false
+	}
+	c.answer(in.Req, 200, wire.ReportAnswer{Token: r.Token, Commands: c.cancelledStops(r)})
 	return true
 }
 
@@ -134,6 +166,7 @@
 func (k *caretaker) run() {
 	c := k.c
 	now := c.now.Steady
+	k.foreign = k.foreign && c.stateDown
 	if (len(k.kept) > 0 || k.cutOff()) && !k.asking {
 		if now < k.askAt {
 			c.at(k.askAt)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -90,7 +90,7 @@
 	c.elect = newElection(c)
 	c.care = newCaretaker(c)
 	for _, p := range s.Peers {
-		c.peers = append(c.peers, &peer{node: p.Node})
+		c.peers = append(c.peers, &peer{node: p.Node, zone: p.Zone})
 	}
 	return c
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -148,6 +148,8 @@
 		to := ""
 		if c.dir.leadVersion != 0 && c.dir.lead.Node != c.set.Node {
 			to = c.dir.lead.Node
+		} else if !c.dir.ready {
+			to = c.leadingPeer() // started while the state service is down
 		}
 		c.answer(in.Req, 421, wire.Redirect{Leader: to})
 		return
@@ -155,6 +157,9 @@
 	// A worker that knows a newer term would drop what this node says; a node
 	// past its deadline is not entitled to say anything.
 	if termOf(r.Token) > l.term || !l.entitled() {
+		if len(r.Tasks) > 0 && c.stateDown && c.care.blind(in) {
+			return
+		}
 		c.answer(in.Req, 421, wire.Redirect{})
 		return
 	}
@@ -442,14 +447,33 @@
 			}
 		}
 	}
+	clear(l.cutZones)
+	for zone, n := range silent {
+		// If many of a zone are silent at once, it is rather the network or a change of
+		// leaders.
+		if n > 3 && n*4 > up[zone] {
+			l.cutZones[zone] = l.c.zoneOut(zone)
+			if l.cutZones[zone] {
+				l.outAt[zone] = now
+			}
+		}
+	}
+	entitled := l.entitled()
 
 	for _, m := range append([]*machine(nil), l.fleet...) {
-		if (m.up || m.seenUp) && !m.releasing {
+		if (m.up || m.seenUp) && !m.releasing && entitled {
 			due := m.lastHeard() + limit
-			if n := silent[m.zone]; n > 3 && n*4 > up[m.zone] {
-				// If many of a zone are silent at once, it is rather the network or a
-				// change of leaders: wait longer.
+			if out, many := l.cutZones[m.zone]; many {
 				due = m.lastHeard() + 3*max(limit, l.c.t.lease)
+				if out {
+					// Its own nodes keep its workers alive; dead machines show in the
+					// cloud's list.
+					due = m.lastHeard() + time.Duration(float64(max(limit, l.c.t.lease))*l.c.op.CutLeases)
+				}
+			}
+			if at, was := l.outAt[m.zone]; was {
+				// Its workers have to find their way back first.
+				due = max(due, at+max(limit, l.c.t.lease))
 			}
 			if now >= due {
 				l.rentals.release(m, "silent")
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -30,6 +30,8 @@
 	fleet    []*machine               // by name
 	due      []*machine               // with starts that were just committed
 	released map[string]time.Duration // names given back, so that late reports of them don't count
+	outAt    map[string]time.Duration // when a zone was last seen cut off with its nodes
+	cutZones map[string]bool          // zones much of which is silent; true: none of their nodes answers either
 
 	writes  writer
 	rentals rentals
@@ -40,7 +42,7 @@
 func newLeader(c *Core, term, version uint64) *leader {
 	l := &leader{c: c, term: term, version: version, since: c.now.Steady,
 		runs: map[string]wire.Item{}, jobs: map[string]*job{}, machines: map[string]*machine{},
-		released: map[string]time.Duration{}}
+		released: map[string]time.Duration{}, cutZones: map[string]bool{}, outAt: map[string]time.Duration{}}
 	l.writes.init(l)
 	l.rentals.init(l)
 	l.rounds.at = c.now.Steady
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -9,10 +9,12 @@
 // peer is what is known of another node.
 type peer struct {
 	node    string
+	zone    string
 	asking  bool
 	askedAt time.Duration
 	heardAt time.Duration // 0: never
-	reached bool          // the last question was answered
+	tried   bool          // a question was answered, or had its time
+	reached bool          // the last one was answered
 	status  PeerStatus
 }
 
@@ -29,7 +31,7 @@
 		p.asking = true
 		p.askedAt = c.now.Steady
 		id := c.call(func(r Result) {
-			p.asking = false
+			p.asking, p.tried = false, true
 			p.reached = r.Outcome == call.OK
 			if p.reached {
 				p.heardAt = c.now.Steady
@@ -73,3 +75,47 @@
 	}
 	return false
 }
+
+// zoneCut tells whether this node's zone seems to be cut off from everything else: no
+// node outside it answers, the state service doesn't either, and no node inside it
+// fares better.
+func (c *Core) zoneCut() bool {
+	outside := false
+	for _, p := range c.peers {
+		switch {
+		case p.zone != c.set.Zone:
+			outside = true
+			if p.reached || !p.tried {
+				return false
+			}
+		case c.fresh(p) && !p.status.StateDown:
+			return false
+		}
+	}
+	return outside && c.stateDown
+}
+
+// zoneOut tells whether another zone has nodes and none of them answers.
+func (c *Core) zoneOut(zone string) bool {
+	out := false
+	for _, p := range c.peers {
+		if p.zone == zone {
+			if p.reached || !p.tried {
+				return false
+			}
+			out = true
+		}
+	}
+	return out && zone != c.set.Zone
+}
+
+// leadingPeer gives the node that says of itself that it leads, with the newest term.
+func (c *Core) leadingPeer() string {
+	name, term := "", uint64(0)
+	for _, p := range c.peers {
+		if c.fresh(p) && p.status.Leads && p.status.Term > term {
+			name, term = p.node, p.status.Term
+		}
+	}
+	return name
+}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -259,6 +259,7 @@
 			}
 			l.dropJob(j)
 			c.log(Info, "job ended", "job", j.id, "cancelled", j.cancelled)
+			c.log(Debug, "ended job", "class", j.spec.Class, "tasks", j.spec.Tasks, "after_s", (c.now.WallMS-j.at)/1000)
 		case failed[keyActive+j.id]:
 			// A cancel came first, or this very end was applied before, its outcome
 			// unknown. It is written again only once that is known: repeating it
