Ask the cloud once for all that is missing, not in a queue of small requests

At the start 15 requests of one to three machines were waiting and the fleet filled up over 40 s: 59 machines asked for after 4.4 s with 65 services and 378 tasks waiting. Change: a request that has not gone out is dropped and planned anew, and the kind that misses most goes first.

--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"sort"
 	"time"
 
 	"bitternwing/internal/call"
@@ -43,6 +44,7 @@
 	offer
 	name  string
 	count int
+	tried bool // it went out; until then the next plan makes it anew
 	busy  bool
 	at    time.Duration // next try
 }
@@ -140,7 +142,7 @@
 
 func (t *rentals) sendRent(q *rental) {
 	l, c := t.l, t.l.c
-	q.busy = true
+	q.busy, q.tried = true, true
 	id := l.call(func(r Result) {
 		q.busy = false
 		now := c.now.Steady
@@ -175,6 +177,20 @@
 	c.send(CloudRent{ID: id, Request: wire.RentRequest{Request: q.name, Type: q.kind, Zone: q.zone, Spot: q.spot, Count: q.count}})
 }
 
+// unask drops requests that still wait for the cloud's rate. What is missing is counted
+// anew, so that one request asks for all of it: rounds come faster than requests may go
+// out, and a queue of small ones would hold the fleet back for many seconds.
+func (t *rentals) unask() {
+	tried := t.requests[:0]
+	for _, q := range t.requests {
+		if q.tried {
+			tried = append(tried, q)
+		}
+	}
+	clear(t.requests[len(tried):])
+	t.requests = tried
+}
+
 func (t *rentals) drop(q *rental) {
 	for i, x := range t.requests {
 		if x == q {
@@ -352,6 +368,7 @@
 		return
 	}
 	now := l.c.now.Steady
+	t.unask()
 	p := &planner{r: r, t: t, count: map[offer]int{}, zones: map[*job]map[string]int{}}
 	for _, m := range l.fleet {
 		if m.mt == nil || m.releasing {
@@ -591,6 +608,8 @@
 			counts[b.offer]++
 		}
 	}
+	// What is missing most goes first where the cloud's rate makes the rest wait.
+	sort.SliceStable(kinds, func(a, b int) bool { return counts[kinds[a]] > counts[kinds[b]] })
 	for _, o := range kinds {
 		p.t.seq++
 		p.t.requests = append(p.t.requests, &rental{offer: o, count: min(counts[o], wire.MaxRent),
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -148,7 +148,8 @@
 		}
 	}
 	s.Params = config.Params{Nodes: 3, Zones: []string{"z1", "z2"}, ClockOffMS: 5,
-		Teams:   []config.Team{{Name: "red", GPUs: 4, GPUsMax: 8}, {Name: "blue", GPUs: 8, GPUsMax: 16}},
+		Teams:   []config.Team{{Name: "red", GPUs: 4, GPUsMax: 8}, {Name: "blue", GPUs: 8, GPUsMax: 16}, {Name: "green", GPUs: 40, GPUsMax: 80}},
+		Objectives: []config.Objective{{Kind: "finished", Class: "rush", WithinS: 150, Share: 0.9}},
 		Workers: config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
 		State:   config.State{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 12},
 		Cloud:   config.Cloud{RPS: 2, ListLagS: 5},
@@ -298,6 +299,8 @@
 			j.GPUs = num
 		case "team":
 			j.Team = v
+		case "class":
+			j.Class = v
 		case "image":
 			j.Image = v
 		case "priority":
