Arrays that would miss their class's aim are fed first, the oldest first

Ruled out: task times (one array's tasks differ by a third only), team limits. Change: an array's pace is what has to be at work for the class's aim of the settings, as far as the owner's estimate tells. Room goes there first, by guarantee and age; what is left goes by fulfillment as before. Nothing is stopped for it.

--- a/internal/core/fulfillment.go
+++ b/internal/core/fulfillment.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"sort"
 
 	"bitternwing/internal/config"
 )
@@ -21,6 +22,31 @@
 	return j.array() && !j.cancelled && j.maxInstance() > j.minInstance()
 }
 
+// pace is how many instances an array needs at work now to be done within its class's
+// aim, as far as its owner's estimate tells: all that is unfinished, over the number of
+// times that a task fits into what is left of the time. The closest aim that can still
+// be met counts; without one the pace is the minimum.
+func (l *leader) pace(j *job) int {
+	if !j.elastic() || j.spec.EstimateS <= 0 {
+		return j.minInstance()
+	}
+	age := float64(l.c.now.WallMS-j.at) / 1000
+	left := 0.0
+	for _, o := range l.c.set.Params.Objectives {
+		if o.Kind != "finished" || o.Class != j.spec.Class {
+			continue
+		}
+		if t := o.WithinS - age; t >= j.spec.EstimateS && (left == 0 || t < left) {
+			left = t
+		}
+	}
+	if left == 0 {
+		return j.minInstance()
+	}
+	times := int(left / j.spec.EstimateS)
+	return (j.unfinished() + times - 1) / times
+}
+
 // instances counts what a job holds and is to keep: what was told to stop is
 // taken away already, although its room is not free yet.
 func (j *job) instances() int {
@@ -81,6 +107,37 @@
 	return x
 }
 
+// keepPace gives free room to arrays that would miss their class's aim without it, the
+// oldest first: an exception to the order of fulfillment. Equal shares let all arrays
+// that compete end at about the same, late time; one after the other, most are in time.
+// It takes from nobody.
+func (r *round) keepPace() {
+	l := r.l
+	var late []*job
+	for _, j := range l.order {
+		if j.array() && r.ready(j) && j.unplaced() > 0 && j.instances() < l.pace(j) {
+			late = append(late, j)
+		}
+	}
+	sort.SliceStable(late, func(a, b int) bool { return r.guaranteed[late[a].id] && !r.guaranteed[late[b].id] })
+	for _, j := range late {
+		from := 0
+		for n := l.pace(j) - j.instances(); n > 0 && r.budget() && r.use.allows(j, 1); n-- {
+			task := l.nextTask(j, from)
+			if task < 0 {
+				break
+			}
+			m := r.fit(j, task)
+			if m == nil {
+				break
+			}
+			r.place(j, task, m)
+			l.mark(l.chunkOf(j, task))
+			from = task + 1
+		}
+	}
+}
+
 // feed gives free room, one instance at a time, to the least fulfilled job below
 // 1.0. A job that finds no room for its next instance, or has reached its team's
 // limit, is out of this round.
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -134,6 +134,7 @@
 	r.guaranteed = l.withinGuarantee()
 	stopped := r.minimums()
 	if stopped == "" {
+		r.keepPace()
 		r.feed()
 	}
 	if r.probes <= 0 {
