--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -459,20 +459,28 @@
 		}
 	}
 	entitled := l.entitled()
-
+	if !entitled {
+		l.idleAt = now
+	}
 	for _, m := range append([]*machine(nil), l.fleet...) {
 		if (m.up || m.seenUp) && !m.releasing && entitled {
 			due := m.lastHeard() + limit
 			if out, many := l.cutZones[m.zone]; many {
-				due = m.lastHeard() + 3*max(limit, l.c.t.lease)
+				// Its tasks live no longer than its lease, unless nodes of its zone that can't
+				// be asked keep it. No node is left to do so in a zone without any.
+				if silent[m.zone] < up[m.zone] || l.c.hasNodes(m.zone) {
+					due = m.lastHeard() + max(limit, l.c.t.lease)*5/4
+				}
 				if out {
 					// Its own nodes keep its workers alive; dead machines show in the
 					// cloud's list.
 					due = m.lastHeard() + time.Duration(float64(max(limit, l.c.t.lease))*l.c.op.CutLeases)
 				}
 			}
+			// Workers have to find their way back first: those of a zone that was cut off,
+			// and all after a time in which this leader could not answer.
+			due = max(due, l.idleAt+limit)
 			if at, was := l.outAt[m.zone]; was {
-				// Its workers have to find their way back first.
 				due = max(due, at+max(limit, l.c.t.lease))
 			}
 			if now >= due {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -30,6 +30,7 @@
 	fleet    []*machine               // by name
 	due      []*machine               // with starts that were just committed
 	released map[string]time.Duration // names given back, so that late reports of them don't count
+	idleAt   time.Duration            // when this leader was last not entitled to act
 	outAt    map[string]time.Duration // when a zone was last seen cut off with its nodes
 	cutZones map[string]bool          // zones much of which is silent; true: none of their nodes answers either
 
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -475,7 +475,7 @@
 		cost /= max(1, mt.GPUs)
 		for _, z := range mt.Zones {
 			o := offer{mt.Name, z, spot}
-			if l.c.now.Steady < p.t.exhausted[o] || l.cutZones[z] || !p.suits(j, o) {
+			if _, cut := l.cutZones[z]; cut || l.c.now.Steady < p.t.exhausted[o] || !p.suits(j, o) {
 				continue
 			}
 			if cost < bestCost || cost == bestCost && p.count[o] < bestCount {
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -45,7 +45,7 @@
 //	cloud fails m1         the list shows m1 as failed
 //	cloud hides m1         the list lacks m1, until cloud shows m1
 //	cloud drops m1         m1 is gone without notice
-//	cloud has m9           a machine nobody here asked for
+//	cloud has m9 [z2]      a machine nobody here asked for
 //	keys PREFIX            shows keys of the state service with their values
 //	healthy a
 
@@ -148,12 +148,12 @@
 		}
 	}
 	s.Params = config.Params{Nodes: 3, Zones: []string{"z1", "z2"}, ClockOffMS: 5,
-		Teams:   []config.Team{{Name: "red", GPUs: 4, GPUsMax: 8}, {Name: "blue", GPUs: 8, GPUsMax: 16}, {Name: "green", GPUs: 40, GPUsMax: 80}},
+		Teams:      []config.Team{{Name: "red", GPUs: 4, GPUsMax: 8}, {Name: "blue", GPUs: 8, GPUsMax: 16}, {Name: "green", GPUs: 40, GPUsMax: 80}},
 		Objectives: []config.Objective{{Kind: "finished", Class: "rush", WithinS: 150, Share: 0.9}},
-		Workers: config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
-		State:   config.State{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 12},
-		Cloud:   config.Cloud{RPS: 2, ListLagS: 5},
-		Limits:  config.Limits{CPUShare: 0.06, MemoryMB: 98, MaxConnections: 600}}
+		Workers:    config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
+		State:      config.State{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 12},
+		Cloud:      config.Cloud{RPS: 2, ListLagS: 5},
+		Limits:     config.Limits{CPUShare: 0.06, MemoryMB: 98, MaxConnections: 600}}
 	s.Operator.SpareShare = 0
 	if w.budget > 0 {
 		s.Operator.RoundBudget = w.budget
@@ -241,6 +241,9 @@
 			delete(w.machines, arg(2))
 		case "has":
 			w.machines[arg(2)] = &wire.Machine{Name: f[2], Type: "g8", Zone: "z1", State: wire.MachineRunning}
+			if len(f) > 3 {
+				w.machines[f[2]].Zone = f[3]
+			}
 		}
 		return
 	case f[0] == "keys":
