--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -29,6 +30,8 @@
 	notice  bool
 
 	runs      map[string]*placement // by task name
+	list      []*placement          // the same, by job and task
+	host      *host                 // in the present round
 	exits     []wire.TaskReport     // exited tasks of the last report
 	strays    []wire.TaskReport     // tasks it holds that no record explains
 	releasing bool
@@ -56,24 +59,33 @@
 	ready bool
 }
 
-func (m *machine) add(p *placement)    { m.runs[p.name()] = p }
-func (m *machine) remove(p *placement) { delete(m.runs, p.name()) }
+func (m *machine) add(p *placement) {
+	m.runs[p.name()] = p
+	i, _ := slices.BinarySearchFunc(m.list, p, comparePlacements)
+	m.list = slices.Insert(m.list, i, p)
+}
 
-// sorted gives the machine's placements in order.
-func (m *machine) sorted() []*placement {
-	ps := make([]*placement, 0, len(m.runs))
-	for _, p := range m.runs {
-		ps = append(ps, p)
+func (m *machine) remove(p *placement) {
+	delete(m.runs, p.name())
+	if i, ok := slices.BinarySearchFunc(m.list, p, comparePlacements); ok && m.list[i] == p {
+		m.list = slices.Delete(m.list, i, i+1)
 	}
-	sort.Slice(ps, func(a, b int) bool {
-		if ps[a].job != ps[b].job {
-			return ps[a].job.before(ps[b].job)
-		}
-		return ps[a].task < ps[b].task
-	})
-	return ps
 }
 
+func comparePlacements(a, b *placement) int {
+	switch {
+	case a.job != b.job && a.job.before(b.job):
+		return -1
+	case a.job != b.job:
+		return 1
+	}
+	return a.task - b.task
+}
+
+// sorted gives the machine's placements in order, in a list that stays as it is while
+// they end.
+func (m *machine) sorted() []*placement { return slices.Clone(m.list) }
+
 // machine gives a machine by name and takes it up if it is new.
 func (l *leader) machine(name string) *machine {
 	if m := l.machines[name]; m != nil {
@@ -126,6 +138,9 @@
 		return
 	}
 	delete(j.placed, p.task)
+	if p.stop != keep {
+		j.halted--
+	}
 	p.machine.remove(p)
 	if len(p.machine.runs) == 0 {
 		p.machine.idleSince = l.c.now.Steady
@@ -336,7 +351,7 @@
 			if p.phase < sent {
 				l.end(p)
 			} else {
-				p.stop, p.stopWhy = stopNow, "done elsewhere"
+				p.halt(stopNow, "done elsewhere")
 			}
 		}
 		l.finishIfDone(j)
@@ -437,7 +452,6 @@
 // those that will be taken.
 func (l *leader) watchMachines() {
 	now := l.c.now.Steady
-	limit := time.Duration(float64(l.c.t.lease) * l.c.op.SilentLeases)
 	silent, up := map[string]int{}, map[string]int{}
 	for _, m := range l.fleet {
 		if m.up || m.seenUp {
@@ -462,53 +476,58 @@
 	if !entitled {
 		l.idleAt = now
 	}
-	for _, m := range append([]*machine(nil), l.fleet...) {
-		if (m.up || m.seenUp) && !m.releasing && entitled {
-			due := m.lastHeard() + limit
-			if out, many := l.cutZones[m.zone]; many {
-				// Its tasks live no longer than its lease, unless nodes of its zone that can't
-				// be asked keep it. No node is left to do so in a zone without any.
-				if silent[m.zone] < up[m.zone] || l.c.hasNodes(m.zone) {
-					due = m.lastHeard() + max(limit, l.c.t.lease)*5/4
-				}
-				if out {
-					// Its own nodes keep its workers alive; dead machines show in the
-					// cloud's list.
-					due = m.lastHeard() + time.Duration(float64(max(limit, l.c.t.lease))*l.c.op.CutLeases)
-				}
-			}
-			// Workers have to find their way back first: those of a zone that was cut off,
-			// and all after a time in which this leader could not answer.
-			due = max(due, l.idleAt+limit)
-			if at, was := l.outAt[m.zone]; was {
-				due = max(due, at+max(limit, l.c.t.lease))
-			}
-			if now >= due {
-				l.rentals.release(m, "silent")
-			} else {
-				l.c.at(due)
-			}
+	for _, m := range l.fleet {
+		// Its tasks live no longer than its lease, unless nodes of its zone that can't be
+		// asked keep it. In a zone without nodes nobody can.
+		nobody := silent[m.zone] == up[m.zone] && !l.c.hasNodes(m.zone)
+		if (m.up || m.seenUp) && !m.releasing && entitled && now >= l.silentUntil(m, nobody) {
+			l.rentals.release(m, "silent")
 		}
 		if m.notice || m.sick {
-			for _, p := range m.sorted() {
-				if p.stop != keep {
-					continue
-				}
-				if p.phase < sent {
-					l.end(p)
-				} else if p.job.spec.Checkpoint > 0 {
-					p.stop, p.stopWhy = stopSaving, "drain"
-				} else if m.sick {
-					p.stop, p.stopWhy = stopNow, "drain"
-				}
-			}
-			if m.sick && len(m.runs) == 0 {
-				l.rentals.release(m, "sick")
-			}
+			l.drain(m)
 		}
 	}
 }
 
+// silentUntil tells until when a machine may be silent.
+func (l *leader) silentUntil(m *machine, nobody bool) time.Duration {
+	limit := time.Duration(float64(l.c.t.lease) * l.c.op.SilentLeases)
+	lease := max(limit, l.c.t.lease)
+	due := m.lastHeard() + limit
+	if out, many := l.cutZones[m.zone]; out {
+		// Its own nodes keep its workers alive; dead machines show in the cloud's list.
+		due = m.lastHeard() + time.Duration(float64(lease)*l.c.op.CutLeases)
+	} else if many && !nobody {
+		due = m.lastHeard() + lease*5/4
+	}
+	// Workers have to find their way back first: those of a zone that was cut off, and all
+	// after a time in which this leader could not answer.
+	due = max(due, l.idleAt+limit)
+	if at, was := l.outAt[m.zone]; was {
+		due = max(due, at+lease)
+	}
+	return due
+}
+
+// drain stops what can save its progress on a machine that will be taken, and all on one
+// that is sick.
+func (l *leader) drain(m *machine) {
+	for _, p := range m.sorted() {
+		switch {
+		case p.stop != keep:
+		case p.phase < sent:
+			l.end(p)
+		case p.job.spec.Checkpoint > 0:
+			p.halt(stopSaving, "drain")
+		case m.sick:
+			p.halt(stopNow, "drain")
+		}
+	}
+	if m.sick && len(m.runs) == 0 {
+		l.rentals.release(m, "sick")
+	}
+}
+
 // lastHeard is when a report of a machine last came, here or by another node.
 func (m *machine) lastHeard() time.Duration { return max(m.heard, m.kept) }
 
--- a/internal/core/fulfillment.go
+++ b/internal/core/fulfillment.go
@@ -49,15 +49,7 @@
 
 // instances counts what a job holds and is to keep: what was told to stop is
 // taken away already, although its room is not free yet.
-func (j *job) instances() int {
-	n := 0
-	for _, p := range j.placed {
-		if p.stop == keep {
-			n++
-		}
-	}
-	return n
-}
+func (j *job) instances() int { return len(j.placed) - j.halted }
 
 // score is the fulfillment score: current less minimum, over maximum less minimum.
 func score(current, least, most int) float64 {
@@ -183,18 +175,8 @@
 	return r.guaranteed[j.id] && j.spec.Team != victim.spec.Team && r.use.beyond(victim.team)
 }
 
-// shrinkable gives an elastic job's score for giving way; false if it is at its
-// minimum.
-func (r *round) shrinkable(j *job) (float64, bool) {
-	if !j.elastic() {
-		return 0, false
-	}
-	n := j.instances()
-	if n <= j.minInstance() {
-		return 0, false
-	}
-	return score(n, j.minInstance(), j.maxInstance()), true
-}
+// shrinkable tells whether a job is elastic and above its minimum.
+func (j *job) shrinkable() bool { return j.elastic() && j.instances() > j.minInstance() }
 
 // usage is what the teams' tasks use, whatever state they are in: until there is
 // evidence that a task is gone it counts.
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -27,6 +27,7 @@
 	team   *config.Team
 	chunks map[int]*chunk
 	placed map[int]*placement // by task
+	halted int                // of these, told to stop
 	done   int
 	cursor int // no task below this is both undone and unplaced
 
@@ -93,6 +94,14 @@
 // inherited marks a placement of an earlier term, whose start may have gone out.
 const inherited = ^uint64(0)
 
+// halt has a placement stopped, from now on or, if it is being stopped, with this kind.
+func (p *placement) halt(kind stopKind, why string) {
+	if p.stop == keep {
+		p.job.halted++
+	}
+	p.stop, p.stopWhy = kind, why
+}
+
 func (p *placement) name() string { return wire.TaskName(p.job.id, p.task) }
 
 func (l *leader) chunkSize() int {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -34,6 +34,7 @@
 	outAt    map[string]time.Duration // when a zone was last seen cut off with its nodes
 	cutZones map[string]bool          // zones much of which is silent; true: none of their nodes answers either
 
+	tendAt  time.Duration // when the fleet and the cancelled jobs are looked through next
 	writes  writer
 	rentals rentals
 	rounds  rounds
@@ -75,8 +76,13 @@
 			return
 		}
 	}
-	l.watchMachines()
-	l.cancels()
+	if now := l.c.now.Steady; now >= l.tendAt {
+		l.tendAt = now + l.c.t.eventGap
+		l.watchMachines()
+		l.cancels()
+		l.rentals.stuck()
+	}
+	l.c.at(l.tendAt)
 	l.round()
 	l.writes.run()
 	l.orders()
@@ -213,7 +219,8 @@
 			l.end(p)
 			continue
 		}
-		p.stop, p.stopWhy, p.stopOut = stopNow, "cancelled", false
+		p.halt(stopNow, "cancelled")
+		p.stopOut = false
 		l.due = append(l.due, p.machine)
 	}
 	l.wantRound()
@@ -314,7 +321,6 @@
 		// Releasing takes a call or two and a retry; half the time is left for it.
 		due := j.cancelledAt + l.c.t.cancel*4/10
 		if l.c.now.Steady < due {
-			l.c.at(due)
 			continue
 		}
 		for _, p := range j.byTask() {
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -32,6 +32,11 @@
 // may run on cheap machines prefers those; then the tightest, so that others empty
 // and can be returned.
 func (r *round) fit(j *job, task int) *machine {
+	a, plain := askOf(j)
+	if plain && r.full[a] {
+		return nil
+	}
+	r.looks -= len(r.hosts)
 	var best *host
 	bestScore := math.Inf(1)
 	for _, h := range r.hosts {
@@ -53,20 +58,14 @@
 		}
 	}
 	if best == nil {
+		if plain {
+			r.full[a] = true
+		}
 		return nil
 	}
 	return best.m
 }
 
-func (r *round) host(m *machine) *host {
-	for _, h := range r.hosts {
-		if h.m == m {
-			return h
-		}
-	}
-	return nil
-}
-
 // place decides a placement; the caller marks its record once it stands. It is
 // written before anything is sent.
 func (r *round) place(j *job, task int, m *machine) *placement {
@@ -77,7 +76,7 @@
 	j.placed[task] = p
 	m.add(p)
 	m.touch(j.spec.Image, j.spec.ImageGB)
-	h := r.host(m)
+	h := m.host
 	h.free.take(j.spec)
 	h.soon.take(j.spec)
 	r.use.add(j, 1)
@@ -94,8 +93,9 @@
 	delete(p.job.placed, p.task)
 	p.machine.remove(p)
 	p.job.cursor = min(p.job.cursor, p.task)
-	h := r.host(p.machine)
+	h := p.machine.host
 	h.free.give(p.job.spec)
+	clear(r.full)
 	h.soon.give(p.job.spec)
 	r.use.add(p.job, -1)
 	r.placed--
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -102,7 +102,6 @@
 			t.list("")
 		}
 	}
-	t.stuck()
 }
 
 // release gives a machine back. What is on it counts until the cloud says 200.
@@ -294,6 +293,9 @@
 // stuck returns machines that don't come up.
 func (t *rentals) stuck() {
 	l, c := t.l, t.l.c
+	if !l.entitled() {
+		return
+	}
 	for _, m := range l.fleet {
 		if m.up || m.seenUp || m.mt == nil || m.releasing {
 			continue
@@ -305,8 +307,6 @@
 		}
 		if c.now.Steady >= due {
 			t.release(m, "did not come up")
-		} else {
-			c.at(due)
 		}
 	}
 }
@@ -410,6 +410,7 @@
 
 // put packs a task into a bin, opening one if need be.
 func (p *planner) put(j *job, spot bool) bool {
+	p.r.looks -= len(p.bins) / 4
 	for _, b := range p.bins {
 		if b.room.holds(j.spec) && p.suits(j, b.offer) {
 			p.take(b, j)
@@ -572,7 +573,7 @@
 func (p *planner) spareOn(h *host) float64 {
 	sum := max(0, h.free.gpus)
 	for _, x := range h.m.runs {
-		if _, ok := p.r.shrinkable(x.job); ok {
+		if x.job.shrinkable() {
 			sum += x.job.spec.GPUs / 2
 		}
 	}
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -4,24 +4,32 @@
 	"sort"
 	"time"
 
+	"bitternwing/internal/config"
 	"bitternwing/internal/wire"
 )
 
 // rounds says when decision rounds are held: regularly, and soon after something
-// changed. A round has a budget of probes (tries to fit a task on the fleet); where
-// it runs out, the next round goes on from there.
+// changed. They share a budget of looks (at a machine, for a task), which refills with
+// time; where a round has used it up, the next one goes on from there.
 type rounds struct {
 	at     time.Duration
 	lastAt time.Duration
-	resume string // the job at which the last round stopped; "": none
+	looks  float64 // left; below 0 it is made good before the next round does much
+	spent  int     // in this term
+	resume *job    // where the last round stopped in the order of minimums; nil: it came through
 }
 
 // wantRound asks for a round soon: a recorded exception to the round length of the
 // design, for starts that are due within seconds.
 func (l *leader) wantRound() {
-	if l.c.op.EventRounds {
-		l.rounds.at = min(l.rounds.at, l.rounds.lastAt+l.c.t.eventGap)
+	if !l.c.op.EventRounds {
+		return
+	}
+	gap := l.c.t.eventGap
+	if l.rounds.looks <= 0 {
+		gap = l.c.t.report / 2 // out of budget
 	}
+	l.rounds.at = min(l.rounds.at, l.rounds.lastAt+gap)
 }
 
 // room is what is free of a machine.
@@ -41,9 +49,30 @@
 	hosts      []*host
 	use        usage
 	guaranteed map[string]bool
-	probes     int
+	looks      int
 	placed     int
-	want       []want // what found no room, for the rentals
+	want       []want       // what found no room, for the rentals
+	full       map[ask]bool // what no machine has free room for in this round
+}
+
+// ask is what a task needs of a machine, where any of its kind will do.
+type ask struct {
+	room
+	spot       bool
+	zone, kind string
+}
+
+// askOf gives a job's ask; false if more than that decides where it may run.
+func askOf(j *job) (ask, bool) {
+	s := j.spec
+	if s.OneZone || s.Spread || len(j.failed) > 0 || len(s.Types) > 1 {
+		return ask{}, false
+	}
+	a := ask{room: room{s.GPUs, s.CPUs, s.MemoryGB}, spot: s.Spot, zone: s.Zone}
+	if len(s.Types) == 1 {
+		a.kind = s.Types[0]
+	}
+	return a, true
 }
 
 // host is a machine that may take tasks in this round.
@@ -61,11 +90,8 @@
 
 func priority(j *job) int { return wire.Priority(j.spec.Priority) }
 
-// budget counts a probe; false once the round has used its budget.
-func (r *round) budget() bool {
-	r.probes--
-	return r.probes > 0
-}
+// budget tells whether the round may go on.
+func (r *round) budget() bool { return r.looks > 0 }
 
 // usable tells whether a machine may be given tasks: heard of lately, and not on
 // its way out.
@@ -108,22 +134,26 @@
 		l.c.at(l.rounds.at)
 		return
 	}
-	l.rounds.lastAt = now
 	l.rounds.at = now + l.c.t.round
 	l.c.at(l.rounds.at)
 	if l.c.catalog == nil || !l.c.elect.inTime() || l.c.stateDown {
+		l.rounds.lastAt = now
 		l.rounds.at = now + l.c.t.report
 		l.c.at(l.rounds.at)
 		return
 	}
-	r := &round{l: l, use: usage{}, probes: l.probeBudget()}
+	budget := l.budget()
+	r := &round{l: l, use: usage{}, looks: budget, full: map[ask]bool{}}
+	l.rounds.lastAt = now
 	for _, m := range l.fleet {
+		m.host = nil
 		if m.mt == nil {
 			m.mt = l.c.machineType(m.kind)
 		}
 		if l.usable(m) {
 			free, soon := l.freeOf(m)
-			r.hosts = append(r.hosts, &host{m, free, soon})
+			m.host = &host{m: m, free: free, soon: soon}
+			r.hosts = append(r.hosts, m.host)
 		}
 	}
 	for _, j := range l.order {
@@ -132,21 +162,19 @@
 		}
 	}
 	r.guaranteed = l.withinGuarantee()
-	stopped := r.minimums()
-	if stopped == "" {
+	l.rounds.resume = r.minimums()
+	if l.rounds.resume == nil {
 		r.keepPace()
 		r.feed()
 	}
-	if r.probes <= 0 {
+	l.plan(r)
+	r.note()
+	l.rounds.looks, l.rounds.spent = float64(r.looks), l.rounds.spent+budget-r.looks
+	if r.looks <= 0 {
 		// Out of budget: go on soon, from where this round stopped.
-		l.rounds.resume = stopped
-		l.rounds.at = now + l.c.t.report
+		l.rounds.at = now + l.c.t.report/2
 		l.c.at(l.rounds.at)
-	} else {
-		l.rounds.resume = ""
 	}
-	r.note()
-	l.plan(r)
 }
 
 // note writes what a round came to, for whoever looks for the cause of a wait: tasks
@@ -174,16 +202,24 @@
 		}
 	}
 	r.l.c.log(Debug, "round", "placed", r.placed, "waiting", len(r.want), "array_tasks", unplaced,
-		"at_limit", limited, "free", free, "free_spot", spot)
+		"at_limit", limited, "free", free, "free_spot", spot, "looks_left", r.looks)
 }
 
-// probeBudget is the number of probes that a round may make: the share of the
-// processor that operators allow for rounds, over what a probe of this fleet
-// costs (some tens of nanoseconds a machine).
-func (l *leader) probeBudget() int {
-	const perMachine = 50e-9
-	share := l.c.op.RoundBudget * l.c.set.Params.Limits.CPUShare * l.c.t.report.Seconds()
-	return max(64, int(share/(perMachine*float64(len(l.fleet)+1))))
+// lookCost is what a look costs a processor of these years, roughly.
+const lookCost = 60e-9
+
+func looksPerSecond(s *config.Settings, op *config.Operator) float64 {
+	return op.RoundBudget * s.Params.Limits.CPUShare / lookCost
+}
+
+// budget gives the looks that a round may make: the share of the processor that
+// operators allow for rounds, over the time since the last one, at most that of a
+// report interval; and always a few.
+func (l *leader) budget() int {
+	rate := looksPerSecond(l.c.set, l.c.op)
+	rs := &l.rounds
+	rs.looks = min(rate*l.c.t.report.Seconds(), rs.looks+rate*(l.c.now.Steady-rs.lastAt).Seconds())
+	return max(32, int(rs.looks))
 }
 
 // withinGuarantee finds the jobs that fit into their team's guarantee together with
@@ -209,8 +245,9 @@
 
 // minimums serves what lacks its minimum: services that are not whole, and arrays
 // without a task. What finds no room takes it from the most fulfilled. It returns
-// the job at which the budget ran out.
-func (r *round) minimums() string {
+// the job at which the budget ran out, where the next round goes on: so each job has
+// its turn, and free room is fed to arrays only after all services had theirs.
+func (r *round) minimums() *job {
 	l := r.l
 	var lacking []*job
 	for _, j := range l.order {
@@ -221,8 +258,7 @@
 			lacking = append(lacking, j)
 		}
 	}
-	sort.SliceStable(lacking, func(a, b int) bool {
-		x, y := lacking[a], lacking[b]
+	before := func(x, y *job) bool {
 		if g, h := r.guaranteed[x.id], r.guaranteed[y.id]; g != h {
 			return g
 		}
@@ -230,32 +266,32 @@
 			return p > q
 		}
 		return x.before(y)
-	})
-	from := 0
-	for i, j := range lacking {
-		if j.id == l.rounds.resume {
-			from = i
-		}
 	}
-	for i := range lacking {
-		j := lacking[(from+i)%len(lacking)]
-		if r.probes <= 0 {
-			return j.id
-		}
+	sort.SliceStable(lacking, func(a, b int) bool { return before(lacking[a], lacking[b]) })
+	var stopped *job
+	for _, j := range lacking {
 		need := 1
 		if !j.array() {
 			need = j.unplaced()
 		}
-		if !r.use.allows(j, need) {
+		switch {
+		case !r.use.allows(j, need):
 			continue
-		}
-		if r.whole(j, need) {
+		case l.rounds.resume != nil && before(j, l.rounds.resume):
+			// It had its turn; what it lacks is still to be rented.
+		case !r.budget():
+			if stopped == nil {
+				stopped = j
+			}
 			continue
+		case r.whole(j, need):
+			continue
+		default:
+			r.shrinkFor(j, need)
 		}
 		r.want = append(r.want, want{j, need})
-		r.shrinkFor(j, need)
 	}
-	return ""
+	return stopped
 }
 
 // whole places the next tasks of a job, all of them or none.
@@ -268,7 +304,6 @@
 		if task < 0 {
 			break
 		}
-		r.budget()
 		m := r.fit(j, task)
 		if m == nil {
 			for i := len(done) - 1; i >= 0; i-- {
@@ -295,10 +330,10 @@
 		var best *host
 		var bestStops []*placement
 		for _, h := range r.hosts {
+			r.looks--
 			if !r.allowed(j, h.m) {
 				continue
 			}
-			r.budget()
 			stops, ok := r.stopsFor(j, h)
 			if ok && (best == nil || len(stops) < len(bestStops) ||
 				len(stops) == len(bestStops) && h.m.warmth(j.spec.Image) < best.m.warmth(j.spec.Image)) {
@@ -309,11 +344,12 @@
 			return
 		}
 		for _, p := range bestStops {
-			p.stop, p.stopWhy = stopSaving, "shrunk"
+			p.halt(stopSaving, "shrunk")
 			r.l.due = append(r.l.due, p.machine)
 			if p.phase < sent {
 				r.l.end(p)
 				best.free.give(p.job.spec)
+				clear(r.full)
 			}
 			best.soon.give(p.job.spec)
 			r.l.c.log(Debug, "shrunk", "task", p.name(), "for", j.id)
@@ -334,21 +370,31 @@
 	if soon.holds(j.spec) {
 		return nil, true
 	}
+	// Mostly all that could stop there would not be enough; that is seen first.
+	most := soon
+	for _, p := range h.m.list {
+		if r.victim(j, p) {
+			most.give(p.job.spec)
+		}
+	}
+	r.looks -= len(h.m.list) / 4
+	if !most.holds(j.spec) {
+		return nil, false
+	}
 	type victim struct {
 		p     *placement
 		score float64
 	}
 	var vs []victim
 	left := map[*job]int{}
-	for _, p := range h.m.sorted() {
-		if p.stop != keep || !r.mayStop(j, p.job) {
-			continue
-		}
-		if s, ok := r.shrinkable(p.job); ok {
-			vs = append(vs, victim{p, s})
-			left[p.job] = p.job.instances() - p.job.minInstance()
+	for _, p := range h.m.list {
+		if r.victim(j, p) {
+			n := p.job.instances()
+			vs = append(vs, victim{p, score(n, p.job.minInstance(), p.job.maxInstance())})
+			left[p.job] = n - p.job.minInstance()
 		}
 	}
+	r.looks -= 4 * len(vs)
 	sort.SliceStable(vs, func(a, b int) bool { return vs[a].score > vs[b].score })
 	var stops []*placement
 	for _, v := range vs {
@@ -364,3 +410,8 @@
 	}
 	return nil, false
 }
+
+// victim tells whether a placement may be stopped to make room for a job.
+func (r *round) victim(j *job, p *placement) bool {
+	return p.stop == keep && p.job.shrinkable() && r.mayStop(j, p.job)
+}
