Ask silent machines directly, and release those that don't answer sooner

A shorter limit alone would release machines that merely look for the leader. Ruled out: the takeover itself (1.7 s), budget, processor. Change: after a quarter of a lease of silence a machine is asked for its report (GET /inspect), a few at a time, once a report interval.

--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -279,14 +279,14 @@
 	}
 	for _, r := range reports {
 		if r != nil && r.Machine != "" && termOf(r.Token) <= c.lead.term {
-			c.lead.relayed(r)
+			c.lead.relayed(r, false)
 		}
 	}
 }
 
-// relayed takes in a report that came by another node. It is evidence as any other,
-// and the machine is alive; but starts can't reach it that way.
-func (l *leader) relayed(r *wire.Report) {
+// relayed takes in a report that came by another node, or that the worker was asked for.
+// It is evidence, and the machine is alive; but starts can't reach it that way.
+func (l *leader) relayed(r *wire.Report, asked bool) {
 	m := l.machines[r.Machine]
 	if !l.loaded || m == nil || m.up && (r.Session < m.session || r.Session == m.session && r.Seq <= m.seq) {
 		return
@@ -297,5 +297,5 @@
 	m.up, m.seenUp, m.missing = true, true, 0
 	m.seq = r.Seq
 	m.notice = m.notice || r.NoticeS != nil
-	l.evidence(m, r)
+	l.evidence(m, r, asked)
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"bitternwing/internal/call"
 	"bitternwing/internal/wire"
 )
 
@@ -29,6 +30,10 @@
 	kept    time.Duration // when another node last passed a report of it on
 	notice  bool
 
+	inspecting  bool
+	inspectedAt time.Duration // when it was last asked directly
+	deaf        int           // questions in a row without an answer, since it was last heard
+
 	runs      map[string]*placement // by task name
 	list      []*placement          // the same, by job and task
 	host      *host                 // in the present round
@@ -227,7 +232,7 @@
 		l.c.log(Info, "machine will be taken", "machine", m.name, "in_s", *r.NoticeS)
 		l.wantRound()
 	}
-	l.evidence(m, r)
+	l.evidence(m, r, false)
 	return l.commands(m, r)
 }
 
@@ -271,8 +276,9 @@
 // it here. What it lacks is proven absent only if it carries this term's token:
 // the worker then had taken an answer of this term, after which no earlier start
 // can still take effect, and each answer of this term before it was either taken
-// or dropped.
-func (l *leader) evidence(m *machine, r *wire.Report) {
+// or dropped. That does not hold for a report that the worker was asked for: it may come
+// while an answer with a start is still on its way to the worker.
+func (l *leader) evidence(m *machine, r *wire.Report, asked bool) {
 	now := l.c.now.Steady
 	settled := termOf(r.Token) == l.term
 	reported := make(map[string]bool, len(r.Tasks))
@@ -325,7 +331,7 @@
 			l.c.log(Debug, "task absent", "task", p.name(), "attempt", p.attempt)
 			l.end(p)
 		case p.phase == seen,
-			p.phase == sent && (p.sentSeq == inherited || r.Seq > p.sentSeq):
+			p.phase == sent && (p.sentSeq == inherited || r.Seq > p.sentSeq && !asked):
 			l.c.log(Debug, "task absent", "task", p.name(), "attempt", p.attempt)
 			l.end(p)
 		}
@@ -486,18 +492,53 @@
 		if m.notice || m.sick {
 			l.drain(m)
 		}
+		if entitled {
+			l.inspect(m)
+		}
+	}
+}
+
+// inspect asks a machine directly that has been silent for a while: one that hangs or is
+// dead does not answer, one that has yet to find the leader does, and shows what it has.
+func (l *leader) inspect(m *machine) {
+	now := l.c.now.Steady
+	if m.lastHeard() > m.inspectedAt {
+		m.deaf = 0
 	}
+	if !(m.up || m.seenUp) || m.releasing || m.inspecting || m.addr == "" || l.inspecting >= l.c.mostInspections() ||
+		now-m.lastHeard() < l.c.t.lease/4 || now-m.inspectedAt < l.c.t.report {
+		return
+	}
+	m.inspecting, m.inspectedAt = true, now
+	l.inspecting++
+	id := l.call(func(r Result) {
+		m.inspecting = false
+		l.inspecting--
+		switch {
+		case r.Outcome != call.OK:
+			m.deaf++
+		case r.Report.Machine == m.name:
+			l.relayed(&r.Report, true)
+		}
+	})
+	l.c.send(WorkerInspect{ID: id, Addr: m.addr})
 }
 
+// mostInspections bounds the sockets that questions to silent machines take.
+func (c *Core) mostInspections() int { return max(4, c.set.Params.Limits.MaxConnections/40) }
+
 // silentUntil tells until when a machine may be silent.
 func (l *leader) silentUntil(m *machine, nobody bool) time.Duration {
 	limit := time.Duration(float64(l.c.t.lease) * l.c.op.SilentLeases)
 	lease := max(limit, l.c.t.lease)
 	due := m.lastHeard() + limit
+	if m.deaf >= 2 {
+		due = m.lastHeard() + limit*5/8
+	}
 	if out, many := l.cutZones[m.zone]; out {
 		// Its own nodes keep its workers alive; dead machines show in the cloud's list.
 		due = m.lastHeard() + time.Duration(float64(lease)*l.c.op.CutLeases)
-	} else if many && !nobody || !m.up {
+	} else if many && !nobody || !m.up && m.deaf < 2 {
 		// Much of a zone, or a worker that has yet to find this leader: by then its tasks
 		// are gone with its lease, but the machine is mostly fine.
 		due = m.lastHeard() + lease*5/4
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -141,6 +141,12 @@
 		Session  uint64
 		Commands []wire.Command
 	}
+	// WorkerInspect asks a worker directly for its report. Its Result is OK with it, or
+	// anything else: no answer came.
+	WorkerInspect struct {
+		ID   uint64
+		Addr string
+	}
 	PeerAsk struct {
 		ID   uint64
 		Node string
@@ -164,18 +170,19 @@
 	Pairs   []any
 }
 
-func (Answer) effect()       {}
-func (StateGet) effect()     {}
-func (StateList) effect()    {}
-func (StateTxn) effect()     {}
-func (StateGrant) effect()   {}
-func (StateExtend) effect()  {}
-func (StateRevoke) effect()  {}
-func (StateWatch) effect()   {}
-func (CloudCatalog) effect() {}
-func (CloudRent) effect()    {}
-func (CloudRelease) effect() {}
-func (CloudList) effect()    {}
-func (WorkerOrders) effect() {}
-func (PeerAsk) effect()      {}
-func (Log) effect()          {}
+func (Answer) effect()        {}
+func (StateGet) effect()      {}
+func (StateList) effect()     {}
+func (StateTxn) effect()      {}
+func (StateGrant) effect()    {}
+func (StateExtend) effect()   {}
+func (StateRevoke) effect()   {}
+func (StateWatch) effect()    {}
+func (CloudCatalog) effect()  {}
+func (CloudRent) effect()     {}
+func (CloudRelease) effect()  {}
+func (CloudList) effect()     {}
+func (WorkerOrders) effect()  {}
+func (WorkerInspect) effect() {}
+func (PeerAsk) effect()       {}
+func (Log) effect()           {}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -24,15 +24,16 @@
 	runs    map[string]wire.Item // records read so far
 	runsAll bool
 
-	jobs     map[string]*job
-	order    []*job // by acceptance
-	machines map[string]*machine
-	fleet    []*machine               // by name
-	due      []*machine               // with starts that were just committed
-	released map[string]time.Duration // names given back, so that late reports of them don't count
-	idleAt   time.Duration            // when this leader was last not entitled to act
-	outAt    map[string]time.Duration // when a zone was last seen cut off with its nodes
-	cutZones map[string]bool          // zones much of which is silent; true: none of their nodes answers either
+	jobs       map[string]*job
+	order      []*job // by acceptance
+	machines   map[string]*machine
+	fleet      []*machine               // by name
+	due        []*machine               // with starts that were just committed
+	released   map[string]time.Duration // names given back, so that late reports of them don't count
+	inspecting int
+	idleAt     time.Duration            // when this leader was last not entitled to act
+	outAt      map[string]time.Duration // when a zone was last seen cut off with its nodes
+	cutZones   map[string]bool          // zones much of which is silent; true: none of their nodes answers either
 
 	tendAt  time.Duration // when the fleet and the cancelled jobs are looked through next
 	writes  writer
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -309,6 +309,11 @@
 			return core.Result{ID: e.ID, Outcome: call.OK, Report: *w.report()}, true
 		}
 		return core.Result{ID: e.ID, Outcome: call.Unknown}, true
+	case core.WorkerInspect:
+		if w := y.byAddr[e.Addr]; w != nil && !w.dead {
+			return core.Result{ID: e.ID, Outcome: call.OK, Report: *w.report()}, true
+		}
+		return core.Result{ID: e.ID, Outcome: call.Unknown}, true
 	case core.PeerAsk:
 		for _, p := range y.nodes {
 			if p.name == e.Node {
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -48,6 +48,7 @@
 //	cloud has m9 [z2]      a machine nobody here asked for
 //	keys PREFIX            shows keys of the state service with their values
 //	healthy a
+//	answers a m1 addr=m1:1 session=...  what worker m1 answers when it is asked directly
 
 var update = flag.Bool("update", false, "write the traces anew")
 
@@ -88,19 +89,20 @@
 
 // world is what surrounds the nodes in a trace: a state service, a cloud, links.
 type world struct {
-	t      *testing.T
-	out    strings.Builder
-	now    time.Duration
-	store  *standin.Store
-	outage bool
-	nodes  map[string]*node
-	names  []string
-	req    uint64
-	cut    bool
-	budget float64           // the operators' round_budget, for nodes that start after
-	zones  map[string]string // of nodes; "": z1
-	hidden string            // a machine that lists lack
-	orders string            // what becomes of direct orders; "": carried out
+	t       *testing.T
+	out     strings.Builder
+	now     time.Duration
+	store   *standin.Store
+	outage  bool
+	nodes   map[string]*node
+	names   []string
+	req     uint64
+	cut     bool
+	budget  float64                 // the operators' round_budget, for nodes that start after
+	zones   map[string]string       // of nodes; "": z1
+	hidden  string                  // a machine that lists lack
+	answers map[string]*wire.Report // of workers that are asked directly, by address
+	orders  string                  // what becomes of direct orders; "": carried out
 
 	cloudDown, cloudNone bool
 	machines             map[string]*wire.Machine
@@ -117,7 +119,7 @@
 }
 
 func play(t *testing.T, text string) string {
-	w := &world{t: t, now: time.Second, store: standin.NewStore(), nodes: map[string]*node{}, machines: map[string]*wire.Machine{}}
+	w := &world{t: t, now: time.Second, store: standin.NewStore(), nodes: map[string]*node{}, answers: map[string]*wire.Report{}, machines: map[string]*wire.Machine{}}
 	for _, line := range strings.Split(strings.TrimRight(text, "\n"), "\n") {
 		if strings.HasPrefix(line, "|") {
 			continue
@@ -267,6 +269,9 @@
 		w.step(n, core.Cancel{Req: w.req, ID: arg(2)})
 	case "report":
 		w.step(n, core.Checkin{Req: w.req, Report: w.report(f[2:])})
+	case "answers":
+		r := w.report(f[2:])
+		w.answers[r.Addr] = r
 	case "healthy":
 		w.say(n, "healthy %v", n.core.Healthy())
 	case "state":
@@ -544,6 +549,13 @@
 		}
 		w.say(n, "orders %s token %s%s: %s", e.Addr, showToken(e.Token), showCommands(e.Commands), r.Outcome)
 		return r, true
+	case core.WorkerInspect:
+		r := core.Result{ID: e.ID, Outcome: call.Unknown}
+		if w.answers[e.Addr] != nil {
+			r.Outcome, r.Report = call.OK, *w.answers[e.Addr]
+		}
+		w.say(n, "inspects %s: %s", e.Addr, r.Outcome)
+		return r, true
 	case core.PeerAsk:
 		p := w.nodes[e.Node]
 		if p == nil || w.cut {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -251,6 +251,10 @@
 			r.Outcome = n.workers.Do(ctx, "POST", "http://"+e.Addr+"/orders",
 				wire.Orders{Token: e.Token, Session: e.Session, Commands: e.Commands}, &r.Report)
 		})
+	case core.WorkerInspect:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
+			r.Outcome = n.workers.Do(ctx, "GET", "http://"+e.Addr+"/inspect", nil, &r.Report)
+		})
 	case core.PeerAsk:
 		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
 			if p := n.peers[e.Node]; p != nil {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -51,6 +51,11 @@
 
 // orders carries out direct commands.
 func (w *Worker) orders(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/inspect" {
+		body, _ := w.report()
+		answer(rw, 200, json.RawMessage(body))
+		return
+	}
 	var o wire.Orders
 	if r.URL.Path != "/orders" || json.NewDecoder(r.Body).Decode(&o) != nil {
 		answer(rw, 400, nil)
