Spare room counts services that wait; a machine late by half a boot is not waited for

The room to spare was a share of what placed services use, so none was asked for at the start, and a late machine was counted on until twice its boot time. Ruled out: arrays in the way (they were on cheap machines), the cloud's rate (all was asked for within 6 s), the round's budget (2% used). Change: spare room is a share of all services, waiting ones included; 1.5 boot times.

--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -378,7 +378,7 @@
 		p.count[o]++
 		// A machine overdue may never come; what it should have taken is not
 		// left waiting for it.
-		if !m.up && !m.seenUp && now-m.rentedAt < config.Seconds(2*m.mt.BootS) {
+		if !m.up && !m.seenUp && now-m.rentedAt < config.Seconds(1.5*m.mt.BootS) {
 			p.bins = append(p.bins, &bin{offer: o, mt: m.mt, room: room{m.mt.GPUs, m.mt.CPUs, m.mt.MemoryGB}})
 		}
 	}
@@ -542,8 +542,9 @@
 	inUse, largest := 0.0, 0.0
 	for _, j := range p.r.l.order {
 		if !j.array() && !j.cancelled {
-			inUse += float64(len(j.placed)) * j.spec.GPUs
-			largest = max(largest, float64(j.spec.Tasks)*j.spec.GPUs)
+			all := float64(j.spec.Tasks) * j.spec.GPUs
+			inUse += all
+			largest = max(largest, all)
 		}
 	}
 	if inUse == 0 || p.r.l.c.op.SpareShare == 0 {
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -193,8 +193,11 @@
 			}
 		}
 	}
-	free, spot := 0.0, 0.0
+	free, spot, idle := 0.0, 0.0, 0
 	for _, h := range r.hosts {
+		if len(h.m.list) == 0 {
+			idle++
+		}
 		if h.m.spot {
 			spot += h.free.gpus
 		} else {
@@ -202,7 +205,7 @@
 		}
 	}
 	r.l.c.log(Debug, "round", "placed", r.placed, "waiting", len(r.want), "array_tasks", unplaced,
-		"at_limit", limited, "free", free, "free_spot", spot, "looks_left", r.looks)
+		"at_limit", limited, "free", free, "free_spot", spot, "idle", idle, "looks_left", r.looks)
 }
 
 // lookCost is what a look costs a processor of these years, roughly.
