--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -26,6 +27,8 @@
 		{`bind = "127.0.0.1:8080"`, `bind = 8080`, "bind"},
 		{`state = "127.0.0.1:2379"`, ``, "outside.state"},
 		{`address = "127.0.0.2:8081"`, `address = ""`, "siblings[0].address"},
+		{`host_name = "n-1"`, `host_name = "n-0"`, "siblings[0].host_name"},
+		{`address = "127.0.0.2:8081"`, `address = "127.0.0.1:8081"`, "siblings[0].address"},
 		{`lease_s = 10.0`, `lease_s = -1.0`, "params.workers.lease_s"},
 		{`write_rps = 60.0`, `write_rps = "many"`, "params.state.write_rps"},
 		{`txn_ops = 12`, `txn_ops = 1`, "params.state.txn_ops"},
@@ -43,6 +46,22 @@
 	}
 }
 
+// One node and seven are as good as three.
+func TestNodes(t *testing.T) {
+	alone, sibling, _ := strings.Cut(good(t), "[[siblings]]")
+	sibling, rest, _ := strings.Cut(sibling, "[")
+	for _, n := range []int{0, 1, 6} {
+		text := alone
+		for i := 1; i <= n; i++ {
+			text += "[[siblings]]" + strings.NewReplacer("n-1", fmt.Sprint("n-", i), "127.0.0.2", fmt.Sprint("127.0.0.", i+1)).Replace(sibling)
+		}
+		s, err := Parse([]byte(text + "[" + rest))
+		if err != nil || len(s.Peers) != n {
+			t.Errorf("%d siblings: %v", n, err)
+		}
+	}
+}
+
 func TestOperator(t *testing.T) {
 	o, err := ParseOperator([]byte(`{"round_s": 2}`))
 	if err != nil {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -150,7 +151,12 @@
 		}
 		seen[p.Node] = true
 	}
+	used := map[string]string{}
 	for _, a := range addrs {
+		if other := used[a.addr]; other != "" && !strings.HasPrefix(a.field, "outside.") && a.addr != "" {
+			return fmt.Errorf("%s: %q is %s already", a.field, a.addr, other)
+		}
+		used[a.addr] = a.field
 		if a.addr == "" {
 			return fmt.Errorf("%s: is missing", a.field)
 		}
--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -154,7 +154,7 @@
 	if cut && r.Zone != c.set.Zone {
 		k.foreign = true
 	}
-	if !(cut && !k.foreign) && !(c.allRefused() && c.leadingPeer() == "") {
+	if !(cut && !k.foreign) && !(c.noneServed() && c.leadingPeer() == "") {
 		return false
 	}
 	c.answer(in.Req, 200, wire.ReportAnswer{Token: r.Token, Commands: c.cancelledStops(r)})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -227,7 +227,8 @@
 // that users get their 503 at once and nothing has to be added again afterwards.
 func (c *Core) Healthy() bool {
 	if !c.dir.ready || c.catalog == nil {
-		return false
+		// Started in an outage for all: like the others.
+		return c.stateDown && len(c.peers) > 0 && c.noneServed()
 	}
 	if !c.stateDown {
 		return true
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -51,9 +51,19 @@
 // it as well and none knows a newer term. One node that doesn't answer is enough
 // for a no: it may be served, and lead.
 func (c *Core) allRefused() bool {
-	term := c.dir.term.Term
 	for _, p := range c.peers {
-		if !c.fresh(p) || !p.status.StateDown || p.status.Term > term {
+		if p.status.Term > c.dir.term.Term {
+			return false
+		}
+	}
+	return c.noneServed()
+}
+
+// noneServed tells whether every other node says that the state service does not serve
+// it, whatever terms they know.
+func (c *Core) noneServed() bool {
+	for _, p := range c.peers {
+		if !c.fresh(p) || !p.status.StateDown {
 			return false
 		}
 	}
