Many silent machines of a zone get a lease and a quarter, whoever was asked

The leader's zone and another one could not reach each other; the workers there were alive, kept by nodes of a third zone, but asking them directly failed for the same reason, and the rule for zones without nodes came 1 s before the first report that was passed on. Ruled out: a cut of the zone from everything (leases would have ended). Change: where much of a zone is silent, a lease and a quarter; questions without an answer shorten the time only for single machines that nobody passed on lately. The special case for zones without nodes goes. A comparison without changes is no unknown outcome when the state service is empty.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -483,10 +483,7 @@
 		l.idleAt = now
 	}
 	for _, m := range l.fleet {
-		// Its tasks live no longer than its lease, unless nodes of its zone that can't be
-		// asked keep it. In a zone without nodes nobody can.
-		nobody := silent[m.zone] == up[m.zone] && !l.c.hasNodes(m.zone)
-		if (m.up || m.seenUp) && !m.releasing && entitled && now >= l.silentUntil(m, nobody) {
+		if (m.up || m.seenUp) && !m.releasing && entitled && now >= l.silentUntil(m) {
 			l.rentals.release(m, "silent")
 		}
 		if m.notice || m.sick {
@@ -528,20 +525,22 @@
 func (c *Core) mostInspections() int { return max(4, c.set.Params.Limits.MaxConnections/40) }
 
 // silentUntil tells until when a machine may be silent.
-func (l *leader) silentUntil(m *machine, nobody bool) time.Duration {
+func (l *leader) silentUntil(m *machine) time.Duration {
 	limit := time.Duration(float64(l.c.t.lease) * l.c.op.SilentLeases)
 	lease := max(limit, l.c.t.lease)
 	due := m.lastHeard() + limit
-	if m.deaf >= 2 {
-		due = m.lastHeard() + limit*5/8
-	}
-	if out, many := l.cutZones[m.zone]; out {
+	out, many := l.cutZones[m.zone]
+	switch {
+	case out:
 		// Its own nodes keep its workers alive; dead machines show in the cloud's list.
 		due = m.lastHeard() + time.Duration(float64(lease)*l.c.op.CutLeases)
-	} else if many && !nobody || !m.up && m.deaf < 2 {
-		// Much of a zone, or a worker that has yet to find this leader: by then its tasks
-		// are gone with its lease, but the machine is mostly fine.
+	case many, !m.up && m.deaf < 2:
+		// Much of a zone is silent: it may be out of this node's reach alone, with its
+		// workers on their way to a node that keeps them. Or a worker has yet to find
+		// this leader. By then its tasks are gone with its lease, or it was heard of.
 		due = m.lastHeard() + lease*5/4
+	case m.deaf >= 2 && (m.kept == 0 || l.c.now.Steady-m.kept > 2*lease):
+		due = m.lastHeard() + limit*5/8
 	}
 	// Workers have to find their way back first: those of a zone that was cut off, and all
 	// after a time in which this leader could not answer.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -105,16 +105,6 @@
 	return outside && c.stateDown
 }
 
-// hasNodes tells whether a zone has controller nodes.
-func (c *Core) hasNodes(zone string) bool {
-	for _, p := range c.peers {
-		if p.zone == zone {
-			return true
-		}
-	}
-	return zone == c.set.Zone
-}
-
 // zoneOut tells whether another zone has nodes and none of them answers.
 func (c *Core) zoneOut(zone string) bool {
 	out := false
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -51,7 +51,7 @@
 	}
 	var a wire.TxnAnswer
 	o := s.c.Do(ctx, "POST", "/txn", txn, &a)
-	if o == call.OK && a.Revision == 0 {
+	if o == call.OK && a.Revision == 0 && len(txn.Then) > 0 {
 		o = call.Unknown
 	}
 	return a, o
