A leader tells which zones it can't reach, and their workers are kept at once

Cause: with the leader's zone and another one apart, a worker from there reaches a node of a third zone, is kept once and then sent to the leader, which it can't reach: 5.5 s and more of its 11 s, in whatever order it tries the nodes then. Its one report was written two report intervals later, when it was no longer kept, so the leader released it as silent. Change: a node's status names the zones that a leader neither hears nor reaches by asking directly; their workers are kept without a try. A newly kept worker's report is written within half a report interval.

--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -62,6 +63,13 @@
 	return p != nil && p.askedAt != 0 && !p.reached
 }
 
+// apart tells whether the leader says that workers of a zone can't reach it: they need
+// not try, which would cost them much of their lease.
+func (k *caretaker) apart(zone string) bool {
+	p := k.leader()
+	return p != nil && k.c.fresh(p) && p.status.Leads && slices.Contains(p.status.ZonesApart, zone)
+}
+
 // current tells whether the leader's term was seen to be current just now, in the
 // state service or by the leader's own word.
 func (k *caretaker) current(p *peer) bool {
@@ -96,11 +104,14 @@
 		// back. One whose zone is cut off as this node's is needs no proof.
 		at, was := k.asked[r.Machine]
 		w = &keptWorker{report: r, since: now}
-		w.proven = was && now-at < c.t.lease || k.cutOff() && r.Zone == c.set.Zone
+		w.proven = was && now-at < c.t.lease || k.cutOff() && r.Zone == c.set.Zone || k.apart(r.Zone)
 		k.kept[r.Machine] = w
 		k.names = append(k.names, r.Machine)
+		// With its next report it is sent to the leader, which must have heard of it by
+		// then: else it counts as silent there while it is on its way.
+		k.writeAt = min(k.writeAt, now+c.t.report/2)
 		c.log(Debug, "keeping worker for the leader", "machine", r.Machine, "leader", c.dir.lead.Node)
-	} else if !w.proven || !k.cutOff() && now-w.since > 2*c.t.lease {
+	} else if !w.proven && !k.apart(r.Zone) || !k.cutOff() && !k.apart(r.Zone) && now-w.since > 2*c.t.lease {
 		// Where the leader is there for others, it tries again now and then.
 		k.drop(r.Machine)
 		if len(k.asked) > 10_000 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -244,6 +244,7 @@
 	s := PeerStatus{StateDown: c.stateDown || !c.dir.ready, Term: c.dir.term.Term, ReportAge: -1}
 	if c.lead != nil {
 		s.Leads = true
+		s.ZonesApart = c.lead.apart
 		s.Term = max(s.Term, c.lead.term)
 	}
 	if c.lastReport >= 0 {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -32,6 +32,7 @@
 
 	inspecting  bool
 	inspectedAt time.Duration // when it was last asked directly
+	reached     time.Duration // when it last answered that
 	deaf        int           // questions in a row without an answer, since it was last heard
 
 	runs      map[string]*placement // by task name
@@ -458,15 +459,26 @@
 // those that will be taken.
 func (l *leader) watchMachines() {
 	now := l.c.now.Steady
-	silent, up := map[string]int{}, map[string]int{}
+	silent, apart, up := map[string]int{}, map[string]int{}, map[string]int{}
 	for _, m := range l.fleet {
 		if m.up || m.seenUp {
 			up[m.zone]++
 			if now-m.lastHeard() > l.c.t.lease/3 {
 				silent[m.zone]++
 			}
+			if now-max(m.heard, m.reached) > l.c.t.lease/3 {
+				apart[m.zone]++
+			}
+		}
+	}
+	var zones []string
+	for zone, n := range apart {
+		if n > 3 && n*4 > up[zone] {
+			zones = append(zones, zone)
 		}
 	}
+	sort.Strings(zones)
+	l.apart = zones
 	clear(l.cutZones)
 	for zone, n := range silent {
 		// If many of a zone are silent at once, it is rather the network or a change of
@@ -495,15 +507,16 @@
 	}
 }
 
-// inspect asks a machine directly that has been silent for a while: one that hangs or is
-// dead does not answer, one that has yet to find the leader does, and shows what it has.
+// inspect asks a machine directly that has not reported here for a while: one that hangs,
+// is dead or out of reach does not answer; one that has yet to find the leader does, and
+// shows what it has.
 func (l *leader) inspect(m *machine) {
 	now := l.c.now.Steady
 	if m.lastHeard() > m.inspectedAt {
 		m.deaf = 0
 	}
 	if !(m.up || m.seenUp) || m.releasing || m.inspecting || m.addr == "" || l.inspecting >= l.c.mostInspections() ||
-		now-m.lastHeard() < l.c.t.lease/4 || now-m.inspectedAt < l.c.t.report {
+		now-max(m.heard, m.reached) < l.c.t.lease/4 || now-m.inspectedAt < l.c.t.report {
 		return
 	}
 	m.inspecting, m.inspectedAt = true, now
@@ -515,6 +528,7 @@
 		case r.Outcome != call.OK:
 			m.deaf++
 		case r.Report.Machine == m.name:
+			m.reached = l.c.now.Steady
 			l.relayed(&r.Report, true)
 		}
 	})
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -71,6 +71,8 @@
 	Term      uint64
 	Leads     bool
 	ReportAge time.Duration // negative: no worker ever reported to it
+	// ZonesApart are zones whose workers a leader can't reach, nor they it.
+	ZonesApart []string
 }
 
 func (Tick) input()    {}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -33,6 +33,7 @@
 	inspecting int
 	idleAt     time.Duration            // when this leader was last not entitled to act
 	outAt      map[string]time.Duration // when a zone was last seen cut off with its nodes
+	apart      []string                 // zones much of which can not be reached, whoever keeps it
 	cutZones   map[string]bool          // zones much of which is silent; true: none of their nodes answers either
 
 	tendAt  time.Duration // when the fleet and the cancelled jobs are looked through next
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -48,7 +48,7 @@
 	if st.ReportAge >= 0 {
 		age = st.ReportAge.Milliseconds()
 	}
-	return &peerpb.StatusReply{Node: s.node, StateDown: st.StateDown, Term: st.Term, Leads: st.Leads, ReportAgeMs: age}, nil
+	return &peerpb.StatusReply{Node: s.node, StateDown: st.StateDown, Term: st.Term, Leads: st.Leads, ReportAgeMs: age, ZonesApart: st.ZonesApart}, nil
 }
 
 // Client asks one other node.
@@ -83,7 +83,7 @@
 	if err != nil {
 		return core.PeerStatus{}, call.Unknown
 	}
-	st := core.PeerStatus{StateDown: r.GetStateDown(), Term: r.GetTerm(), Leads: r.GetLeads(), ReportAge: -1}
+	st := core.PeerStatus{StateDown: r.GetStateDown(), Term: r.GetTerm(), Leads: r.GetLeads(), ReportAge: -1, ZonesApart: r.GetZonesApart()}
 	if r.GetReportAgeMs() >= 0 {
 		st.ReportAge = time.Duration(r.GetReportAgeMs()) * time.Millisecond
 	}
