A lease kept without a leader ends before a cancelled job's tasks are overdue

Cause: on rereading the change: with every node started anew in a long outage, nobody knows which jobs were cancelled just before it, and answering workers all the same could keep a cancelled task past cancel_s. Change: without a leader only nodes that knew the jobs before answer, for cancel_s less a lease from when the state service last served them.

--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -159,13 +159,20 @@
 // ends by the clock: what runs here counts until there is evidence of its end. A node
 // that alone lost the network must not hold its workers, which could find the leader;
 // it shows by workers of other zones still reaching it.
+//
+// A job may have been cancelled unknown to this node. Where a leader is left outside the
+// zone, it releases the machines of such jobs. Where none is left, only a node that knew
+// the jobs before does this, and only so long that the worker's lease runs out before the
+// time for a cancelled job's tasks is over.
 func (k *caretaker) blind(in Checkin) bool {
 	c, r := k.c, in.Report
 	cut := c.zoneCut()
 	if cut && r.Zone != c.set.Zone {
 		k.foreign = true
 	}
-	if !(cut && !k.foreign) && !(c.noneServed() && c.leadingPeer() == "") {
+	alone := c.dir.ready && c.noneServed() && c.leadingPeer() == "" &&
+		c.now.Steady-c.stateOKAt < c.t.cancel-c.t.lease-2*c.t.report
+	if !(cut && !k.foreign) && !alone {
 		return false
 	}
 	c.answer(in.Req, 200, wire.ReportAnswer{Token: r.Token, Commands: c.cancelledStops(r)})
