Outages, silence and calls are timed by workers' leases, not by their reports

Cause: probes, questions to siblings and silent machines, patience with calls and rounds on events were ratios to the report interval, which went from 1 s to 2.5 s while leases went from 10 s to 15.25 s. A call could take most of the leader's lease (2.5 s of 3.05), and a silent machine was known as such only after 8.8 s, past its release at 7.6 s. Ruled out: processor (a fifth of the share on the mean) and state operations. Now a beat, a tenth of the lease, and a fortieth of the round for rounds on events; the earlier deployments get the figures they had.

--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -74,7 +74,7 @@
 // state service or by the leader's own word.
 func (k *caretaker) current(p *peer) bool {
 	c := k.c
-	return k.leadOK != 0 && c.now.Steady-k.leadOK < 2*c.t.report ||
+	return k.leadOK != 0 && c.now.Steady-k.leadOK < 2*c.t.beat ||
 		c.fresh(p) && p.status.Leads && p.status.Term == c.dir.lead.Term
 }
 
@@ -109,7 +109,7 @@
 		k.names = append(k.names, r.Machine)
 		// With its next report it is sent to the leader, which must have heard of it by
 		// then: else it counts as silent there while it is on its way.
-		k.writeAt = min(k.writeAt, now+c.t.report/2)
+		k.writeAt = min(k.writeAt, now+c.t.beat/2)
 		c.log(Debug, "keeping worker for the leader", "machine", r.Machine, "leader", c.dir.lead.Node)
 	} else if !w.proven && !k.apart(r.Zone) || !k.cutOff() && !k.apart(r.Zone) && now-w.since > 2*c.t.lease {
 		// Where the leader is there for others, it tries again now and then.
@@ -190,7 +190,7 @@
 			c.at(k.askAt)
 		} else {
 			k.asking = true
-			k.askAt = now + c.t.report/2
+			k.askAt = now + c.t.beat/2
 			id := c.stateCall(func(r Result) {
 				k.asking = false
 				if r.Outcome == call.OK {
@@ -221,7 +221,7 @@
 		c.at(k.writeAt)
 		return
 	}
-	k.writeAt = now + 2*c.t.report
+	k.writeAt = now + 2*c.t.beat
 	k.write()
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,12 +44,14 @@
 // times are the durations derived from the settings, each a ratio of one of them.
 type times struct {
 	report    time.Duration // workers' report interval
+	beat      time.Duration // how often what may fail is looked at, and how long a call may take
 	lease     time.Duration // workers' lease
 	cancel    time.Duration // time for a cancelled job's tasks to be gone
 	leaderTTL time.Duration // life of the leader's lease
 	listLag   time.Duration
 	probe     time.Duration // how often the state service is looked at
 	retry     time.Duration // pause after a refusal
+	quiet     time.Duration // a machine that is silent for longer gets no work
 	round     time.Duration
 	eventGap  time.Duration // least time between rounds that events ask for
 	batchGap  time.Duration // least time between compare batches of a node
@@ -67,9 +69,13 @@
 	}
 	nodes := float64(len(s.Peers) + 1)
 	t.leaderTTL = time.Duration(float64(t.lease) * op.LeaderTTLLeases)
-	t.probe = t.report
-	t.retry = t.report / 4
-	t.eventGap = t.report / 8
+	// What has to be noticed and made good within workers' leases goes by these, however
+	// seldom workers report.
+	t.beat = config.Beat(p.Workers)
+	t.probe = t.beat
+	t.retry = t.beat / 4
+	t.eventGap = t.round / 40
+	t.quiet = max(3*t.report/2, 3*t.beat)
 	// A node's polls use at most a sixth of its share of the requests, a watch
 	// at most a fifth.
 	t.batchGap = config.Seconds(6 * nodes / p.State.RPS / 3)
@@ -233,7 +239,7 @@
 	if !c.stateDown {
 		return true
 	}
-	if c.now.Steady-c.stateOKAt < c.t.report {
+	if c.now.Steady-c.stateOKAt < c.t.beat {
 		return true
 	}
 	return c.allRefused()
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -81,9 +81,9 @@
 
 // handicap makes a node wait a little where another would lead better.
 func (e *election) handicap() time.Duration {
-	wait := e.c.t.report / 4 * time.Duration(min(2, max(0, e.detour(e.c.set.Node)-1)))
+	wait := e.c.t.beat / 4 * time.Duration(min(2, max(0, e.detour(e.c.set.Node)-1)))
 	if e.exposed(e.c.set.Node) {
-		wait += e.c.t.report / 2
+		wait += e.c.t.beat / 2
 	}
 	return wait
 }
--- a/internal/core/faults.go
+++ b/internal/core/faults.go
@@ -9,7 +9,7 @@
 // ranWell clears a machine and a job of suspicion: a task was done, or has been
 // running for a while.
 func (l *leader) ranWell(p *placement, done bool) {
-	if !done && l.c.now.Steady-p.ranAt < 8*l.c.t.report {
+	if !done && l.c.now.Steady-p.ranAt < 8*l.c.t.beat {
 		return
 	}
 	p.job.proven = true
@@ -32,7 +32,7 @@
 	if !j.proven && len(j.failed) >= 2 {
 		// Suspect: it may be the job. Double the pause up to the workers' lease
 		// time twice over, and take back what it says of machines.
-		pause := l.c.t.report << min(j.fails, 6)
+		pause := l.c.t.beat << min(j.fails, 6)
 		j.waitFor = max(j.waitFor, now+min(pause, 3*l.c.t.lease))
 		for name := range j.failed {
 			if x := l.machines[name]; x != nil && !x.sick {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -378,9 +378,9 @@
 	case wire.WhyError:
 		l.erred(p)
 	case wire.WhyNoRoom:
-		p.machine.full = l.c.now.Steady + l.c.t.report*2
+		p.machine.full = l.c.now.Steady + l.c.t.beat*2
 	case wire.WhyBusy, wire.WhyUnknown:
-		j.waitFor = max(j.waitFor, l.c.now.Steady+l.c.t.report*2)
+		j.waitFor = max(j.waitFor, l.c.now.Steady+l.c.t.beat*2)
 	}
 	l.end(p)
 }
@@ -516,7 +516,7 @@
 		m.deaf = 0
 	}
 	if !(m.up || m.seenUp) || m.releasing || m.inspecting || m.addr == "" || l.inspecting >= l.c.mostInspections() ||
-		now-max(m.heard, m.reached) < l.c.t.lease/4 || now-m.inspectedAt < l.c.t.report {
+		now-max(m.heard, m.reached) < l.c.t.lease/4 || now-m.inspectedAt < l.c.t.beat {
 		return
 	}
 	m.inspecting, m.inspectedAt = true, now
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -20,7 +20,7 @@
 
 func (c *Core) runPeers() {
 	for _, p := range c.peers {
-		due := p.askedAt + c.t.report
+		due := p.askedAt + c.t.beat
 		if p.asking {
 			continue
 		}
@@ -44,7 +44,7 @@
 
 // fresh tells whether a peer was heard within the last few questions.
 func (c *Core) fresh(p *peer) bool {
-	return p.reached && p.heardAt != 0 && c.now.Steady-p.heardAt < 3*c.t.report
+	return p.reached && p.heardAt != 0 && c.now.Steady-p.heardAt < 3*c.t.beat
 }
 
 // allRefused tells whether every other node says that the state service refuses
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -133,7 +133,7 @@
 		}
 		// Releasing again does no harm.
 		t.names = append(names, t.names...)
-		t.retryAt = c.now.Steady + c.t.report
+		t.retryAt = c.now.Steady + c.t.beat
 		c.at(t.retryAt)
 	})
 	c.send(CloudRelease{ID: id, Names: names})
@@ -169,7 +169,7 @@
 			t.drop(q)
 			c.log(Error, "rental was malformed", "type", q.kind, "zone", q.zone)
 		default:
-			q.at = now + c.t.report
+			q.at = now + c.t.beat
 			c.at(q.at)
 		}
 	})
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -27,7 +27,7 @@
 	}
 	gap := l.c.t.eventGap
 	if l.rounds.looks <= 0 {
-		gap = l.c.t.report / 2 // out of budget
+		gap = l.c.t.beat / 2 // out of budget
 	}
 	l.rounds.at = min(l.rounds.at, l.rounds.lastAt+gap)
 }
@@ -97,7 +97,7 @@
 // its way out.
 func (l *leader) usable(m *machine) bool {
 	return m.up && m.mt != nil && !m.releasing && !m.notice && !m.sick && !m.failed &&
-		l.c.now.Steady-m.heard < 3*l.c.t.report && l.c.now.Steady >= m.full
+		l.c.now.Steady-m.heard < l.c.t.quiet && l.c.now.Steady >= m.full
 }
 
 // freeOf gives what is free of a machine now, and once all that stops is gone.
@@ -138,7 +138,7 @@
 	l.c.at(l.rounds.at)
 	if l.c.catalog == nil || !l.c.elect.inTime() || l.c.stateDown {
 		l.rounds.lastAt = now
-		l.rounds.at = now + l.c.t.report
+		l.rounds.at = now + l.c.t.beat
 		l.c.at(l.rounds.at)
 		return
 	}
@@ -172,7 +172,7 @@
 	l.rounds.looks, l.rounds.spent = float64(r.looks), l.rounds.spent+budget-r.looks
 	if r.looks <= 0 {
 		// Out of budget: go on soon, from where this round stopped.
-		l.rounds.at = now + l.c.t.report/2
+		l.rounds.at = now + l.c.t.beat/2
 		l.c.at(l.rounds.at)
 	}
 }
@@ -221,7 +221,7 @@
 func (l *leader) budget() int {
 	rate := looksPerSecond(l.c.set, l.c.op)
 	rs := &l.rounds
-	rs.looks = min(rate*l.c.t.report.Seconds(), rs.looks+rate*(l.c.now.Steady-rs.lastAt).Seconds())
+	rs.looks = min(rate*l.c.t.beat.Seconds(), rs.looks+rate*(l.c.now.Steady-rs.lastAt).Seconds())
 	return max(32, int(rs.looks))
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,8 +65,9 @@
 		// One connection a worker, as long as there are not too many of them.
 		workers: call.Any(p.State.RPS, 1, max(4, p.Limits.MaxConnections/8), 1<<20),
 		peers:   map[string]*peer.Client{},
-		// Workers wait four seconds at the most, users two for a poll.
-		patient: config.Seconds(p.Workers.ReportS),
+		// Workers wait four seconds at the most, users two for a poll, and a leader's lease
+		// is twice as long.
+		patient: config.Beat(p.Workers),
 	}
 	for _, s := range set.Peers {
 		c, err := peer.NewClient(set.Node, s.Addr, n.patient)
