Guards for size and late messages: deaf machines, late copies, answers past one message

Cause, each found by reading for what passes one message or outlives its sender: - reports of a whole zone, passed on by a caretaker, went into one transaction of up to 170 KB, which the service refuses as malformed: the leader would release the zone's machines. They go in several. The scale test plays 1,000 machines and seven nodes and checks bytes and calls at once.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -28,9 +28,10 @@
 	Missing                 // what was asked for does not exist
 	Invalid                 // malformed, or a lease it names has ended
 	TooOld                  // a watch asked for changes no longer kept
+	TooLarge                // carried out, but the answer is larger than is read here
 )
 
-var names = [...]string{"unknown", "refused", "ok", "conflict", "missing", "invalid", "too_old"}
+var names = [...]string{"unknown", "refused", "ok", "conflict", "missing", "invalid", "too_old", "too_large"}
 
 func (o Outcome) String() string { return names[o] }
 
@@ -101,13 +102,16 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBody+1))
+	o := outcomeOf(resp.StatusCode)
 	if err != nil || int64(len(data)) > c.maxBody {
-		if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+		switch {
+		case o == Refused:
 			return Refused
+		case err == nil && o == OK:
+			return TooLarge
 		}
 		return Unknown
 	}
-	o := outcomeOf(resp.StatusCode)
 	if out != nil && len(data) > 0 && (o == OK || o == Conflict || o == Missing) {
 		if json.Unmarshal(data, out) != nil {
 			// An answer that can't be read tells nothing.
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -43,7 +43,7 @@
 	}{
 		{200, `{"X":1}`, OK},
 		{200, `{"X":`, Unknown},
-		{200, `{"X":"` + string(make([]byte, 200)) + `"}`, Unknown},
+		{200, `{"X":"` + string(make([]byte, 200)) + `"}`, TooLarge},
 		{409, `{}`, Conflict},
 		{404, `{}`, Missing},
 		{400, `{}`, Invalid},
--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -238,17 +238,16 @@
 // write passes the reports on, as many to a key as fit.
 func (k *caretaker) write() {
 	c := k.c
-	var txn wire.Txn
+	var ops []wire.Op
 	var shard []json.RawMessage
 	size := 0
 	flush := func() {
-		value, err := json.Marshal(shard)
-		if err == nil && len(txn.Then) < c.set.Params.State.TxnOps {
-			txn.Then = append(txn.Then, wire.Op{Put: k.key(len(txn.Then)), Value: value})
+		if value, err := json.Marshal(shard); err == nil {
+			ops = append(ops, wire.Op{Put: k.key(len(ops)), Value: value})
 		}
 		shard, size = nil, 0
 	}
-	most := min(int(c.set.Params.State.ValueKB*1024), wire.MaxBody/4) * 9 / 10
+	most := c.mostValue()
 	for _, name := range k.names {
 		w := k.kept[name]
 		b, err := json.Marshal(w.report)
@@ -264,24 +263,39 @@
 	if len(shard) > 0 {
 		flush()
 	}
-	n := len(txn.Then)
-	for i := n; i < k.shards && len(txn.Then) < c.set.Params.State.TxnOps; i++ {
-		txn.Then = append(txn.Then, wire.Op{Delete: k.key(i)})
+	n := len(ops)
+	for i := n; i < k.shards; i++ {
+		ops = append(ops, wire.Op{Delete: k.key(i)})
 	}
-	if len(txn.Then) == 0 {
-		k.shards = 0
-		return
+	// The workers of a whole zone don't fit into one transaction, which the service would
+	// refuse as malformed: the leader would take them all for dead.
+	k.shards = max(k.shards, n)
+	left, good := len(ops), true
+	for len(ops) > 0 {
+		part := ops[:min(len(ops), c.mostValues())]
+		ops = ops[len(part):]
+		k.writing = true
+		id := c.stateCall(func(r Result) {
+			good = good && r.Outcome == call.OK
+			if left -= len(part); left == 0 {
+				k.writing = false
+				if good {
+					k.shards = n
+				}
+			}
+		})
+		c.send(StateTxn{ID: id, Txn: wire.Txn{Then: part}})
 	}
-	k.writing = true
-	id := c.stateCall(func(r Result) {
-		k.writing = false
-		if r.Outcome == call.OK {
-			k.shards = n
-		} else {
-			k.shards = max(k.shards, n)
-		}
-	})
-	c.send(StateTxn{ID: id, Txn: txn})
+}
+
+// mostValue is how large a value is made, and mostValues how many such values a
+// transaction holds.
+func (c *Core) mostValue() int {
+	return min(int(c.set.Params.State.ValueKB*1024), wire.MaxBody/4) * 9 / 10
+}
+
+func (c *Core) mostValues() int {
+	return min(c.set.Params.State.TxnOps, wire.MaxBody*9/10/c.mostValue())
 }
 
 func (k *caretaker) key(i int) string { return keyKept + k.c.set.Node + "/" + strconv.Itoa(i) }
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -179,7 +179,8 @@
 		case call.OK:
 			c.sawState(r.Outcome)
 			c.applyChanges(r.Changes)
-		case call.TooOld:
+		case call.TooOld, call.TooLarge:
+			// Asking again would bring the same and more: the keys are read anew.
 			d.loading = newDirectory()
 		default:
 			if r.Outcome == call.Refused {
--- a/internal/core/faults.go
+++ b/internal/core/faults.go
@@ -16,7 +16,6 @@
 	p.job.fails = 0
 	p.job.failed = nil
 	clear(p.machine.errors)
-	p.machine.lapses = 0
 }
 
 // erred counts a failure.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -17,6 +17,7 @@
 
 	since    time.Duration // when this leader first knew of it
 	rentedAt time.Duration // when it was asked for, as far as known
+	rented   bool          // by this leader
 	listed   bool          // seen in the cloud's list
 	listedAt time.Duration
 	missing  int  // complete lists in a row that lack it
@@ -51,7 +52,10 @@
 	// Failure accounting, see faults.go.
 	errors map[string]int // by job, since something last ran well here
 	sick   bool
-	lapses int // sessions that ended although its reports were answered
+
+	// Whether answers reach it, see doubt.
+	proof     uint64        // the token it has to show; 0: there is no doubt
+	doubtedAt time.Duration // since when its reports come and don't show it
 }
 
 type attemptName struct {
@@ -212,18 +216,20 @@
 		l.c.log(Debug, "machine up", "machine", m.name, "after", (now - m.rentedAt).String())
 		l.wantRound()
 	}
-	if m.up && r.Session > m.session {
+	switch {
+	case !m.up && !m.listed && !m.rented && termOf(r.Token) < l.term:
+		// Nobody here knows it: its report may be a late copy, of a machine long gone.
+		l.doubt(m, firstToken(l.term))
+	case m.up && r.Session > m.session:
 		l.c.log(Info, "machine in a new session", "machine", m.name, "tasks", len(m.runs))
 		if now-m.heard < l.c.t.lease/2 {
-			// Its lease ran out although its reports came and were answered: answers
-			// may not reach it. It gets nothing for a while, and is given back if that
-			// goes on.
-			if m.lapses++; m.lapses > 1 {
-				m.sick = true
-			}
-			m.full = now + l.c.t.lease
+			// Its lease ran out although its reports came and were answered.
+			l.doubt(m, l.token(m)+1)
 		}
 	}
+	if now-m.heard > l.c.t.quiet {
+		m.doubtedAt = now
+	}
 	m.describe(r.Type, r.Zone, r.Addr, r.Spot)
 	m.enter(r.Session)
 	m.up, m.seenUp, m.missing = true, true, 0
@@ -237,6 +243,24 @@
 	return l.commands(m, r)
 }
 
+// doubt makes a machine show a token before it gets work: answers and commands may not
+// reach it although its reports come. A worker that is reached shows the token at once,
+// or with its next report; one that does not for half a lease is given back.
+func (l *leader) doubt(m *machine, token uint64) {
+	m.current = max(m.current, token)
+	if m.proof == 0 {
+		m.doubtedAt = l.c.now.Steady
+	}
+	m.proof = max(m.proof, token)
+}
+
+// deafened tells whether a machine's reports have come for half a lease without showing
+// that answers reach it.
+func (l *leader) deafened(m *machine) bool {
+	now := l.c.now.Steady
+	return m.proof != 0 && now-m.heard < l.c.t.quiet && now-max(m.doubtedAt, l.idleAt) > l.c.t.lease/2
+}
+
 // enter takes a machine into a session. Direct commands of earlier ones are refused
 // by the worker from then on.
 func (m *machine) enter(session uint64) {
@@ -281,6 +305,10 @@
 // while an answer with a start is still on its way to the worker.
 func (l *leader) evidence(m *machine, r *wire.Report, asked bool) {
 	now := l.c.now.Steady
+	if m.proof != 0 && r.Token >= m.proof {
+		m.proof = 0
+		l.wantRound()
+	}
 	settled := termOf(r.Token) == l.term
 	reported := make(map[string]bool, len(r.Tasks))
 	m.exits, m.strays = m.exits[:0], m.strays[:0]
@@ -498,6 +526,9 @@
 		if (m.up || m.seenUp) && !m.releasing && entitled && now >= l.silentUntil(m) {
 			l.rentals.release(m, "silent")
 		}
+		if entitled && l.deafened(m) {
+			l.rentals.release(m, "answers don't reach it")
+		}
 		if m.notice || m.sick {
 			l.drain(m)
 		}
@@ -535,8 +566,10 @@
 	l.c.send(WorkerInspect{ID: id, Addr: m.addr})
 }
 
-// mostInspections bounds the sockets that questions to silent machines take.
+// mostInspections and mostOrders bound the sockets that questions to silent machines and
+// direct orders take.
 func (c *Core) mostInspections() int { return max(4, c.set.Params.Limits.MaxConnections/40) }
+func (c *Core) mostOrders() int      { return max(4, c.set.Params.Limits.MaxConnections/12) }
 
 // silentUntil tells until when a machine may be silent.
 func (l *leader) silentUntil(m *machine) time.Duration {
--- a/internal/core/images.go
+++ b/internal/core/images.go
@@ -15,15 +15,13 @@
 const keyImages = "w/i/"
 
 type imageHints struct {
-	l    *leader
-	at   time.Duration
-	busy bool
-	last map[string]string // by key, as written
+	l      *leader
+	at     time.Duration
+	busy   bool
+	last   map[string]string // by key, as written
+	shards int               // keys in use
 }
 
-// imageShards bounds the keys of the hints.
-const imageShards = 4
-
 func (h *imageHints) run() {
 	l, c := h.l, h.l.c
 	if h.busy || c.stateDown {
@@ -37,13 +35,10 @@
 		return
 	}
 	h.at = c.now.Steady
-	shards := make([]map[string][]string, imageShards)
-	for i := range shards {
-		shards[i] = map[string][]string{}
-	}
-	most := int(c.set.Params.State.ValueKB * 1024 * 9 / 10)
-	sizes := [imageShards]int{}
-	i := 0
+	// As many keys as the fleet needs, each within the limit of a value.
+	shards := []map[string][]string{{}}
+	most := c.mostValue()
+	sum := 0
 	for _, m := range l.fleet {
 		names := []string{}
 		size := len(m.name) + 8
@@ -56,15 +51,16 @@
 		if len(names) == 0 {
 			continue
 		}
-		for i < imageShards && sizes[i]+size > most {
-			i++
-		}
-		if i == imageShards {
-			break
+		if sum += size; sum > most {
+			shards = append(shards, map[string][]string{})
+			sum = size
 		}
-		shards[i][m.name] = names
-		sizes[i] += size
+		shards[len(shards)-1][m.name] = names
 	}
+	for len(shards) < h.shards {
+		shards = append(shards, map[string][]string{}) // a smaller fleet empties the rest
+	}
+	h.shards = max(h.shards, len(shards))
 	txn := wire.Txn{If: []wire.Cond{{Key: keyTerm, Version: l.version}}}
 	for i, s := range shards {
 		k := keyImages + strconv.Itoa(i)
@@ -73,8 +69,12 @@
 			continue
 		}
 		txn.Then = append(txn.Then, wire.Op{Put: k, Value: value})
+		if len(txn.Then) >= c.mostValues() {
+			h.at = c.now.Steady - c.t.lease/2 + c.t.beat // the rest goes next
+			break
+		}
 	}
-	if len(txn.Then) == 0 || len(txn.Then) > c.set.Params.State.TxnOps {
+	if len(txn.Then) == 0 {
 		return
 	}
 	l.writes.tokens -= float64(len(txn.Then))
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -21,6 +21,7 @@
 
 	loaded  bool // the records are read
 	reading bool
+	readAt  time.Duration        // no reading before this
 	runs    map[string]wire.Item // records read so far
 	runsAll bool
 
@@ -31,6 +32,7 @@
 	due        []*machine               // with starts that were just committed
 	released   map[string]time.Duration // names given back, so that late reports of them don't count
 	inspecting int
+	ordering   int                      // direct orders without an answer yet
 	idleAt     time.Duration            // when this leader was last not entitled to act
 	outAt      map[string]time.Duration // when a zone was last seen cut off with its nodes
 	apart      []string                 // zones much of which can not be reached, whoever keeps it
@@ -101,6 +103,10 @@
 // win. Both are then complete: later writes of earlier terms fail.
 func (l *leader) load() {
 	if !l.reading && !l.runsAll {
+		if l.c.now.Steady < l.readAt {
+			l.c.at(l.readAt)
+			return
+		}
 		l.readRuns("")
 	}
 	if !l.runsAll || l.c.dir.revision < l.version {
@@ -138,6 +144,8 @@
 		l.reading = false
 		if r.Outcome != call.OK {
 			l.runs = map[string]wire.Item{}
+			l.readAt = l.c.now.Steady + l.c.t.retry
+			l.c.at(l.readAt)
 			return
 		}
 		for _, it := range r.Page.Items {
@@ -258,7 +266,13 @@
 		l.due = l.due[:0]
 		return
 	}
-	for _, m := range l.due {
+	for i, m := range l.due {
+		if l.ordering >= l.c.mostOrders() {
+			// Hundreds of machines at once, many of them silent, would use up the sockets.
+			// The rest follows with the answers, or goes with those to reports.
+			l.due = append(l.due[:0], l.due[i:]...)
+			return
+		}
 		if m.ordering || !l.usable(m) || m.addr == "" || l.machines[m.name] != m || !l.mayOrder(m) {
 			continue
 		}
@@ -286,13 +300,21 @@
 			continue
 		}
 		m.ordering = true
+		l.ordering++
 		id := l.call(func(r Result) {
 			m.ordering = false
+			l.ordering--
+			if r.Outcome == call.OK {
+				l.due = append(l.due, m) // for what was decided meanwhile
+			}
 			for _, p := range ps {
 				p.waits = false
 				switch r.Outcome {
 				case call.OK:
 					p.answer = r.Report.Seq
+				case call.Unknown:
+					// It may be carried out at any later time, or commands don't reach it.
+					l.doubt(m, token+1)
 				case call.Conflict, call.Refused, call.Invalid:
 					// Not carried out; it goes with the answer to the next report.
 					if p.phase != sent {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -89,8 +89,11 @@
 // zoneCut tells whether this node's zone seems to be cut off from everything else: no
 // node outside it answers, the state service doesn't either, and no node inside it
 // fares better.
+//
+// With other nodes inside, one of them has to answer: else this node alone lost the
+// network, and its workers must look elsewhere.
 func (c *Core) zoneCut() bool {
-	outside := false
+	outside, inside, heard := false, false, false
 	for _, p := range c.peers {
 		switch {
 		case p.zone != c.set.Zone:
@@ -98,11 +101,17 @@
 			if p.reached || !p.tried {
 				return false
 			}
-		case c.fresh(p) && !p.status.StateDown:
-			return false
+		default:
+			inside = true
+			if c.fresh(p) {
+				heard = true
+				if !p.status.StateDown {
+					return false
+				}
+			}
 		}
 	}
-	return outside && c.stateDown
+	return outside && c.stateDown && (heard || !inside)
 }
 
 // zoneOut tells whether another zone has nodes and none of them answers.
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -357,7 +357,7 @@
 			if shards[k] == nil {
 				shards[k] = map[string]counts{}
 			}
-			if float64(len(shards[k])) < 24*c.set.Params.State.ValueKB {
+			if len(shards[k]) < c.mostValue()/40 {
 				shards[k][j.id] = n
 			}
 		}
@@ -376,8 +376,8 @@
 		keys[k] = string(value)
 		txn.Then = append(txn.Then, wire.Op{Put: k, Value: value})
 	}
-	if len(txn.Then) > c.set.Params.State.TxnOps {
-		txn.Then = txn.Then[:c.set.Params.State.TxnOps]
+	if len(txn.Then) > c.mostValues() {
+		txn.Then = txn.Then[:c.mostValues()] // the rest goes next
 	}
 	if len(txn.Then) == 0 {
 		return
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -149,7 +149,7 @@
 		case call.OK:
 			for _, name := range r.Names {
 				m := l.machine(name)
-				m.rentedAt = r.Sent
+				m.rentedAt, m.rented = r.Sent, true
 				m.describe(q.kind, q.zone, "", q.spot)
 				m.mt = c.machineType(q.kind)
 			}
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -96,7 +96,7 @@
 // usable tells whether a machine may be given tasks: heard of lately, and not on
 // its way out.
 func (l *leader) usable(m *machine) bool {
-	return m.up && m.mt != nil && !m.releasing && !m.notice && !m.sick && !m.failed &&
+	return m.up && m.mt != nil && !m.releasing && !m.notice && !m.sick && m.proof == 0 &&
 		l.c.now.Steady-m.heard < l.c.t.quiet && l.c.now.Steady >= m.full
 }
 
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"math/rand"
@@ -27,6 +28,8 @@
 	set     *config.Settings
 	op      *config.Operator
 	memory  float64 // MB a node may use
+	large   bool    // settings of a fleet of about 1,000 machines, not of 200
+	apart   string  // workers of this zone can't reach nodes of the first one, nor they them
 	polled  any     // the last answer to a user
 	nodes   []*yardNode
 	workers []*yardWorker
@@ -43,14 +46,18 @@
 
 type yardCounts struct {
 	txns, writes, bytes, gets, lists, orders, checkins int
-	largest                                            int // changes in a transaction
+	largest, body                                      int // changes and bytes in a transaction, at most
+	atOnce                                             int // calls to workers, at most
+	released                                           int // machines with work on them
 }
 
 type yardNode struct {
 	name    string
+	zone    string
 	core    *core.Core
 	results []core.Result
 	watches []yardWatch
+	asked   int // workers, without an answer yet
 }
 
 type yardWatch struct {
@@ -62,7 +69,7 @@
 	name, addr, zone string
 	spot             bool
 	up               time.Duration
-	due              time.Duration
+	due, next        time.Duration // its next report; when a task goes on
 	node             int
 	seq, token       uint64
 	tasks            map[string]*yardTask
@@ -80,7 +87,7 @@
 	y := &yard{t: t, now: time.Second, rnd: rand.New(rand.NewSource(1)), store: standin.NewStore(),
 		byAddr: map[string]*yardWorker{}, most: machines, op: config.DefaultOperator(), memory: 98}
 	for i := 0; i < nodes; i++ {
-		y.nodes = append(y.nodes, &yardNode{name: fmt.Sprintf("n%d", i)})
+		y.nodes = append(y.nodes, &yardNode{name: fmt.Sprintf("n%d", i), zone: []string{"z1", "z2"}[i%2]})
 	}
 	for i := range y.nodes {
 		y.start(i)
@@ -103,8 +110,15 @@
 		State:   config.State{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 12},
 		Cloud:   config.Cloud{RPS: 2, ListLagS: 5},
 		Limits:  config.Limits{CPUShare: 0.06, MemoryMB: y.memory, MaxConnections: 600}}
+	share := 1.0
+	if y.large {
+		share = 5
+		s.Params.Workers = config.Workers{ReportS: 2.5, LeaseS: 15, CancelS: 35}
+		s.Params.State.RPS, s.Params.State.WriteRPS, s.Params.Cloud.RPS = 600, 220, 4
+		s.Params.Limits = config.Limits{CPUShare: 0.2, MemoryMB: 320, MaxConnections: 2000}
+	}
 	for k := 0; k < 12; k++ {
-		s.Params.Teams = append(s.Params.Teams, config.Team{Name: fmt.Sprintf("t%d", k), GPUs: 100, GPUsMax: 300})
+		s.Params.Teams = append(s.Params.Teams, config.Team{Name: fmt.Sprintf("t%d", k), GPUs: 100 * share, GPUsMax: 300 * share})
 	}
 	return s
 }
@@ -134,7 +148,7 @@
 		y.store.At(y.now)
 		for _, n := range y.nodes {
 			results := n.results
-			n.results = nil
+			n.results, n.asked = nil, 0
 			for _, r := range results {
 				y.step(n, r)
 			}
@@ -162,9 +176,16 @@
 
 // live lets a worker's tasks go on and has it report.
 func (w *yardWorker) live(y *yard) {
+	if y.now < w.due && y.now < w.next {
+		return
+	}
+	w.next = y.now + time.Hour
 	changed := false
 	for _, name := range w.names() {
 		t := w.tasks[name]
+		if t.at > y.now {
+			w.next = min(w.next, t.at)
+		}
 		if t.at == 0 || y.now < t.at {
 			continue
 		}
@@ -174,6 +195,7 @@
 			t.State, t.at = wire.TaskRunning, 0
 			if t.Task[4] == 'a' { // an array's
 				t.at = y.now + time.Duration(30+y.rnd.Intn(60))*time.Second
+				w.next = min(w.next, t.at)
 			}
 		case wire.TaskRunning:
 			t.State, t.Why, t.at = wire.TaskExited, wire.WhyDone, 0
@@ -182,12 +204,24 @@
 	if y.now < w.due && !(changed && w.due-y.now < 500*time.Millisecond) {
 		return
 	}
-	w.due = y.now + time.Duration(750+y.rnd.Intn(500))*time.Millisecond
+	report := config.Seconds(y.set.Params.Workers.ReportS)
+	w.due = y.now + report*3/4 + time.Duration(y.rnd.Int63n(int64(report/2)))
+	if y.blocked(y.nodes[w.node], w) {
+		// No answer in 4 s: the next node, after 1 s.
+		w.node = (w.node + 1) % len(y.nodes)
+		w.due = y.now + 5*time.Second
+		return
+	}
 	y.counted.checkins++
 	y.req++
 	y.step(y.nodes[w.node], core.Checkin{Req: y.req<<16 | uint64(w.index(y)), Report: w.report()})
 }
 
+// blocked tells whether a node and a worker can't reach each other.
+func (y *yard) blocked(n *yardNode, w *yardWorker) bool {
+	return y.apart != "" && w.zone == y.apart && n.zone != y.apart
+}
+
 func (w *yardWorker) index(y *yard) int {
 	for i, x := range y.workers {
 		if x == w {
@@ -213,7 +247,7 @@
 	if token < w.token {
 		return
 	}
-	w.token = token
+	w.token, w.next = token, 0
 	for _, c := range cmds {
 		t := w.tasks[c.Task]
 		switch c.Op {
@@ -265,6 +299,11 @@
 		for _, op := range e.Txn.Then {
 			c.bytes += len(op.Value)
 		}
+		if body, err := json.Marshal(e.Txn); err != nil || len(body) > wire.MaxBody || len(e.Txn.If) > 4*y.set.Params.State.TxnOps {
+			y.t.Errorf("a transaction of %d bytes, %d conditions: %v", len(body), len(e.Txn.If), err)
+		} else {
+			c.body = max(c.body, len(body))
+		}
 		r := core.Result{ID: e.ID}
 		r.Txn, r.Outcome = y.store.Txn(e.Txn)
 		return r, true
@@ -293,6 +332,9 @@
 				if w.name == name && !w.dead {
 					w.dead = true
 					y.rented--
+					if len(w.tasks) > 0 {
+						c.released++
+					}
 				}
 			}
 		}
@@ -308,13 +350,17 @@
 		return r, true
 	case core.WorkerOrders:
 		c.orders++
-		if w := y.byAddr[e.Addr]; w != nil && !w.dead {
+		n.asked++
+		c.atOnce = max(c.atOnce, n.asked)
+		if w := y.byAddr[e.Addr]; w != nil && !w.dead && !y.blocked(n, w) {
 			w.obey(y, e.Token, e.Commands)
 			return core.Result{ID: e.ID, Outcome: call.OK, Report: *w.report()}, true
 		}
 		return core.Result{ID: e.ID, Outcome: call.Unknown}, true
 	case core.WorkerInspect:
-		if w := y.byAddr[e.Addr]; w != nil && !w.dead {
+		n.asked++
+		c.atOnce = max(c.atOnce, n.asked)
+		if w := y.byAddr[e.Addr]; w != nil && !w.dead && !y.blocked(n, w) {
 			return core.Result{ID: e.ID, Outcome: call.OK, Report: *w.report()}, true
 		}
 		return core.Result{ID: e.ID, Outcome: call.Unknown}, true
@@ -406,12 +452,18 @@
 	}
 }
 
-// TestScale plays a full fleet of 200 machines with seven nodes through a minute of
-// work, a leader's end included, and counts what it asks of the state service.
+// TestScale plays a full fleet of 1,000 machines with seven nodes through a minute of
+// work, a leader's end included, and counts what it asks of the state service and how many
+// workers it calls at once.
 func TestScale(t *testing.T) {
-	y := newYard(t, 7, 200)
-	y.day(120, 16, 90)
-	if y.rented < 100 {
+	y := newYard(t, 7, 1000)
+	y.large = true
+	for i := range y.nodes {
+		y.start(i)
+	}
+	y.pass(3 * time.Second)
+	y.day(500, 60, 60)
+	if y.rented < 600 {
 		t.Fatalf("only %d machines are up: the day is too small to tell", y.rented)
 	}
 	y.counted = yardCounts{}
@@ -420,7 +472,7 @@
 	y.day(0, 0, seconds)
 	c, p := y.counted, y.set.Params.State
 	t.Logf("%d machines, %d reports, %+v", y.rented, c.checkins, c)
-	if c.checkins < seconds*100 {
+	if c.checkins < seconds*200 {
 		t.Errorf("%d reports: the workers do not report", c.checkins)
 	}
 	if n := c.txns + c.gets + c.lists; float64(n) > 0.9*seconds*p.RPS {
@@ -429,11 +481,38 @@
 	if float64(c.writes) > 0.9*seconds*p.WriteRPS {
 		t.Errorf("%d writes in %d s, of %v a second", c.writes, seconds, p.WriteRPS)
 	}
+	if most := y.set.Params.Limits.MaxConnections / 8; c.atOnce > most || c.atOnce == 0 {
+		t.Errorf("%d calls to workers at once, of %d", c.atOnce, most)
+	}
 	if c.largest > p.TxnOps {
 		t.Errorf("a transaction with %d changes, of %d", c.largest, p.TxnOps)
 	}
 }
 
+// TestZoneKept cuts the workers of a large zone off from the leader's. Nodes of their own
+// zone keep them, and pass on more reports than one transaction holds: the leader releases
+// none of them, however long it lasts.
+func TestZoneKept(t *testing.T) {
+	y := newYard(t, 3, 0)
+	y.large = true
+	for i := range y.nodes {
+		y.start(i)
+	}
+	y.pass(3 * time.Second)
+	y.have(400)
+	for i, w := range y.workers {
+		w.zone = []string{"z1", "z2"}[i%2]
+	}
+	y.day(400, 0, 20)
+	y.counted = yardCounts{}
+	y.apart = "z2"
+	y.pass(60 * time.Second)
+	if n := y.counted.released; n > 0 || len(y.store.Keys("w/k/")) < 6 {
+		t.Errorf("%d machines of the zone were released, reports are in %v", n, y.store.Keys("w/k/"))
+	}
+	t.Logf("%+v", y.counted)
+}
+
 // TestWorkFollowsChange plays the same jobs on a fleet of 50 and of 200 machines. What is
 // asked of the state service and of the workers follows the jobs, not the fleet.
 func TestWorkFollowsChange(t *testing.T) {
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -38,6 +38,7 @@
 //	state a serve          all is well again
 //	outage / outage over   the state service refuses all; leases start anew after
 //	peers cut / peers join
+//	peers zones            nodes reach those of their own zone only
 //	zones b=z2             where nodes are; z1 unless named
 //	budget 1e-9            nodes that start from here on have this round_budget
 //	spare 0.1              the same for spare_share
@@ -98,7 +99,7 @@
 	nodes   map[string]*node
 	names   []string
 	req     uint64
-	cut     bool
+	cut     string                  // "cut": no node reaches another, "zones": none in another zone
 	budget  float64                 // the operators' round_budget, for nodes that start after
 	spare   float64                 // the same for spare_share
 	zones   map[string]string       // of nodes; "": z1
@@ -228,7 +229,7 @@
 		w.orders = strings.TrimPrefix(arg(1), "ok")
 		return
 	case f[0] == "peers":
-		w.cut = arg(1) == "cut"
+		w.cut = strings.TrimPrefix(arg(1), "join")
 		return
 	case f[0] == "cloud":
 		switch arg(1) {
@@ -563,7 +564,7 @@
 		return r, true
 	case core.PeerAsk:
 		p := w.nodes[e.Node]
-		if p == nil || w.cut {
+		if p == nil || w.cut == "cut" || w.cut == "zones" && w.zones[n.name] != w.zones[e.Node] {
 			return core.Result{ID: e.ID, Outcome: call.Unknown}, true
 		}
 		return core.Result{ID: e.ID, Outcome: call.OK, Peer: p.core.PeerStatus()}, true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,10 +60,11 @@
 		inputs:  make(chan core.Input, 4*set.Operator.MaxPendingRequests),
 		waiting: map[uint64]chan core.Answer{},
 		// The leader needs more than the others; all of them never need all.
-		state: state.New(set.Services.State, p.State.RPS*math.Min(1, 2/nodes), max(4, p.Limits.MaxConnections/40)),
+		state: state.New(set.Services.State, p.State.RPS*math.Min(1, 2/nodes), max(4, p.Limits.MaxConnections/40),
+			int64(p.Limits.MemoryMB*(1<<20)/32)),
 		cloud: cloud.New(set.Services.Cloud, p.Cloud.RPS, 4),
-		// One connection a worker, as long as there are not too many of them.
-		workers: call.Any(p.State.RPS, 1, max(4, p.Limits.MaxConnections/8), 1<<20),
+		// One connection a worker; the core bounds how many are in use at once.
+		workers: call.Any(p.State.RPS, 1, max(4, p.Limits.MaxConnections/12), 1<<20),
 		peers:   map[string]*peer.Client{},
 		// Workers wait four seconds at the most, users two for a poll, and a leader's lease
 		// is twice as long.
@@ -176,6 +177,10 @@
 	}
 	select {
 	case a := <-ch:
+		// After a standstill both may be there. What was true then may be told no more.
+		if ctx.Err() != nil {
+			return core.Answer{}, false
+		}
 		return a, true
 	case <-ctx.Done():
 		return core.Answer{}, false
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -12,15 +12,16 @@
 	"bitternwing/internal/wire"
 )
 
-// maxAnswer bounds what is read of an answer; watches have no limit of their own.
-const maxAnswer = 8 << 20
-
 // Client talks to the state service.
 type Client struct{ c *call.Client }
 
-// New makes a client that sends at most perSecond requests a second.
-func New(addr string, perSecond float64, conns int) *Client {
-	return &Client{call.New(addr, perSecond, conns, maxAnswer)}
+// maxPage is the most that the service puts into a page of keys.
+const maxPage = 512 << 10
+
+// New makes a client that sends at most perSecond requests a second. memory bounds what
+// is read of an answer: the answer to a watch has no limit of its own.
+func New(addr string, perSecond float64, conns int, memory int64) *Client {
+	return &Client{call.New(addr, perSecond, conns, max(2*maxPage, memory))}
 }
 
 // Get reads a key.
