Rounds keep to measured time; users' connections leave room for workers

What a look costs a processor was a constant. The node now hands in how long the last step took, the core learns from steps with many looks, and a round that went beyond its budget pauses until that is made good (it was forgiven before). Users' connections beyond a third of the server's are closed with the answer (TestUsersLeaveRoomForWorkers).

--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -13,10 +13,12 @@
 )
 
 // Time is the moment of an input: the steady clock of this process and the time
-// of day in milliseconds.
+// of day in milliseconds. Took is how long the step before this one took; 0 if that is not
+// known. Rounds learn from it what a look costs.
 type Time struct {
 	Steady time.Duration
 	WallMS int64
+	Took   time.Duration
 }
 
 // Input is something that happened.
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -14,9 +14,10 @@
 type rounds struct {
 	at     time.Duration
 	lastAt time.Duration
-	looks  float64 // left; below 0 it is made good before the next round does much
-	spent  int     // in this term
-	resume *job    // where the last round stopped in the order of minimums; nil: it came through
+	looks  float64       // left; below 0 it is made good before the next round does much
+	pause  time.Duration // until the next one at least, after one that ran out
+	spent  int           // in this term
+	resume *job          // where the last round stopped in the order of minimums; nil: it came through
 }
 
 // wantRound asks for a round soon: a recorded exception to the round length of the
@@ -25,11 +26,7 @@
 	if !l.c.op.EventRounds {
 		return
 	}
-	gap := l.c.t.eventGap
-	if l.rounds.looks <= 0 {
-		gap = l.c.t.beat / 2 // out of budget
-	}
-	l.rounds.at = min(l.rounds.at, l.rounds.lastAt+gap)
+	l.rounds.at = min(l.rounds.at, l.rounds.lastAt+max(l.c.t.eventGap, l.rounds.pause))
 }
 
 // room is what is free of a machine.
@@ -135,6 +132,7 @@
 		return
 	}
 	l.rounds.at = now + l.c.t.round
+	l.rounds.pause = 0
 	l.c.at(l.rounds.at)
 	if l.c.catalog == nil || !l.c.elect.inTime() || l.c.stateDown {
 		l.rounds.lastAt = now
@@ -169,10 +167,16 @@
 	}
 	l.plan(r)
 	r.note()
-	l.rounds.looks, l.rounds.spent = float64(r.looks), l.rounds.spent+budget-r.looks
+	spent := budget - r.looks
+	l.rounds.looks -= float64(spent)
+	l.rounds.spent += spent
+	l.c.looks.taken += spent
 	if r.looks <= 0 {
-		// Out of budget: go on soon, from where this round stopped.
-		l.rounds.at = now + l.c.t.beat/2
+		// Out of budget: go on from where this round stopped, once what it took beyond
+		// its budget is made good.
+		debt := config.Seconds(-l.rounds.looks / l.c.looksPerSecond())
+		l.rounds.pause = min(max(l.c.t.beat/2, debt), l.c.t.round)
+		l.rounds.at = now + l.rounds.pause
 		l.c.at(l.rounds.at)
 	}
 }
@@ -208,20 +212,61 @@
 		"at_limit", limited, "free", free, "free_spot", spot, "idle", idle, "looks_left", r.looks)
 }
 
-// lookCost is what a look costs a processor of these years, roughly.
-const lookCost = 60e-9
+// lookRate is what a look costs on this machine, as measured on the steps that made many:
+// so a round takes the time that it is allowed to, on a slow processor as on a fast one.
+type lookRate struct {
+	cost  float64       // in seconds; 0: not measured yet
+	taken int           // looks of the last step
+	looks int           // of the steps since it was measured last
+	took  time.Duration // the same
+}
+
+// firstLookCost is what a look is taken to cost, in seconds, until it is measured, on this
+// many looks; steps with less than a tenth of them do too much else to tell.
+const (
+	firstLookCost = 60e-9
+	measuredLooks = 5000
+)
+
+// learn takes how long the last step took. All of its time counts as that of its looks.
+// Each measure tells a quarter, and none makes a look cost more than four times what it did,
+// so that a standstill in a step is made good by the next ones.
+func (r *lookRate) learn(took time.Duration) {
+	looks := r.taken
+	r.taken = 0
+	if took <= 0 || looks < measuredLooks/10 {
+		return
+	}
+	r.looks, r.took = r.looks+looks, r.took+took
+	if r.looks < measuredLooks {
+		return
+	}
+	old := r.now()
+	cost := min(r.took.Seconds()/float64(r.looks), 4*old)
+	r.cost = old + (cost-old)/4
+	r.looks, r.took = 0, 0
+}
+
+func (r *lookRate) now() float64 {
+	if r.cost == 0 {
+		return firstLookCost
+	}
+	return r.cost
+}
 
-func looksPerSecond(s *config.Settings, op *config.Operator) float64 {
-	return op.RoundBudget * s.Params.Limits.CPUShare / lookCost
+// looksPerSecond is what the operators' share of the processor allows of looks.
+func (c *Core) looksPerSecond() float64 {
+	return c.op.RoundBudget * c.set.Params.Limits.CPUShare / c.looks.now()
 }
 
 // budget gives the looks that a round may make: the share of the processor that
 // operators allow for rounds, over the time since the last one, at most that of a
 // report interval; and always a few.
 func (l *leader) budget() int {
-	rate := looksPerSecond(l.c.set, l.c.op)
+	rate := l.c.looksPerSecond()
 	rs := &l.rounds
 	rs.looks = min(rate*l.c.t.beat.Seconds(), rs.looks+rate*(l.c.now.Steady-rs.lastAt).Seconds())
+	rs.looks = max(rs.looks, -rate*l.c.t.round.Seconds()) // no debt outlasts the next regular round
 	return max(32, int(rs.looks))
 }
 
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -27,10 +27,11 @@
 	store   *standin.Store
 	set     *config.Settings
 	op      *config.Operator
-	memory  float64 // MB a node may use
-	large   bool    // settings of a fleet of about 1,000 machines, not of 200
-	apart   string  // workers of this zone can't reach nodes of the first one, nor they them
-	polled  any     // the last answer to a user
+	memory  float64       // MB a node may use
+	look    time.Duration // what a look takes a node; 0: nobody measures it
+	large   bool          // settings of a fleet of about 1,000 machines, not of 200
+	apart   string        // workers of this zone can't reach nodes of the first one, nor they them
+	polled  any           // the last answer to a user
 	nodes   []*yardNode
 	workers []*yardWorker
 	byAddr  map[string]*yardWorker
@@ -132,7 +133,8 @@
 }
 
 func (y *yard) step(n *yardNode, in core.Input) {
-	effects := n.core.Step(core.Time{Steady: y.now, WallMS: int64(y.now / time.Millisecond)}, in)
+	took := time.Duration(n.core.LastLooks()) * y.look
+	effects := n.core.Step(core.Time{Steady: y.now, WallMS: int64(y.now / time.Millisecond), Took: took}, in)
 	for _, e := range append([]core.Effect(nil), effects...) {
 		if r, ok := y.carryOut(n, e); ok {
 			r.Sent = y.now
@@ -551,7 +553,7 @@
 	y.day(150, 20, seconds)
 	n := y.nodes[0].core
 	// A round that is out of budget, two a second at the most, still makes a step.
-	most := core.LooksPerSecond(y.set)*seconds + 2*seconds*2*100
+	most := n.LooksPerSecond()*seconds + 2*seconds*2*100
 	t.Logf("%d looks of %.0f, %+v", n.Looks(), most, y.counted)
 	if looks := float64(n.Looks()); looks > most || looks < most/5 {
 		t.Errorf("%.0f looks in %d s, of %.0f", looks, seconds, most)
@@ -571,6 +573,25 @@
 	}
 }
 
+// TestSlowProcessor plays rounds on a processor on which a look takes fifty times what is
+// assumed at first. Once that is measured, rounds keep to their share of the time.
+func TestSlowProcessor(t *testing.T) {
+	y := newYard(t, 1, 0)
+	y.look = 5 * time.Microsecond
+	y.have(200)
+	y.day(200, 40, 30)
+	n := y.nodes[0].core
+	before := n.Looks()
+	const seconds = 60
+	y.day(100, 40, seconds)
+	spent := time.Duration(n.Looks()-before) * y.look
+	share := time.Duration(y.op.RoundBudget * y.set.Params.Limits.CPUShare * seconds * float64(time.Second))
+	t.Logf("%v of %v", spent, share)
+	if spent > share*3/2 || spent < share/20 {
+		t.Errorf("rounds took %v, of %v", spent, share)
+	}
+}
+
 // TestFinishedJobsAreBounded ends more jobs than a node remembers. What it remembers stays
 // within the bound, and a job that it forgot is answered from the state service.
 func TestFinishedJobsAreBounded(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,9 +126,13 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var in core.Input = core.Tick{}
+	var took time.Duration
 	for {
 		n.mu.Lock()
-		effects := n.core.Step(n.now(), in)
+		now := n.now()
+		now.Took = took
+		effects := n.core.Step(now, in)
+		took = n.steady() - now.Steady
 		for _, e := range effects {
 			n.carryOut(ctx, e)
 		}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/netutil"
@@ -35,16 +36,21 @@
 	core  Core
 	http  *http.Server
 	conns int
+
+	// Connections that users keep open beyond their share are closed with the answer, so
+	// that workers, which keep theirs, always find one.
+	userShare int64
+	users     atomic.Int64
 }
 
-// New makes a server that holds at most conns connections open.
+// New makes a server that holds at most conns connections open, a third of them for users.
 func New(c Core, conns int) *Server {
-	s := &Server{core: c, conns: conns}
+	s := &Server{core: c, conns: conns, userShare: int64(max(1, conns/3))}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", s.health)
-	mux.HandleFunc("POST /v2/runs", s.submit)
-	mux.HandleFunc("GET /v2/runs/{id}", s.poll)
-	mux.HandleFunc("POST /v2/runs/{id}/cancel", s.cancel)
+	mux.HandleFunc("POST /v2/runs", s.forUsers(s.submit))
+	mux.HandleFunc("GET /v2/runs/{id}", s.forUsers(s.poll))
+	mux.HandleFunc("POST /v2/runs/{id}/cancel", s.forUsers(s.cancel))
 	mux.HandleFunc("POST /checkin", s.checkin)
 	s.http = &http.Server{
 		Handler:           mux,
@@ -52,13 +58,58 @@
 		ReadTimeout:       20 * time.Second,
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    16 << 10,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c.(*conn))
+		},
 	}
 	return s
 }
 
 // Serve serves a listener until Close.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(netutil.LimitListener(l, s.conns))
+	return s.http.Serve(&listener{netutil.LimitListener(l, s.conns), s})
+}
+
+// listener gives connections that know whether a user has them.
+type listener struct {
+	net.Listener
+	s *Server
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, s: l.s}, nil
+}
+
+type conn struct {
+	net.Conn
+	s    *Server
+	user atomic.Bool
+}
+
+type connKey struct{}
+
+func (c *conn) Close() error {
+	if c.user.Swap(false) {
+		c.s.users.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+// forUsers marks the connections of a handler's requests as users'.
+func (s *Server) forUsers(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.user.Swap(true) {
+			s.users.Add(1)
+		}
+		if s.users.Load() > s.userShare {
+			w.Header().Set("Connection", "close")
+		}
+		h(w, r)
+	}
 }
 
 // Close ends the server at once.
