The next leader is told since when a zone is silent; own-zone machines go like single ones

The next one began their time anew and released them at 196 s, 18 s after their leases were over; it also waited for them before it rented. Now: a hint in the state service tells since when machines of a silent zone are silent (a floor of half a lease for a new leader); 1.1 leases in place of 1.25, since who keeps a worker tells within half a beat; in the leader's own zone many silent machines are the network only where nearly all are; machines that were asked twice in vain are not waited for.

--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -69,6 +69,8 @@
 	catalog     []wire.MachineType
 	countShards map[string]map[string]counts
 	images      map[string]map[string][]string // by key, by machine
+	silent      map[string]int64               // time of day when these machines were last heard
+	silentText  string                         // the same, as written
 
 	// finals are final states seen here; they never change, so they need no
 	// confirmation. The oldest makes way.
@@ -120,6 +122,11 @@
 		if value != nil && json.Unmarshal(value, &t) == nil {
 			d.catalog = t
 		}
+	case key == keySilent:
+		d.silent, d.silentText = nil, ""
+		if value != nil && json.Unmarshal(value, &d.silent) == nil {
+			d.silentText = string(value)
+		}
 	case strings.HasPrefix(key, keyImages):
 		var m map[string][]string
 		if value == nil || json.Unmarshal(value, &m) != nil {
@@ -256,6 +263,7 @@
 			d.term, d.termVersion = l.term, l.termVersion
 		}
 		d.countShards, d.images, d.revision = l.countShards, l.images, l.revision
+		d.silent, d.silentText = l.silent, l.silentText
 		if l.catalog != nil {
 			d.catalog = l.catalog
 		}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -101,7 +101,7 @@
 	if m := l.machines[name]; m != nil {
 		return m
 	}
-	m := &machine{name: name, since: l.c.now.Steady, rentedAt: l.c.now.Steady, heard: l.c.now.Steady,
+	m := &machine{name: name, since: l.c.now.Steady, rentedAt: l.c.now.Steady, heard: l.heardBefore(name),
 		idleSince: l.c.now.Steady, runs: map[string]*placement{}, errors: map[string]int{}}
 	l.machines[name] = m
 	l.hint(m)
@@ -510,8 +510,10 @@
 	clear(l.cutZones)
 	for zone, n := range silent {
 		// If many of a zone are silent at once, it is rather the network or a change of
-		// leaders.
-		if n > 3 && n*4 > up[zone] {
+		// leaders. In this node's own zone it is the network only where nearly all are
+		// silent: what cuts zones apart takes none out of reach there, so the rest is dead,
+		// hangs or is cut off from everybody.
+		if n > 3 && n*4 > up[zone] && (zone != l.c.set.Zone || n*4 > 3*up[zone]) {
 			l.cutZones[zone] = l.c.zoneOut(zone)
 			if l.cutZones[zone] {
 				l.outAt[zone] = now
@@ -584,14 +586,19 @@
 	case many, !m.up && m.deaf < 2:
 		// Much of a zone is silent: it may be out of this node's reach alone, with its
 		// workers on their way to a node that keeps them. Or a worker has yet to find
-		// this leader. By then its tasks are gone with its lease, or it was heard of.
-		due = m.lastHeard() + lease*5/4
+		// this leader. By then its tasks are gone with its lease, or it was heard of: who
+		// keeps it tells within half a beat.
+		due = m.lastHeard() + lease*11/10
 	case m.deaf >= 2 && (m.kept == 0 || l.c.now.Steady-m.kept > 2*lease):
 		due = m.lastHeard() + limit*5/8
 	}
 	// Workers have to find their way back first: those of a zone that was cut off, and all
 	// after a time in which this leader could not answer.
 	due = max(due, l.idleAt+limit)
+	if !m.up {
+		// What the last leader told of it may be a beat old, and it has to find this one.
+		due = max(due, l.since+lease/2)
+	}
 	if at, was := l.outAt[m.zone]; was {
 		due = max(due, at+lease)
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -43,6 +43,7 @@
 	rentals rentals
 	rounds  rounds
 	images  imageHints
+	silence silence
 }
 
 func newLeader(c *Core, term, version uint64) *leader {
@@ -52,6 +53,7 @@
 	l.writes.init(l)
 	l.rentals.init(l)
 	l.rounds.at = c.now.Steady
+	l.silence = silence{l: l, at: c.now.Steady + c.t.beat, last: c.dir.silentText}
 	l.images = imageHints{l: l, at: c.now.Steady, last: map[string]string{}}
 	return l
 }
@@ -92,6 +94,7 @@
 	l.orders()
 	l.rentals.run()
 	l.images.run()
+	l.silence.run()
 }
 
 // entitled tells whether this leader may act for the controllers: in time, or in
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -331,14 +331,15 @@
 	}
 	awaited, up := 0, 0
 	for _, m := range l.fleet {
-		if m.seenUp {
+		if m.seenUp && (m.up || m.deaf < 2) {
 			awaited++
 			if m.up {
 				up++
 			}
 		}
 	}
-	// The last few may be dead: what is missing without them is missing anyway.
+	// The last few may be dead, and so may be those that were asked twice without an answer:
+	// what is missing without them is missing anyway.
 	return 10*up >= 9*awaited
 }
 
