Faulty machines are found where old tasks run on and new jobs fail on several

Each report of a task that ran before cleared its machine of suspicion; a new job that failed on two faulty machines became suspect, and what it said of them was dropped for good; its pause grew with each task, up to three leases for one bad machine. Now an old task clears nothing, a suspect's failures count once it runs somewhere, and its pause goes by machines. Ruled out: jobs submitted with a mistake, there were none.

--- a/internal/core/faults.go
+++ b/internal/core/faults.go
@@ -1,21 +1,54 @@
 package core
 
+import (
+	"maps"
+	"slices"
+)
+
 // A failed task mostly means a faulty machine, but a job submitted with a mistake
 // fails on each machine. So neither is condemned by itself: a machine counts as
 // sick once several jobs that are not themselves suspect failed on it, or one that
 // is proven did repeatedly; a job that fails on several machines is suspect and
-// waits longer with each failure.
+// waits longer with each of them. Where a fifth of the fleet is faulty most new jobs
+// meet several such machines: what a suspect's failures say of machines counts once it
+// runs somewhere.
 
 // ranWell clears a machine and a job of suspicion: a task was done, or has been
 // running for a while.
 func (l *leader) ranWell(p *placement, done bool) {
-	if !done && l.c.now.Steady-p.ranAt < 8*l.c.t.beat {
+	if !done && l.c.now.Steady-p.ranAt < 3*l.c.t.beat {
+		return
+	}
+	j := p.job
+	if p.since > p.machine.erredAt {
+		// One that was there before tells nothing: a faulty machine may fail only what it
+		// starts.
+		clear(p.machine.errors)
+	}
+	failed := j.failed
+	j.failed = nil
+	if j.proven {
 		return
 	}
-	p.job.proven = true
-	p.job.fails = 0
-	p.job.failed = nil
-	clear(p.machine.errors)
+	j.proven = true
+	for _, name := range slices.Sorted(maps.Keys(failed)) {
+		if x := l.machines[name]; x != nil && x != p.machine {
+			x.errors[j.id] = max(1, x.errors[j.id])
+			l.judge(x)
+		}
+	}
+}
+
+// judge finds a machine faulty by the jobs that failed on it.
+func (l *leader) judge(m *machine) {
+	repeated := false
+	for id, n := range m.errors {
+		repeated = repeated || n >= 2 && l.jobs[id] != nil && l.jobs[id].proven
+	}
+	if !m.sick && (len(m.errors) >= 2 || repeated) {
+		m.sick = true
+		l.c.log(Info, "machine is faulty", "machine", m.name, "jobs", len(m.errors))
+	}
 }
 
 // erred counts a failure.
@@ -25,13 +58,13 @@
 		j.failed = map[string]bool{}
 	}
 	j.failed[m.name] = true
-	j.fails++
 	m.errors[j.id]++
+	m.erredAt = l.c.now.Steady
 	now := l.c.now.Steady
 	if !j.proven && len(j.failed) >= 2 {
-		// Suspect: it may be the job. Double the pause up to the workers' lease
-		// time twice over, and take back what it says of machines.
-		pause := l.c.t.beat << min(j.fails, 6)
+		// Suspect: it may be the job. Double the pause up to three of the workers'
+		// leases, and take back what it says of machines.
+		pause := l.c.t.beat << min(len(j.failed)-1, 6)
 		j.waitFor = max(j.waitFor, now+min(pause, 3*l.c.t.lease))
 		for name := range j.failed {
 			if x := l.machines[name]; x != nil && !x.sick {
@@ -40,12 +73,7 @@
 		}
 		return
 	}
-	if len(m.errors) >= 2 || j.proven && m.errors[j.id] >= 2 {
-		if !m.sick {
-			m.sick = true
-			l.c.log(Info, "machine is faulty", "machine", m.name, "jobs", len(m.errors))
-		}
-	}
+	l.judge(m)
 }
 
 // avoids tells whether a job should rather not be tried on a machine again. Where
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -50,8 +50,9 @@
 	full      time.Duration
 
 	// Failure accounting, see faults.go.
-	errors map[string]int // by job, since something last ran well here
-	sick   bool
+	errors  map[string]int // by job, since something last started and ran well here
+	erredAt time.Duration  // when something last failed
+	sick    bool
 
 	// Whether answers reach it, see doubt.
 	proof     uint64        // the token it has to show; 0: there is no doubt
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -34,7 +34,6 @@
 	// Failure accounting, see faults.go.
 	proven  bool // a task of it ran well somewhere
 	failed  map[string]bool
-	fails   int
 	waitFor time.Duration // no start before this
 }
 
