--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -46,10 +46,10 @@
 }
 
 type yardCounts struct {
-	txns, writes, bytes, gets, lists, orders, checkins int
-	largest, body                                      int // changes and bytes in a transaction, at most
-	atOnce                                             int // calls to workers, at most
-	released                                           int // machines with work on them
+	txns, writes, bytes, gets, lists, pages, orders, checkins int
+	largest, body                                             int // changes and bytes in a transaction, at most
+	atOnce                                                    int // calls to workers, at most
+	released                                                  int // machines with work on them
 }
 
 type yardNode struct {
@@ -355,11 +355,17 @@
 	case core.CloudList:
 		r := core.Result{ID: e.ID, Outcome: call.OK}
 		for _, w := range y.workers {
-			if !w.dead {
-				r.Machines.Machines = append(r.Machines.Machines, wire.Machine{Name: w.name, Addr: w.addr, Type: "g8",
-					Zone: w.zone, Spot: w.spot, State: wire.MachineRunning})
+			if w.dead || w.name <= e.After {
+				continue
+			}
+			if len(r.Machines.Machines) == wire.MaxList {
+				r.Machines.More = true
+				break
 			}
+			r.Machines.Machines = append(r.Machines.Machines, wire.Machine{Name: w.name, Addr: w.addr, Type: "g8",
+				Zone: w.zone, Spot: w.spot, State: wire.MachineRunning})
 		}
+		c.pages++
 		return r, true
 	case core.WorkerOrders:
 		c.orders++
@@ -492,6 +498,10 @@
 	if most := y.set.Params.Limits.MaxConnections / 8; c.atOnce > most || c.atOnce == 0 {
 		t.Errorf("%d calls to workers at once, of %d", c.atOnce, most)
 	}
+	// The cloud's list has two pages, and it is read every list lag.
+	if lists := seconds / int(y.set.Params.Cloud.ListLagS); c.released > 0 || c.pages < 2*lists-2 {
+		t.Errorf("%d machines with work were released; %d pages of %d lists", c.released, c.pages, lists)
+	}
 	if c.largest > p.TxnOps {
 		t.Errorf("a transaction with %d changes, of %d", c.largest, p.TxnOps)
 	}
