Users hear of a cancellation only once every node that may keep leases knows it

Cause (the gap): the state service refuses the leader alone, another node commits and tells a cancellation, then the service is down for all. The leader lacks it, goes on renewing leases since all are refused, and the cancelled tasks outlive cancel_s.

Mend, one rule for leader, caretaker and blind zone: a node tells a cancellation only once all other nodes have said that they know it (by the revision they have read, or by taking it with the status question), or once the job's end is written. Until then 503. Who keeps leases with the service out of reach must have read the jobs since it started. What is heard of acts at once: stops with answers and by /orders also in an outage, tokens raised past starts in flight. This replaces the time bound of blind answers: nothing told can be missing, so an outage or a cut may last.

Ruled out: a bound by time since the last proof.

--- /dev/null
+++ b/internal/core/cancellations.go
@@ -0,0 +1,183 @@
+package core
+
+import (
+	"encoding/json"
+	"slices"
+
+	"bitternwing/internal/call"
+)
+
+// broadcast makes cancellations known to all nodes before users are told of them.
+//
+// Any node may be keeping workers' leases: as the leader, for it, or with the state service
+// out of reach and for as long as that lasts. What such a node does not know to be cancelled
+// goes on running. So a node tells a user that a job is cancelled only once
+//   - each other node has said that it knows, by the revision that it has read up to or by
+//     taking the cancellation from here, or
+//   - the job is over, which is written only when nothing of it is left on any machine.
+//
+// Until then users get 503, as for all that can't be confirmed. A node that starts anew has
+// forgotten what it knew; it keeps no leases before it has read the jobs, which is later than
+// the write of whatever its earlier process had said that it knows.
+type broadcast struct {
+	c    *Core
+	open []*announcement // in the order in which they came
+}
+
+// announcement is a cancellation that not all other nodes are known to know.
+type announcement struct {
+	item    Cancellation
+	known   map[*peer]bool
+	waiting []func(everywhere bool)
+}
+
+// Cancellation is a cancelled job's key as it stands in the state service.
+type Cancellation struct {
+	Job     string
+	Value   json.RawMessage
+	Version uint64
+}
+
+// mostAnnounced bounds the cancellations in a message to another node, in bytes.
+const mostAnnounced = 32 << 10
+
+// mostOpen bounds the announcements that are remembered. Beyond it the oldest goes: its
+// users have had their 503, and asking again begins anew.
+func (c *Core) mostOpen() int { return 4 * c.op.MaxPendingRequests }
+
+// tell hands over whether users may be told of a job's cancellation: at once where that is
+// known, else with the other nodes' answers.
+func (b *broadcast) tell(id string, e *entry, then func(everywhere bool)) {
+	if b.everywhere(e.version, nil) {
+		then(true)
+		return
+	}
+	i := slices.IndexFunc(b.open, func(a *announcement) bool { return a.item.Job == id })
+	if i < 0 {
+		value, err := json.Marshal(e.activeValue)
+		if err != nil {
+			then(false)
+			return
+		}
+		if len(b.open) >= b.c.mostOpen() {
+			b.end(b.open[0], false)
+			b.open = slices.Delete(b.open, 0, 1)
+		}
+		i = len(b.open)
+		b.open = append(b.open, &announcement{item: Cancellation{Job: id, Value: value, Version: e.version}, known: map[*peer]bool{}})
+	}
+	a := b.open[i]
+	a.waiting = append(a.waiting, then)
+	b.look()
+}
+
+// everywhere tells whether all other nodes know a cancellation of this version.
+func (b *broadcast) everywhere(version uint64, a *announcement) bool {
+	for _, p := range b.c.peers {
+		if p.revision < version && (a == nil || !a.known[p]) {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *broadcast) end(a *announcement, everywhere bool) {
+	waiting := a.waiting
+	a.waiting = nil
+	for _, then := range waiting {
+		then(everywhere)
+	}
+}
+
+// look answers who waits: with yes where all nodes know, with no where one of those that
+// don't can't be reached.
+func (b *broadcast) look() {
+	keep := b.open[:0]
+	for _, a := range b.open {
+		if b.everywhere(a.item.Version, a) {
+			b.end(a, true)
+			continue
+		}
+		keep = append(keep, a)
+		for _, p := range b.c.peers {
+			if p.revision < a.item.Version && !a.known[p] && !p.reached {
+				b.end(a, false)
+				break
+			}
+		}
+	}
+	clear(b.open[len(keep):])
+	b.open = keep
+}
+
+// missing gives the announcements that a node is not known to know, as many as a message
+// holds.
+func (b *broadcast) missing(p *peer) []*announcement {
+	var as []*announcement
+	size := 0
+	for _, a := range b.open {
+		if p.revision >= a.item.Version || a.known[p] {
+			continue
+		}
+		if size += len(a.item.Value) + 64; size > mostAnnounced && len(as) > 0 {
+			break
+		}
+		as = append(as, a)
+	}
+	return as
+}
+
+// over drops what need not be announced any more: its job's end has been written.
+func (b *broadcast) over(id string) {
+	for i, a := range b.open {
+		if a.item.Job == id {
+			b.open = slices.Delete(b.open, i, i+1)
+			b.end(a, true)
+			return
+		}
+	}
+}
+
+// heard takes in cancellations that another node announced. They act at once, whoever
+// serves this node.
+func (c *Core) heard(items []Cancellation) {
+	for _, it := range items {
+		c.learn(it.Job, it.Value, it.Version)
+	}
+}
+
+// learn takes in a job's key as it was read, written or heard of, without waiting for the
+// watch. What is no newer than the watch has come to is in the directory already, or was
+// deleted since.
+func (c *Core) learn(id string, value json.RawMessage, version uint64) {
+	if version <= c.dir.revision && c.dir.ready {
+		return
+	}
+	c.dir.apply(keyActive+id, value, version)
+	c.noticeJob(keyActive + id)
+}
+
+// askPeer asks another node for its status and announces what it may not know.
+func (c *Core) askPeer(p *peer) {
+	as := c.cancels.missing(p)
+	p.asking = true
+	p.askedAt = c.now.Steady
+	id := c.call(func(r Result) {
+		p.asking, p.tried = false, true
+		p.reached = r.Outcome == call.OK
+		if p.reached {
+			p.heardAt = c.now.Steady
+			p.status = r.Peer
+			p.revision = max(p.revision, r.Peer.Revision)
+			for _, a := range as {
+				a.known[p] = true
+			}
+		}
+		c.cancels.look()
+	})
+	ask := PeerAsk{ID: id, Node: p.node}
+	for _, a := range as {
+		ask.Cancellations = append(ask.Cancellations, a.item)
+	}
+	c.send(ask)
+}
--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -160,19 +160,16 @@
 // that alone lost the network must not hold its workers, which could find the leader;
 // it shows by workers of other zones still reaching it.
 //
-// A job may have been cancelled unknown to this node. Where a leader is left outside the
-// zone, it releases the machines of such jobs. Where none is left, only a node that knew
-// the jobs before does this, and only so long that the worker's lease runs out before the
-// time for a cancelled job's tasks is over.
+// Only a node that knew the jobs before does this: users are told of no cancellation that it
+// lacks (broadcast), so it may go on for as long as the trouble lasts.
 func (k *caretaker) blind(in Checkin) bool {
 	c, r := k.c, in.Report
 	cut := c.zoneCut()
 	if cut && r.Zone != c.set.Zone {
 		k.foreign = true
 	}
-	alone := c.dir.ready && c.noneServed() && c.leadingPeer() == "" &&
-		c.now.Steady-c.stateOKAt < c.t.cancel-c.t.lease-2*c.t.report
-	if !(cut && !k.foreign) && !alone {
+	alone := c.noneServed() && c.leadingPeer() == ""
+	if !c.dir.ready || !(cut && !k.foreign) && !alone {
 		return false
 	}
 	c.answer(in.Req, 200, wire.ReportAnswer{Token: r.Token, Commands: c.cancelledStops(r)})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,12 +21,13 @@
 	nextID  uint64
 	pending map[uint64]func(Result)
 
-	dir   *directory
-	users *users
-	elect *election
-	care  *caretaker
-	lead  *leader // nil unless this node holds a term
-	peers []*peer
+	dir     *directory
+	users   *users
+	elect   *election
+	care    *caretaker
+	cancels *broadcast
+	lead    *leader // nil unless this node holds a term
+	peers   []*peer
 
 	catalog     []wire.MachineType
 	catalogAt   time.Duration
@@ -96,6 +97,7 @@
 	c.users = newUsers(c)
 	c.elect = newElection(c)
 	c.care = newCaretaker(c)
+	c.cancels = &broadcast{c: c}
 	for _, p := range s.Peers {
 		c.peers = append(c.peers, &peer{node: p.Node, zone: p.Zone})
 	}
@@ -118,6 +120,9 @@
 		c.users.cancel(in)
 	case Checkin:
 		c.checkin(in)
+	case Heard:
+		c.heard(in.Cancellations)
+		c.answer(in.Req, 200, nil)
 	case Result:
 		if f := c.pending[in.ID]; f != nil {
 			delete(c.pending, in.ID)
@@ -250,6 +255,9 @@
 // PeerStatus is what this node tells the others of itself.
 func (c *Core) PeerStatus() PeerStatus {
 	s := PeerStatus{StateDown: c.stateDown || !c.dir.ready, Term: c.dir.term.Term, ReportAge: -1}
+	if c.dir.ready {
+		s.Revision = c.dir.revision
+	}
 	if c.lead != nil {
 		s.Leads = true
 		s.ZonesApart = c.lead.apart
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -224,6 +224,7 @@
 	}
 	if e.CancelledMS != 0 {
 		c.keepFinal(id, finalValue{State: wire.JobCancelled, Done: c.countsOf(id)[1]})
+		c.cancels.over(id)
 	} else {
 		c.keepFinal(id, finalValue{State: wire.JobDone, Done: e.Job.Tasks})
 	}
@@ -258,6 +259,13 @@
 			return
 		}
 		old := d.jobs
+		for id, e := range old {
+			// Heard of since the reading began: the watch brings it, or its end, once more. Until
+			// then it must not be forgotten.
+			if x := l.jobs[id]; e.version > l.revision && (x == nil || x.version < e.version) {
+				l.jobs[id] = e
+			}
+		}
 		d.jobs, d.lead, d.leadVersion = l.jobs, l.lead, l.leadVersion
 		if l.termVersion > d.termVersion {
 			d.term, d.termVersion = l.term, l.termVersion
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -49,6 +49,13 @@
 	Report *wire.Report
 }
 
+// Heard are cancellations that another node announces. The answer says that they are known
+// here from now on.
+type Heard struct {
+	Req           uint64
+	Cancellations []Cancellation
+}
+
 // Result is the result of a call this core asked for.
 type Result struct {
 	ID      uint64
@@ -75,6 +82,8 @@
 	ReportAge time.Duration // negative: no worker ever reported to it
 	// ZonesApart are zones whose workers a leader can't reach, nor they it.
 	ZonesApart []string
+	// Revision is how far it has read the changes of jobs; 0: not yet.
+	Revision uint64
 }
 
 func (Tick) input()    {}
@@ -82,6 +91,7 @@
 func (Poll) input()    {}
 func (Cancel) input()  {}
 func (Checkin) input() {}
+func (Heard) input()   {}
 func (Result) input()  {}
 
 // Effect is something to do.
@@ -151,9 +161,12 @@
 		ID   uint64
 		Addr string
 	}
+	// PeerAsk asks another node for its status and hands it cancellations, as Heard: an OK
+	// means that it has taken them in.
 	PeerAsk struct {
-		ID   uint64
-		Node string
+		ID            uint64
+		Node          string
+		Cancellations []Cancellation
 	}
 )
 
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -234,6 +234,10 @@
 		}
 		p.halt(stopNow, "cancelled")
 		p.stopOut = false
+		if p.direct != 0 {
+			// Its start may still be on the way, behind the stop.
+			l.raise(p.machine, p.direct)
+		}
 		l.due = append(l.due, p.machine)
 	}
 	l.wantRound()
@@ -265,10 +269,12 @@
 // orders sends committed starts, and stops, to their machines directly, instead of waiting for
 // the next report. See token for what bounds how late they can take effect.
 func (l *leader) orders() {
-	if !l.c.op.DirectStarts || !l.c.elect.inTime() || l.c.stateDown {
+	if !l.c.op.DirectStarts || !l.entitled() {
 		l.due = l.due[:0]
 		return
 	}
+	// Through an outage stops still go out, of jobs that other nodes know to be cancelled.
+	mayStart := l.c.elect.inTime() && !l.c.stateDown
 	for i, m := range l.due {
 		if l.ordering >= l.c.mostOrders() {
 			// Hundreds of machines at once, many of them silent, would use up the sockets.
@@ -289,7 +295,7 @@
 				cmds = append(cmds, p.stopCommand())
 				continue
 			}
-			if p.phase == committed && p.session == session && p.stop == keep && !p.job.cancelled && len(cmds) < mostCommands {
+			if mayStart && p.phase == committed && p.session == session && p.stop == keep && !p.job.cancelled && len(cmds) < mostCommands {
 				ps = append(ps, p)
 				cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: p.name(), Attempt: p.attempt})
 				p.phase, p.direct, p.waits = sent, token, true
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,10 +1,6 @@
 package core
 
-import (
-	"time"
-
-	"bitternwing/internal/call"
-)
+import "time"
 
 // peer is what is known of another node.
 type peer struct {
@@ -16,6 +12,8 @@
 	tried   bool          // a question was answered, or had its time
 	reached bool          // the last one was answered
 	status  PeerStatus
+
+	revision uint64 // it has said that it knows all changes of jobs up to here
 }
 
 func (c *Core) runPeers() {
@@ -24,21 +22,11 @@
 		if p.asking {
 			continue
 		}
-		if p.askedAt != 0 && c.now.Steady < due {
+		if p.askedAt != 0 && c.now.Steady < due && !(p.reached && len(c.cancels.missing(p)) > 0) {
 			c.at(due)
 			continue
 		}
-		p.asking = true
-		p.askedAt = c.now.Steady
-		id := c.call(func(r Result) {
-			p.asking, p.tried = false, true
-			p.reached = r.Outcome == call.OK
-			if p.reached {
-				p.heardAt = c.now.Steady
-				p.status = r.Peer
-			}
-		})
-		c.send(PeerAsk{ID: id, Node: p.node})
+		c.askPeer(p)
 	}
 }
 
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -567,6 +567,13 @@
 		if p == nil || w.cut == "cut" || w.cut == "zones" && w.zones[n.name] != w.zones[e.Node] {
 			return core.Result{ID: e.ID, Outcome: call.Unknown}, true
 		}
+		if len(e.Cancellations) > 0 {
+			w.req++
+			for _, it := range e.Cancellations {
+				w.say(p, "hears that %s is cancelled", it.Job)
+			}
+			w.step(p, core.Heard{Req: w.req, Cancellations: e.Cancellations})
+		}
 		return core.Result{ID: e.ID, Outcome: call.OK, Peer: p.core.PeerStatus()}, true
 	}
 	return core.Result{}, false
@@ -628,6 +635,9 @@
 		w.say(n, "%d token %s%s", a.Status, showToken(ra.Token), showCommands(ra.Commands))
 		return
 	}
+	if a.Body == nil {
+		return // a node that it heard
+	}
 	body, err := json.Marshal(a.Body)
 	if err != nil {
 		w.t.Fatal(err)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -184,7 +184,14 @@
 			id := c.stateCall(func(r Result) {
 				switch r.Outcome {
 				case call.OK:
-					u.done(in.Req, 200, wire.JobState{ID: in.ID, State: wire.JobCancelled})
+					c.learn(in.ID, value, r.Txn.Revision)
+					c.cancels.tell(in.ID, &entry{v, r.Txn.Revision}, func(everywhere bool) {
+						if !everywhere {
+							u.unsure(in.Req)
+							return
+						}
+						u.done(in.Req, 200, wire.JobState{ID: in.ID, State: wire.JobCancelled})
+					})
 				case call.Conflict:
 					u.tryCancel(in, tries+1)
 				default:
@@ -200,7 +207,7 @@
 	})
 }
 
-// find looks a job up. A cached cancellation stands without asking.
+// find looks a job up. A cached cancellation stands without asking, once all nodes know it.
 func (u *users) find(id string, then func(found)) {
 	if !u.c.dir.ready {
 		then(found{failed: true})
@@ -208,12 +215,23 @@
 	}
 	e := u.c.dir.jobs[id]
 	if e != nil && e.CancelledMS != 0 {
-		then(found{entry: e})
+		u.cancelled(id, e, then)
 		return
 	}
 	u.checks = append(u.checks, &lookup{id: id, entry: e, then: then})
 }
 
+// cancelled hands over a cancelled job once users may be told of it.
+func (u *users) cancelled(id string, e *entry, then func(found)) {
+	u.c.cancels.tell(id, e, func(everywhere bool) {
+		if f, over := u.c.dir.finals[id]; over {
+			then(found{final: &f})
+			return
+		}
+		then(found{entry: e, failed: !everywhere})
+	})
+}
+
 func (u *users) run() {
 	u.runChecks()
 	u.runReads()
@@ -287,7 +305,13 @@
 					end(found{failed: true})
 					return
 				}
-				end(found{entry: &entry{v, r.Item.Version}})
+				e := &entry{v, r.Item.Version}
+				if v.CancelledMS != 0 {
+					c.learn(l.id, r.Item.Value, r.Item.Version)
+					u.cancelled(l.id, e, end)
+					return
+				}
+				end(found{entry: e})
 			case call.Missing:
 				id := c.stateCall(func(r Result) {
 					var v finalValue
@@ -350,7 +374,7 @@
 				delete(u.submitting, id)
 				u.reads = append(u.reads, &lookup{id: id, then: func(f found) {
 					for _, req := range s.reqs {
-						if f.entry != nil || f.final != nil {
+						if !f.failed && (f.entry != nil || f.final != nil) {
 							u.done(req, 200, c.stateOf(id, f))
 						} else {
 							u.unsure(req)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,7 +94,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ps := peer.NewServer(n.set.Node, n.peerStatus)
+	ps := peer.NewServer(n.set.Node, n.heard, n.peerStatus)
 	hs := server.New(n, n.set.Params.Limits.MaxConnections*3/4)
 	errs := make(chan error, 2)
 	go func() { errs <- ps.Serve(inner) }()
@@ -154,6 +154,12 @@
 // Healthy tells whether this node can take requests.
 func (n *Node) Healthy() bool { return n.healthy.Load() }
 
+// heard hands the core what another node announces; false if it did not take it in.
+func (n *Node) heard(ctx context.Context, items []core.Cancellation) bool {
+	_, ok := n.Ask(ctx, func(req uint64) core.Input { return core.Heard{Req: req, Cancellations: items} })
+	return ok
+}
+
 func (n *Node) peerStatus() core.PeerStatus {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -268,7 +274,7 @@
 	case core.PeerAsk:
 		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
 			if p := n.peers[e.Node]; p != nil {
-				r.Peer, r.Outcome = p.Status(ctx)
+				r.Peer, r.Outcome = p.Status(ctx, e.Cancellations)
 			}
 		})
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,7 +8,9 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
 	"bitternwing/internal/call"
 	"bitternwing/internal/core"
@@ -22,13 +24,15 @@
 type Server struct {
 	peerpb.UnimplementedPeerServer
 	node   string
+	heard  func(context.Context, []core.Cancellation) bool
 	status func() core.PeerStatus
 	grpc   *grpc.Server
 }
 
-// NewServer makes a server that tells what status gives.
-func NewServer(node string, status func() core.PeerStatus) *Server {
-	s := &Server{node: node, status: status, grpc: grpc.NewServer(
+// NewServer makes a server that hands on the cancellations that it hears of and tells what
+// status gives. heard is false where they could not be taken in.
+func NewServer(node string, heard func(context.Context, []core.Cancellation) bool, status func() core.PeerStatus) *Server {
+	s := &Server{node: node, heard: heard, status: status, grpc: grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxConcurrentStreams(16),
 		grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10))}
 	peerpb.RegisterPeerServer(s.grpc, s)
@@ -42,13 +46,24 @@
 func (s *Server) Stop() { s.grpc.Stop() }
 
 // Status implements the service.
-func (s *Server) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
+func (s *Server) Status(ctx context.Context, q *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
+	if cs := q.GetCancellations(); len(cs) > 0 {
+		items := make([]core.Cancellation, len(cs))
+		for i, x := range cs {
+			items[i] = core.Cancellation{Job: x.GetJob(), Value: x.GetValue(), Version: x.GetVersion()}
+		}
+		// An answer says that they are known from now on.
+		if !s.heard(ctx, items) {
+			return nil, status.Error(codes.Unavailable, "not taken in")
+		}
+	}
 	st := s.status()
 	age := int64(-1)
 	if st.ReportAge >= 0 {
 		age = st.ReportAge.Milliseconds()
 	}
-	return &peerpb.StatusReply{Node: s.node, StateDown: st.StateDown, Term: st.Term, Leads: st.Leads, ReportAgeMs: age, ZonesApart: st.ZonesApart}, nil
+	return &peerpb.StatusReply{Node: s.node, StateDown: st.StateDown, Term: st.Term, Leads: st.Leads, ReportAgeMs: age, ZonesApart: st.ZonesApart,
+		Revision: st.Revision}, nil
 }
 
 // Client asks one other node.
@@ -77,13 +92,18 @@
 // Close ends the connection.
 func (c *Client) Close() error { return c.conn.Close() }
 
-// Status asks the node for its status.
-func (c *Client) Status(ctx context.Context) (core.PeerStatus, call.Outcome) {
-	r, err := c.rpc.Status(ctx, &peerpb.StatusRequest{Node: c.self})
+// Status asks the node for its status and hands it cancellations.
+func (c *Client) Status(ctx context.Context, items []core.Cancellation) (core.PeerStatus, call.Outcome) {
+	q := &peerpb.StatusRequest{Node: c.self}
+	for _, it := range items {
+		q.Cancellations = append(q.Cancellations, &peerpb.Cancellation{Job: it.Job, Value: it.Value, Version: it.Version})
+	}
+	r, err := c.rpc.Status(ctx, q)
 	if err != nil {
 		return core.PeerStatus{}, call.Unknown
 	}
-	st := core.PeerStatus{StateDown: r.GetStateDown(), Term: r.GetTerm(), Leads: r.GetLeads(), ReportAge: -1, ZonesApart: r.GetZonesApart()}
+	st := core.PeerStatus{StateDown: r.GetStateDown(), Term: r.GetTerm(), Leads: r.GetLeads(), ReportAge: -1, ZonesApart: r.GetZonesApart(),
+		Revision: r.GetRevision()}
 	if r.GetReportAgeMs() >= 0 {
 		st.ReportAge = time.Duration(r.GetReportAgeMs()) * time.Millisecond
 	}
