--- /dev/null
+++ b/.ci/knownred/main.go
@@ -0,0 +1,154 @@
+// Command knownred runs the tests and gives one verdict: they pass, but for those that a file
+// lists as failing for a real fault that is yet to be mended. It has a line each: the test's
+// whole name (TestTraces/gap), the cause, the issue, set apart by semicolons; three lines at
+// most. A line whose test does not exist or does not fail makes the verdict a failure, so that
+// nothing is excused for longer than it has to be. Without the file all tests must pass.
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"os/exec"
+	"strings"
+)
+
+const mostLines = 3
+
+func main() {
+	known, err := read(os.Args[1])
+	if err == nil {
+		var out io.Reader
+		cmd := exec.Command("go", "test", "-race", "-json", "./...", "./.ci/knownred")
+		cmd.Stderr = os.Stderr
+		if out, err = cmd.StdoutPipe(); err == nil {
+			if err = cmd.Start(); err == nil {
+				err = errors.Join(judge(known, out, os.Stdout), exitOf(cmd.Wait(), len(known)))
+			}
+		}
+	}
+	if err != nil {
+		fmt.Println("tests:", err)
+		os.Exit(1)
+	}
+}
+
+// exitOf gives a failure of the test run itself where none is excused.
+func exitOf(err error, known int) error {
+	if known == 0 {
+		return err
+	}
+	return nil
+}
+
+// read gives the tests that may fail.
+func read(path string) (map[string]string, error) {
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	known := map[string]string{}
+	for _, line := range strings.Split(strings.TrimSpace(string(data)), "\n") {
+		parts := strings.SplitN(line, ";", 3)
+		if len(parts) != 3 || strings.TrimSpace(parts[0]) == "" {
+			return nil, fmt.Errorf("%s: %q is not test; cause; issue", path, line)
+		}
+		known[strings.TrimSpace(parts[0])] = line
+	}
+	if len(known) > mostLines {
+		return nil, fmt.Errorf("%s: %d lines, at most %d", path, len(known), mostLines)
+	}
+	return known, nil
+}
+
+type event struct{ Action, Package, Test, Output string }
+
+// judge reads what go test -json prints and tells what failed beyond what is known.
+func judge(known map[string]string, in io.Reader, out io.Writer) error {
+	passed := 0
+	failed := map[string]bool{}   // tests
+	byTest := map[string]bool{}   // packages in which one failed
+	packages := map[string]bool{} // that failed
+	output := map[string]*strings.Builder{}
+	scan := bufio.NewScanner(in)
+	scan.Buffer(nil, 64<<20)
+	for scan.Scan() {
+		var e event
+		if json.Unmarshal(scan.Bytes(), &e) != nil {
+			fmt.Fprintln(out, scan.Text())
+			continue
+		}
+		key := e.Package + " " + e.Test
+		switch e.Action {
+		case "output", "build-output":
+			if output[key] == nil {
+				output[key] = &strings.Builder{}
+			}
+			output[key].WriteString(e.Output)
+		case "pass":
+			if e.Test != "" {
+				passed++
+			} else {
+				fmt.Fprintln(out, "ok  ", e.Package)
+			}
+			delete(output, key)
+		case "build-fail":
+			packages[e.Package] = true
+		case "fail":
+			if e.Test != "" {
+				failed[e.Test], byTest[e.Package] = true, true
+			} else {
+				packages[e.Package] = true
+			}
+		}
+	}
+	if err := scan.Err(); err != nil {
+		return err
+	}
+	excused := map[string]bool{}
+	for test, line := range known {
+		if !failed[test] {
+			return fmt.Errorf("KNOWN-RED names %s, which does not exist or does not fail", test)
+		}
+		fmt.Fprintln(out, "KNOWN RED:", line)
+		for name := test; name != ""; {
+			excused[name] = true // a test fails with its part
+			i := strings.LastIndex(name, "/")
+			name = name[:max(i, 0)]
+		}
+	}
+	red := 0
+	for test := range failed {
+		part := false // it fails with an excused part of its own
+		for name := range excused {
+			part = part || name == test
+		}
+		if !part {
+			red++
+			fmt.Fprintln(out, "FAIL", test)
+		}
+	}
+	for name := range packages {
+		if !byTest[name] {
+			red++ // it did not build, or ended outside a test
+			fmt.Fprintln(out, "FAIL", name)
+		}
+	}
+	for key, b := range output {
+		if text := b.String(); strings.Contains(text, "FAIL") || strings.Contains(text, "panic:") || strings.HasSuffix(key, " ") {
+			fmt.Fprint(out, text)
+		}
+	}
+	fmt.Fprintf(out, "%d passed, %d failed\n", passed, red)
+	if red > 0 {
+		return fmt.Errorf("%d failed", red)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/judge_test.go
@@ -0,0 +1,182 @@
+package core_test
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"bitternwing/internal/wire"
+)
+
+// judge watches a simulated day for broken rules. It knows what is on the machines and what
+// users were told, and nothing of what the nodes think. A task is on its machine from the
+// moment its image is there until it exits, is killed or the machine is gone.
+type judge struct {
+	limits map[string]float64 // GPUs that a team may use
+	cancel time.Duration      // time for a cancelled job's tasks to be gone
+	types  map[string]bool    // machine types that the cloud has
+
+	jobs   map[string]*judged
+	on     map[string]map[string]onMachine // by task, by machine
+	broken []string
+	late   int // starts after a confirmed cancellation, within the time that its tasks have
+}
+
+type judged struct {
+	spec      *wire.Job
+	submitted bool
+	accepted  time.Duration // when its user was first told; 0: not yet
+	asked     bool          // its user asked for it to be cancelled
+	final     string
+	finalAt   time.Duration // when a user was first told
+	toldAt    time.Duration // of its cancellation
+	done      map[int]bool
+}
+
+type onMachine struct{ zone string }
+
+func newJudge(limits map[string]float64, cancel time.Duration) *judge {
+	return &judge{limits: limits, cancel: cancel, types: map[string]bool{"g8": true},
+		jobs: map[string]*judged{}, on: map[string]map[string]onMachine{}}
+}
+
+func (j *judge) breaks(now time.Duration, rule, format string, args ...any) {
+	j.broken = append(j.broken, fmt.Sprintf("%.3f %s: %s", now.Seconds(), rule, fmt.Sprintf(format, args...)))
+}
+
+func (j *judge) submits(spec *wire.Job) *judged {
+	x := j.jobs[spec.ID]
+	if x == nil {
+		x = &judged{spec: spec, done: map[int]bool{}}
+		j.jobs[spec.ID] = x
+	}
+	x.submitted = true
+	return x
+}
+
+// starts takes note of a task that is on a machine from now on.
+func (j *judge) starts(now time.Duration, task, machine, kind, zone string, spot bool) {
+	id, _, _ := wire.ParseTask(task)
+	x := j.jobs[id]
+	if x == nil {
+		j.breaks(now, "invented", "%s starts on %s, which nobody submitted", task, machine)
+		return
+	}
+	for other := range j.on[task] {
+		j.breaks(now, "ran_twice", "%s starts on %s while it is on %s", task, machine, other)
+	}
+	if j.on[task] == nil {
+		j.on[task] = map[string]onMachine{}
+	}
+	j.on[task][machine] = onMachine{zone}
+	used, here, elsewhere := 0.0, 0, 0
+	for t, ms := range j.on {
+		jid, _, _ := wire.ParseTask(t)
+		if o := j.jobs[jid]; o != nil && o.spec.Team == x.spec.Team {
+			used += float64(len(ms)) * o.spec.GPUs
+		}
+		if jid != id {
+			continue
+		}
+		for _, m := range ms {
+			if m.zone == zone {
+				here++
+			} else {
+				elsewhere++
+			}
+		}
+	}
+	if most := j.limits[x.spec.Team]; most > 0 && used > most+1e-9 {
+		j.breaks(now, "quota", "%s uses %g of %g with %s", x.spec.Team, used, most, task)
+	}
+	s := x.spec
+	allowed := s.Types == nil
+	for _, t := range s.Types {
+		allowed = allowed || t == kind
+	}
+	if !allowed || spot && !s.Spot || s.Zone != "" && s.Zone != zone || s.OneZone && elsewhere > 0 || s.Spread && here > (s.Tasks+1)/2 {
+		j.breaks(now, "wrong_place", "%s starts on %s (%s, %s, spot %v)", task, machine, kind, zone, spot)
+	}
+	if x.toldAt != 0 {
+		if now > x.toldAt+j.cancel {
+			j.breaks(now, "ran_cancelled", "%s starts on %s, its user was told at %.3f", task, machine, x.toldAt.Seconds())
+		} else {
+			j.late++
+		}
+	}
+}
+
+// ends takes note of a task that is on a machine no more; done if it completed there.
+func (j *judge) ends(task, machine string, done bool) {
+	delete(j.on[task], machine)
+	if id, n, ok := wire.ParseTask(task); ok && done && j.jobs[id] != nil {
+		j.jobs[id].done[n] = true
+	}
+}
+
+// passes looks for cancelled jobs whose time is over.
+func (j *judge) passes(now time.Duration) {
+	for _, t := range sortedKeys(j.on) {
+		id, _, _ := wire.ParseTask(t)
+		x := j.jobs[id]
+		if x == nil || x.toldAt == 0 || now <= x.toldAt+j.cancel {
+			continue
+		}
+		for _, m := range sortedKeys(j.on[t]) {
+			j.breaks(now, "ran_cancelled", "%s is on %s, its user was told at %.3f", t, m, x.toldAt.Seconds())
+			delete(j.on[t], m) // once is enough
+		}
+	}
+}
+
+// told takes note of an answer about a job: to a submission, a poll or a cancel that was sent
+// at asked. Questions that cross on their way may be answered in any order.
+func (j *judge) told(now, asked time.Duration, verb, id string, status int, state string) {
+	x := j.jobs[id]
+	known := status == 200 || status == 201
+	if x == nil || !x.submitted {
+		if known {
+			j.breaks(now, "invented", "%s of %s, which nobody submitted, gets %d", verb, id, status)
+		}
+		return
+	}
+	if !known {
+		if x.accepted != 0 && asked > x.accepted && (status == 404 || verb == "submit" && (status == 400 || status == 422)) {
+			j.breaks(now, "forgotten", "%s of %s gets %d", verb, id, status)
+		}
+		return
+	}
+	if x.accepted == 0 {
+		x.accepted = now
+	}
+	switch {
+	case x.final != "" && state != x.final && asked > x.finalAt:
+		j.breaks(now, "went_back", "%s of %s says %s after %s", verb, id, state, x.final)
+	case state == wire.JobCancelled && !x.asked:
+		j.breaks(now, "went_back", "%s of %s says %s, which nobody asked for", verb, id, state)
+	}
+	if x.final == "" {
+		x.finalAt = now
+	}
+	switch state {
+	case wire.JobDone:
+		x.final = state
+		if len(x.done) < x.spec.Tasks {
+			j.breaks(now, "not_done", "%s of %s says done with %d of %d tasks", verb, id, len(x.done), x.spec.Tasks)
+		}
+	case wire.JobCancelled:
+		if x.toldAt == 0 {
+			x.toldAt = now
+		}
+		x.final = state
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	ks := make([]string, 0, len(m))
+	for k := range m {
+		ks = append(ks, k)
+	}
+	sort.Strings(ks)
+	return ks
+}
