What is on a machine of unknown zone counts against a spread job

Ruled out: one_zone, which holds back already. Now they count as being wherever the next task is to go.

--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -19,7 +19,9 @@
 	here := 0
 	for _, p := range j.placed {
 		switch {
-		case p.machine.zone == m.zone:
+		case p.machine.zone == m.zone, s.Spread && p.machine.zone == "":
+			// Where an earlier leader's machine is, a new one learns from the cloud's list or
+			// from a report. Until then what is on it counts as being here.
 			here++
 		case s.OneZone:
 			return false
