--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,7 +32,7 @@
 	mu   sync.Mutex // guards core
 	core *core.Core
 
-	inputs  chan core.Input
+	inputs  chan arrival
 	healthy atomic.Bool
 
 	reqMu   sync.Mutex
@@ -46,6 +46,13 @@
 	patient time.Duration // how long a call may take
 }
 
+// arrival is an input that waits for the core. A request is of no use to anybody after its
+// time: it is not handed in then, so that after a standstill what is asked now comes first.
+type arrival struct {
+	in    core.Input
+	until time.Time // zero: it always counts
+}
+
 // New makes a node.
 func New(set *config.Settings, log *slog.Logger) (*Node, error) {
 	var inc [8]byte
@@ -57,7 +64,7 @@
 	n := &Node{
 		set: set, log: log, start: time.Now(),
 		core:    core.New(set, hex.EncodeToString(inc[:])),
-		inputs:  make(chan core.Input, 4*set.Operator.MaxPendingRequests),
+		inputs:  make(chan arrival, 4*set.Operator.MaxPendingRequests),
 		waiting: map[uint64]chan core.Answer{},
 		// The leader needs more than the others; all of them never need all.
 		state: state.New(set.Services.State, p.State.RPS*math.Min(1, 2/nodes), max(4, p.Limits.MaxConnections/40),
@@ -144,7 +151,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case in = <-n.inputs:
+		case a := <-n.inputs:
+			if in = a.in; !a.until.IsZero() && !time.Now().Before(a.until) {
+				in = core.Tick{}
+			}
 		case <-timer.C:
 			in = core.Tick{}
 		}
@@ -180,15 +190,17 @@
 		delete(n.waiting, req)
 		n.reqMu.Unlock()
 	}()
+	until, _ := ctx.Deadline()
 	select {
-	case n.inputs <- input(req):
+	case n.inputs <- arrival{input(req), until}:
 	default:
 		return core.Answer{}, false
 	}
 	select {
 	case a := <-ch:
-		// After a standstill both may be there. What was true then may be told no more.
-		if ctx.Err() != nil {
+		// After a standstill both may be there, and the timer may come last. What was true then
+		// may be told no more.
+		if ctx.Err() != nil || !until.IsZero() && !time.Now().Before(until) {
 			return core.Answer{}, false
 		}
 		return a, true
@@ -198,19 +210,21 @@
 }
 
 // do makes a call in the background and feeds its result back.
+//
+// Its time counts from the decision: what a standstill has held up until after that is not sent
+// any more, since it was decided on what was known before.
 func (n *Node) do(ctx context.Context, id uint64, patience time.Duration, f func(context.Context, *core.Result)) {
 	sent := n.steady()
+	until := time.Now().Add(patience)
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, patience)
+		ctx, cancel := context.WithDeadline(ctx, until)
 		defer cancel()
-		r := core.Result{ID: id, Sent: sent, Outcome: call.Unknown}
-		f(ctx, &r)
-		select {
-		case n.inputs <- r:
-		case <-ctx.Done():
-			// The loop is behind; it still has to learn of this.
-			n.inputs <- r
+		r := core.Result{ID: id, Sent: sent, Outcome: call.Refused}
+		if time.Now().Before(until) {
+			r.Outcome = call.Unknown
+			f(ctx, &r)
 		}
+		n.inputs <- arrival{in: r} // the loop may be behind; it still has to learn of this
 	}()
 }
 
--- /dev/null
+++ b/internal/node/standstill_test.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/config"
+	"bitternwing/internal/core"
+)
+
+// TestStandstill: a process that stood still while its clocks ran on serves nobody who has gone,
+// and sends nothing that was decided on what was known before.
+func TestStandstill(t *testing.T) {
+	set := &config.Settings{Node: "a", Zone: "z1", Operator: config.DefaultOperator(), Params: config.Params{Nodes: 1,
+		Workers: config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30}, State: config.State{RPS: 100, WriteRPS: 100, ValueKB: 16, TxnOps: 12},
+		Cloud: config.Cloud{RPS: 1, ListLagS: 1}, Limits: config.Limits{CPUShare: 1, MemoryMB: 98, MaxConnections: 100}}}
+	set.Services.State, set.Services.Cloud = "127.0.0.1:1", "127.0.0.1:1"
+	n, err := New(set, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	// A call whose time was over before it went out.
+	n.do(ctx, 7, -time.Second, func(context.Context, *core.Result) { t.Error("it was sent after its time") })
+	if r, ok := (<-n.inputs).in.(core.Result); !ok || r.ID != 7 || r.Outcome != call.Refused {
+		t.Errorf("the core is told %v", r)
+	}
+
+	// Two requests that are answered at once; the first one's user has gone.
+	late, now := make(chan core.Answer, 1), make(chan core.Answer, 1)
+	n.waiting[1], n.waiting[2] = late, now
+	n.inputs <- arrival{core.Poll{Req: 1, ID: "x"}, time.Now().Add(-time.Second)}
+	n.inputs <- arrival{core.Poll{Req: 2, ID: "x"}, time.Now().Add(time.Hour)}
+	go n.loop(ctx)
+	if a := <-now; a.Status != 404 {
+		t.Errorf("the second one gets %d", a.Status)
+	}
+	select {
+	case <-late:
+		t.Error("a request was served after its time")
+	default:
+	}
+
+	// An answer that comes together with the end of its time.
+	gone, end := context.WithDeadline(ctx, time.Now().Add(-time.Second))
+	defer end()
+	if _, ok := n.Ask(gone, func(req uint64) core.Input { return core.Poll{Req: req, ID: "x"} }); ok {
+		t.Error("an answer was told after its time")
+	}
+}
