Who stands before a node that is gone does not lead

Ruled out: the takeover (2 s) and releases. Now the node before a gap waits half a beat in an election if another could lead, and makes way after two leases.

--- a/internal/core/cancellations.go
+++ b/internal/core/cancellations.go
@@ -164,8 +164,12 @@
 	p.askedAt = c.now.Steady
 	id := c.call(func(r Result) {
 		p.asking, p.tried = false, true
+		was := p.reached
 		p.reached = r.Outcome == call.OK
 		if p.reached {
+			if !was {
+				p.backAt = c.now.Steady
+			}
 			p.heardAt = c.now.Steady
 			p.status = r.Peer
 			p.revision = max(p.revision, r.Peer.Revision)
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -82,21 +82,60 @@
 // handicap makes a node wait a little where another would lead better.
 func (e *election) handicap() time.Duration {
 	wait := e.c.t.beat / 4 * time.Duration(min(2, max(0, e.detour(e.c.set.Node)-1)))
-	if e.exposed(e.c.set.Node) {
+	if e.exposed(e.c.set.Node) || e.beforeGap(e.c.set.Node, 0) && e.other(func(node string) bool { return !e.beforeGap(node, 0) }) {
 		wait += e.c.t.beat / 2
 	}
 	return wait
 }
 
-// following gives the zones of a node and of those that workers try after it, in turn;
-// none if all are in one zone.
-func (e *election) following(node string) (own string, next []string) {
+// other tells whether another node that could lead is of a kind.
+func (e *election) other(of func(node string) bool) bool {
+	for _, p := range e.c.peers {
+		if e.c.fresh(p) && !p.status.StateDown && of(p.node) {
+			return true
+		}
+	}
+	return false
+}
+
+// beforeGap tells whether the node that workers try after this one has not answered for a
+// while. Were this one to lead and then to stand still, its workers would wait for both in
+// turn, which takes all of their lease.
+func (e *election) beforeGap(node string, quiet time.Duration) bool {
+	c := e.c
+	next := ""
+	for _, n := range e.ring() {
+		if n.Node > node {
+			next = n.Node
+			break
+		}
+	}
+	if next == "" {
+		next = e.ring()[0].Node
+	}
+	for _, p := range c.peers {
+		if p.node == next {
+			return p.tried && !p.reached && c.now.Steady-p.heardAt > quiet
+		}
+	}
+	return false
+}
+
+// ring gives all nodes in the order in which workers try them.
+func (e *election) ring() []config.Peer {
 	set := e.c.set
 	ring := append([]config.Peer{{Node: set.Node, Zone: set.Zone}}, set.Peers...)
 	sort.Slice(ring, func(a, b int) bool { return ring[a].Node < ring[b].Node })
+	return ring
+}
+
+// following gives the zones of a node and of those that workers try after it, in turn;
+// none if all are in one zone.
+func (e *election) following(node string) (own string, next []string) {
+	ring := e.ring()
 	at, several := 0, false
 	for i, n := range ring {
-		several = several || n.Zone != set.Zone
+		several = several || n.Zone != e.c.set.Zone
 		if n.Node == node {
 			at = i
 		}
@@ -129,19 +168,21 @@
 	return len(next) > 0 && next[0] == own
 }
 
-// betterPlaced tells whether this leader is exposed while another node that is not
-// has been there for a while.
+// betterPlaced tells whether this leader is exposed, or the node after it is gone, while another
+// node of which neither holds has been there for a while.
 func (e *election) betterPlaced() bool {
 	c := e.c
-	if c.now.Steady-c.lead.since < 2*c.t.lease || !e.exposed(c.set.Node) {
+	worse := func(node string) bool { return e.exposed(node) || e.beforeGap(node, c.t.lease) }
+	if c.now.Steady-c.lead.since < 2*c.t.lease || !worse(c.set.Node) {
 		return false
 	}
 	for _, p := range c.peers {
-		if c.fresh(p) && !p.status.StateDown && !e.exposed(p.node) {
-			return true
+		// After a cut the nodes are heard again one after the other.
+		if c.fresh(p) && c.now.Steady-p.backAt < 3*c.t.beat {
+			return false
 		}
 	}
-	return false
+	return e.other(func(node string) bool { return !worse(node) })
 }
 
 // stand runs for the next term: a lease, then the lead and the term in one
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -9,6 +9,7 @@
 	asking  bool
 	askedAt time.Duration
 	heardAt time.Duration // 0: never
+	backAt  time.Duration // since when it has answered each time
 	tried   bool          // a question was answered, or had its time
 	reached bool          // the last one was answered
 	status  PeerStatus
