--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -33,6 +33,8 @@
 //	AT late_writes SHARE FOR AT late_reports SHARE FOR   AT late_orders SHARE FOR
 //	AT partition FOR         AT zone_cut ZONE FOR
 //	AT hang|deaf|mute|sick MACHINE FOR              AT die|take|recall MACHINE
+//	AT boots SHARE_NEVER FACTOR FOR                 how new machines come up
+//	AT polls PER_SECOND FOR  users ask about jobs; shown is what they got
 //	AT odd                   requests that must be refused, and repeats
 //	calm AT, end AT          troubles are over; the day is
 
@@ -218,6 +220,21 @@
 			x := map[string]*float64{"late_writes": &s.lateWrites, "late_reports": &s.lateReports, "late_orders": &s.lateOrders}[f[0]]
 			*x = share
 			s.at(until(2), func() { *x = 0 })
+		case "boots":
+			s.bootFail, s.bootFactor = num(1).Seconds(), num(2).Seconds()
+			s.at(until(3), func() { s.bootFail, s.bootFactor = 0, 0 })
+		case "polls":
+			stop := until(2)
+			every := time.Duration(float64(time.Second) / num(1).Seconds())
+			var ask func()
+			ask = func() {
+				if s.now < stop {
+					s.pollOnce()
+					s.after(every, ask)
+				}
+			}
+			ask()
+			s.at(stop+2*time.Second, func() { s.say("polls: %v", s.polled) })
 		case "partition":
 			s.partition = true
 			s.at(until(1), func() { s.partition = false })
@@ -258,6 +275,21 @@
 	})
 }
 
+// pollOnce asks about some job, and counts the answers.
+func (s *sim) pollOnce() {
+	j, sent := s.jobs[s.rnd.IntN(len(s.jobs))], s.now
+	if !j.accepted {
+		return
+	}
+	if s.polled == nil {
+		s.polled = map[int]int{}
+	}
+	s.ask(func(req uint64) core.Input { return core.Poll{Req: req, ID: j.spec.ID} }, func(status int, state string) {
+		s.judge.told(s.now, sent, "poll", j.spec.ID, status, state)
+		s.polled[status]++
+	})
+}
+
 // odd sends what must be refused, and repeats of what is known.
 func (s *sim) odd() {
 	sent := s.now
--- a/internal/core/sim_test.go
+++ b/internal/core/sim_test.go
@@ -46,10 +46,14 @@
 	slowUntil        time.Duration
 	lateWrites       float64 // share of transactions that get no answer and come late
 	lateReports      float64 // share of reports of which a copy comes late
+	bootFail         float64 // share of new machines that never come up
+	bootFactor       float64 // how much longer the others take
 	lateOrders       float64 // share of direct commands that are held up, or repeated late
 	partition        bool    // zones can't reach each other
 	zoneCut          string  // this zone is cut off from everything
 
+	polled map[int]int // answers to many polls, by status
+
 	calm time.Duration // troubles are over
 	end  time.Duration
 	out  strings.Builder // what a reader of the trace is shown
@@ -155,10 +159,10 @@
 func newSim(t testing.TB, seed uint64, zones map[string]string) *sim {
 	s := &sim{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Second, zones: zones, store: standin.NewStore(),
 		byName: map[string]*simWorker{}, rented: map[string][]string{}, results: map[string]bool{}, perZone: 4}
-	limits := map[string]float64{"red": 8, "blue": 16, "green": 48}
+	limits := map[string]float64{"red": 8, "blue": 16, "green": 48, "guest": 32}
 	s.judge = newJudge(limits, simCancel)
 	s.set = config.Params{Nodes: 3, Zones: []string{"z1", "z2"}, ClockOffMS: 5,
-		Teams:   []config.Team{{Name: "red", GPUs: 4, GPUsMax: 8}, {Name: "blue", GPUs: 8, GPUsMax: 16}, {Name: "green", GPUs: 16, GPUsMax: 48}},
+		Teams:   []config.Team{{Name: "red", GPUs: 4, GPUsMax: 8}, {Name: "blue", GPUs: 8, GPUsMax: 16}, {Name: "green", GPUs: 16, GPUsMax: 48}, {Name: "guest", GPUsMax: 32}},
 		Workers: config.Workers{ReportS: simReport.Seconds(), LeaseS: simLease.Seconds(), CancelS: simCancel.Seconds()},
 		State:   config.State{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 12},
 		Cloud:   config.Cloud{RPS: 2, ListLagS: 2},
@@ -390,6 +394,9 @@
 			fmt.Fprintf(&b, " %v=%v", e.Pairs[i], e.Pairs[i+1])
 		}
 		s.note("%s: %s%s", n.name, e.Message, b.String())
+		if e.Message == "machine is faulty" {
+			s.say("%s: a machine is faulty", n.name)
+		}
 	case core.StateTxn:
 		s.txn(n, e)
 	case core.StateGet:
@@ -638,7 +645,10 @@
 				}
 				for i := 0; i < min(q.Count, left); i++ {
 					boot := time.Duration(simBoot * (0.6 + 0.9*s.rnd.Float64()) * float64(time.Second))
-					if s.rnd.IntN(25) == 0 {
+					if s.bootFactor > 0 {
+						boot = time.Duration(float64(boot) * s.bootFactor)
+					}
+					if s.rnd.IntN(25) == 0 || s.rnd.Float64() < s.bootFail {
 						boot = -1 // it never comes up
 					}
 					names = append(names, s.addMachine(q.Zone, q.Spot, boot).name)
@@ -647,7 +657,7 @@
 					return core.Result{Outcome: call.Refused}
 				}
 				s.rented[q.Request] = names
-				s.note("%s rents %v in %s", n.name, names, q.Zone)
+				s.say("%s rents %d in %s", n.name, len(names), q.Zone)
 			}
 			return core.Result{Outcome: call.OK, Names: append([]string(nil), names...)}
 		})
