A cancellation is told once no task of its job can start any more

Now those who lead name the cancelled jobs of which a task may start yet, and a user is told when none does, or gets 503 after half a beat. The answer to a direct stop counts as evidence, so mostly that takes a message to the machine and back.

Ruled out: holding starts back (they are out before the cancellation comes).

--- a/internal/core/cancellations.go
+++ b/internal/core/cancellations.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"slices"
+	"time"
 
 	"bitternwing/internal/call"
+	"bitternwing/internal/wire"
 )
 
 // broadcast makes cancellations known to all nodes before users are told of them.
@@ -13,7 +15,7 @@
 // out of reach and for as long as that lasts. What such a node does not know to be cancelled
 // goes on running. So a node tells a user that a job is cancelled only once
 //   - each other node has said that it knows, by the revision that it has read up to or by
-//     taking the cancellation from here, or
+//     taking the cancellation from here, and the leader that no task of it can start any more, or
 //   - the job is over, which is written only when nothing of it is left on any machine.
 //
 // Until then users get 503, as for all that can't be confirmed. A node that starts anew has
@@ -27,6 +29,7 @@
 // announcement is a cancellation that not all other nodes are known to know.
 type announcement struct {
 	item    Cancellation
+	since   time.Duration // when the first of those came who wait
 	known   map[*peer]bool
 	waiting []func(everywhere bool)
 }
@@ -48,7 +51,7 @@
 // tell hands over whether users may be told of a job's cancellation: at once where that is
 // known, else with the other nodes' answers.
 func (b *broadcast) tell(id string, e *entry, then func(everywhere bool)) {
-	if b.everywhere(e.version, nil) {
+	if b.everywhere(e.version, nil) && b.settled(id) {
 		then(true)
 		return
 	}
@@ -67,6 +70,9 @@
 		b.open = append(b.open, &announcement{item: Cancellation{Job: id, Value: value, Version: e.version}, known: map[*peer]bool{}})
 	}
 	a := b.open[i]
+	if len(a.waiting) == 0 {
+		a.since = b.c.now.Steady
+	}
 	a.waiting = append(a.waiting, then)
 	b.look()
 }
@@ -81,6 +87,56 @@
 	return true
 }
 
+// settled tells whether all who lead say that no task of a cancelled job can start any more: no
+// start is on its way, nor an image. Without a leader nobody can say.
+func (b *broadcast) settled(id string) bool {
+	c := b.c
+	if l := c.lead; l != nil && (!l.loaded || l.jobs[id] != nil && l.jobs[id].unsettled()) {
+		return false
+	}
+	led := c.lead != nil
+	for _, p := range c.peers {
+		if !c.fresh(p) || !p.status.Leads {
+			continue
+		}
+		led = true
+		if slices.Contains(p.status.Unsettled, id) {
+			return false
+		}
+	}
+	return led
+}
+
+// unsettled tells whether a task of a cancelled job may start yet.
+func (j *job) unsettled() bool {
+	for _, p := range j.placed {
+		if p.phase < seen || p.state == wire.TaskFetching {
+			return true
+		}
+	}
+	return false
+}
+
+// unsettled gives the cancelled jobs of which a task may start yet, up to a bound.
+func (l *leader) unsettled() []string {
+	var ids []string
+	for _, j := range l.order {
+		if j.cancelled && len(ids) < l.c.mostOpen() && j.unsettled() {
+			ids = append(ids, j.id)
+		}
+	}
+	return ids
+}
+
+// patience is how long a user waits until a leader's stops have settled a job. They take a
+// message to the machine and back.
+func (b *broadcast) patience() time.Duration { return b.c.t.beat / 2 }
+
+// stopping tells whether users wait for a leader to say that a job is settled.
+func (b *broadcast) stopping(p *peer) bool {
+	return p.status.Leads && slices.ContainsFunc(b.open, func(a *announcement) bool { return len(a.waiting) > 0 })
+}
+
 func (b *broadcast) end(a *announcement, everywhere bool) {
 	waiting := a.waiting
 	a.waiting = nil
@@ -89,14 +145,21 @@
 	}
 }
 
-// look answers who waits: with yes where all nodes know, with no where one of those that
-// don't can't be reached.
+// look answers who waits: with yes where all nodes know and no task can start, with no where
+// one of those that don't know can't be reached, or a start is not settled in time.
 func (b *broadcast) look() {
 	keep := b.open[:0]
 	for _, a := range b.open {
-		if b.everywhere(a.item.Version, a) {
+		switch {
+		case !b.everywhere(a.item.Version, a):
+		case b.settled(a.item.Job):
 			b.end(a, true)
 			continue
+		case len(a.waiting) == 0:
+		case b.c.now.Steady < a.since+b.patience():
+			b.c.at(a.since + b.patience())
+		default:
+			b.end(a, false)
 		}
 		keep = append(keep, a)
 		for _, p := range b.c.peers {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -156,6 +156,7 @@
 		c.lead.run()
 	}
 	c.users.run()
+	c.cancels.look()
 }
 
 // call registers what happens with a call's result and gives the call's ID.
@@ -261,6 +262,7 @@
 	if c.lead != nil {
 		s.Leads = true
 		s.ZonesApart = c.lead.apart
+		s.Unsettled = c.lead.unsettled()
 		s.Term = max(s.Term, c.lead.term)
 	}
 	if c.lastReport >= 0 {
--- a/internal/core/judge_test.go
+++ b/internal/core/judge_test.go
@@ -19,7 +19,6 @@
 	jobs   map[string]*judged
 	on     map[string]map[string]onMachine // by task, by machine
 	broken []string
-	late   int // starts after a confirmed cancellation, within the time that its tasks have
 }
 
 type judged struct {
@@ -98,11 +97,11 @@
 		j.breaks(now, "wrong_place", "%s starts on %s (%s, %s, spot %v)", task, machine, kind, zone, spot)
 	}
 	if x.toldAt != 0 {
-		if now > x.toldAt+j.cancel {
-			j.breaks(now, "ran_cancelled", "%s starts on %s, its user was told at %.3f", task, machine, x.toldAt.Seconds())
-		} else {
-			j.late++
+		rule := "ran_cancelled"
+		if now <= x.toldAt+j.cancel {
+			rule = "started_cancelled"
 		}
+		j.breaks(now, rule, "%s starts on %s, its user was told at %.3f", task, machine, x.toldAt.Seconds())
 	}
 }
 
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -310,9 +310,14 @@
 		}
 		m.ordering = true
 		l.ordering++
+		stops := len(cmds) > len(ps)
 		id := l.call(func(r Result) {
 			m.ordering = false
 			l.ordering--
+			if stops && r.Outcome == call.OK && r.Report.Machine == m.name {
+				// What was stopped shows at once: users may wait to be told that nothing starts.
+				l.relayed(&r.Report, true)
+			}
 			if r.Outcome == call.OK {
 				l.due = append(l.due, m) // for what was decided meanwhile
 			}
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -594,6 +594,11 @@
 			j.told(sec(2), sec(2), "cancel", id, 200, wire.JobCancelled)
 			j.starts(sec(2)+simCancel+1, id+"/0", "m1", "g8", "z1", false)
 		},
+		"started_cancelled": func(j *judge) {
+			j.jobs[id].asked = true
+			j.told(sec(2), sec(2), "cancel", id, 200, wire.JobCancelled)
+			j.starts(sec(3), id+"/0", "m1", "g8", "z1", false)
+		},
 		"forgotten poll": func(j *judge) {
 			j.told(sec(1), sec(1), "submit", id, 201, wire.JobPending)
 			j.told(sec(3), sec(2), "poll", id, 404, "")
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -20,6 +20,9 @@
 func (c *Core) runPeers() {
 	for _, p := range c.peers {
 		due := p.askedAt + c.t.beat
+		if p.reached && c.cancels.stopping(p) {
+			due = p.askedAt + c.t.beat/8
+		}
 		if p.asking {
 			continue
 		}
