Users are told once nothing is left in a zone that keeps itself alive; new nodes there go on

Now a cancellation counts as settled only when nothing of the job is left in a zone with nodes of its own while others are elsewhere, so those nodes need to know of none. In other zones, and for an outage without a leader, they have to have read the jobs as before. Ruled out: a sibling's word, since all nodes of the zone ended.

The cost: users whose tasks are on a hanging machine of such a zone get 503 until it is released.

--- a/internal/core/cancellations.go
+++ b/internal/core/cancellations.go
@@ -15,12 +15,14 @@
 // out of reach and for as long as that lasts. What such a node does not know to be cancelled
 // goes on running. So a node tells a user that a job is cancelled only once
 //   - each other node has said that it knows, by the revision that it has read up to or by
-//     taking the cancellation from here, and the leader that no task of it can start any more, or
+//     taking the cancellation from here, and the leader that no task of it can start any more
+//     and none is left in a zone that keeps itself alive when it is cut off, or
 //   - the job is over, which is written only when nothing of it is left on any machine.
 //
 // Until then users get 503, as for all that can't be confirmed. A node that starts anew has
-// forgotten what it knew; it keeps no leases before it has read the jobs, which is later than
-// the write of whatever its earlier process had said that it knows.
+// forgotten what it knew. It keeps no leases before it has read the jobs, which is later than
+// the write of whatever its earlier process had said that it knows; but for those of its own
+// zone while that is cut off, where nothing is left of a job whose user was told.
 type broadcast struct {
 	c    *Core
 	open []*announcement // in the order in which they came
@@ -87,11 +89,11 @@
 	return true
 }
 
-// settled tells whether all who lead say that no task of a cancelled job can start any more: no
-// start is on its way, nor an image. Without a leader nobody can say.
+// settled tells whether all who lead say that a cancelled job is settled. Without a leader nobody
+// can say.
 func (b *broadcast) settled(id string) bool {
 	c := b.c
-	if l := c.lead; l != nil && (!l.loaded || l.jobs[id] != nil && l.jobs[id].unsettled()) {
+	if l := c.lead; l != nil && (!l.loaded || l.jobs[id] != nil && l.unsettled(l.jobs[id])) {
 		return false
 	}
 	led := c.lead != nil
@@ -107,21 +109,31 @@
 	return led
 }
 
-// unsettled tells whether a task of a cancelled job may start yet.
-func (j *job) unsettled() bool {
+// unsettled tells whether a task of a cancelled job may start yet, its start or its image being
+// on the way, or is left in a zone whose nodes answer its workers while it is cut off.
+func (l *leader) unsettled(j *job) bool {
 	for _, p := range j.placed {
-		if p.phase < seen || p.state == wire.TaskFetching {
+		if p.phase < seen || p.state == wire.TaskFetching || l.c.keepsItself(p.machine.zone) {
 			return true
 		}
 	}
 	return false
 }
 
-// unsettled gives the cancelled jobs of which a task may start yet, up to a bound.
-func (l *leader) unsettled() []string {
+// keepsItself tells whether a zone has nodes, and others are elsewhere: see zoneCut.
+func (c *Core) keepsItself(zone string) bool {
+	inside, outside := zone == c.set.Zone, zone != c.set.Zone
+	for _, p := range c.peers {
+		inside, outside = inside || p.zone == zone, outside || p.zone != zone
+	}
+	return inside && outside
+}
+
+// unsettledJobs gives the cancelled jobs that are not settled, up to a bound.
+func (l *leader) unsettledJobs() []string {
 	var ids []string
 	for _, j := range l.order {
-		if j.cancelled && len(ids) < l.c.mostOpen() && j.unsettled() {
+		if j.cancelled && len(ids) < l.c.mostOpen() && l.unsettled(j) {
 			ids = append(ids, j.id)
 		}
 	}
--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -160,8 +160,9 @@
 // that alone lost the network must not hold its workers, which could find the leader;
 // it shows by workers of other zones still reaching it.
 //
-// Only a node that knew the jobs before does this: users are told of no cancellation that it
-// lacks (broadcast), so it may go on for as long as the trouble lasts.
+// It may go on for as long as the trouble lasts. In a zone that is cut off nothing is left of jobs
+// whose users were told of a cancellation; elsewhere only a node that knew the jobs before does
+// this, which lacks no such cancellation (broadcast).
 func (k *caretaker) blind(in Checkin) bool {
 	c, r := k.c, in.Report
 	cut := c.zoneCut()
@@ -169,7 +170,7 @@
 		k.foreign = true
 	}
 	alone := c.noneServed() && c.leadingPeer() == ""
-	if !c.dir.ready || !(cut && !k.foreign) && !alone {
+	if !(cut && !k.foreign) && !(alone && c.dir.ready) {
 		return false
 	}
 	c.answer(in.Req, 200, wire.ReportAnswer{Token: r.Token, Commands: c.cancelledStops(r)})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -262,7 +262,7 @@
 	if c.lead != nil {
 		s.Leads = true
 		s.ZonesApart = c.lead.apart
-		s.Unsettled = c.lead.unsettled()
+		s.Unsettled = c.lead.unsettledJobs()
 		s.Term = max(s.Term, c.lead.term)
 	}
 	if c.lastReport >= 0 {
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -82,7 +82,7 @@
 	ReportAge time.Duration // negative: no worker ever reported to it
 	// ZonesApart are zones whose workers a leader can't reach, nor they it.
 	ZonesApart []string
-	// Unsettled are cancelled jobs of which a leader says that a task may start yet.
+	// Unsettled are cancelled jobs of which a leader says that users may not be told yet.
 	Unsettled []string
 	// Revision is how far it has read the changes of jobs; 0: not yet.
 	Revision uint64
