The last workers of a zone out of the leader's reach get as long as the first

Cause: TestZoneKept released 18 of 200 machines of a cut-off zone once placements ended a moment earlier: most of the zone was kept and passed on already, so it no longer counted as much of a zone silent, and those whose workers tried two dead ends first went after half a lease. Now a zone that the leader knows to be out of its reach (not its own) gets 1.1 leases for each machine.

After: none released. silent_zone: three dead machines of such a zone go a moment later.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -584,9 +584,9 @@
 	case out:
 		// Its own nodes keep its workers alive; dead machines show in the cloud's list.
 		due = m.lastHeard() + time.Duration(float64(lease)*l.c.op.CutLeases)
-	case many, !m.up && m.deaf < 2:
-		// Much of a zone is silent: it may be out of this node's reach alone, with its
-		// workers on their way to a node that keeps them. Or a worker has yet to find
+	case many, m.zone != l.c.set.Zone && slices.Contains(l.apart, m.zone), !m.up && m.deaf < 2:
+		// Much of a zone is silent, or out of this node's reach and kept by others: its workers
+		// may be on their way to a node that keeps them, the last few as well. Or a worker has yet to find
 		// this leader. By then its tasks are gone with its lease, or it was heard of: who
 		// keeps it tells within half a beat.
 		due = m.lastHeard() + lease*11/10
