A leader that has yet to read the records says of no cancelled job that it is settled

Found by reading: its status named none as unsettled, so for up to a beat after a takeover another node could tell a cancellation while an inherited start was on its way.

--- a/internal/core/cancellations.go
+++ b/internal/core/cancellations.go
@@ -129,9 +129,19 @@
 	return inside && outside
 }
 
-// unsettledJobs gives the cancelled jobs that are not settled, up to a bound.
+// unsettledJobs gives the cancelled jobs that are not settled, up to a bound. Before a leader has
+// read the records it can't say so of any.
 func (l *leader) unsettledJobs() []string {
 	var ids []string
+	if !l.loaded {
+		for id, e := range l.c.dir.jobs {
+			if e.CancelledMS != 0 && len(ids) < l.c.mostOpen() {
+				ids = append(ids, id)
+			}
+		}
+		slices.Sort(ids)
+		return ids
+	}
 	for _, j := range l.order {
 		if j.cancelled && len(ids) < l.c.mostOpen() && l.unsettled(j) {
 			ids = append(ids, j.id)
