--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -35,6 +35,7 @@
 //	state a lose           they are carried out, but the answers get lost
 //	state a hold           they get lost on the way, and come late: state a late
 //	state a slow           like hold, but for its transactions alone
+//	state a nolist         the answers to its readings of many keys get lost
 //	state a serve          all is well again
 //	outage / outage over   the state service refuses all; leases start anew after
 //	peers cut / peers join
@@ -408,7 +409,7 @@
 			ws := n.watches
 			n.watches = nil
 			for _, e := range ws {
-				if w.outage || n.mode != "serve" && n.mode != "slow" {
+				if w.outage || n.mode != "serve" && n.mode != "slow" && n.mode != "nolist" {
 					n.watches = append(n.watches, e)
 					continue
 				}
@@ -488,6 +489,9 @@
 		it, o := w.store.Get(e.Key)
 		return w.lost(n, core.Result{ID: e.ID, Outcome: o, Item: it})
 	case core.StateList:
+		if n.mode == "nolist" {
+			return core.Result{ID: e.ID, Outcome: call.Unknown}, true
+		}
 		return w.lost(n, core.Result{ID: e.ID, Outcome: call.OK, Page: w.store.List(e.Prefix, e.After, 500)})
 	case core.StateGrant:
 		if w.refused(n) {
