--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -320,46 +320,27 @@
 	}
 }
 
+// newJob takes a job as in the other traces, and what the world has to know of it.
 func (s *sim) newJob(f []string) *simJob {
-	j := &simJob{runS: 20, spec: &wire.Job{ID: f[0], Class: "c", Team: "green", Kind: wire.KindArray, Priority: "standard", Tasks: 1,
-		CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 10, EstimateS: 20}}
-	x := j.spec
+	j := &simJob{runS: 20}
+	plain, team := []string{f[0]}, "green"
 	for _, kv := range f[1:] {
 		k, v, _ := strings.Cut(kv, "=")
-		n, _ := strconv.ParseFloat(v, 64)
 		switch k {
-		case "kind":
-			if v == "service" {
-				x.Kind, x.EstimateS = wire.KindService, 0
-			}
-		case "tasks":
-			x.Tasks = int(n)
-		case "gpus":
-			x.GPUs = n
-		case "team":
-			x.Team = v
-		case "priority":
-			x.Priority = v
-		case "zone":
-			x.Zone = v
-		case "image":
-			x.Image = v
-		case "one_zone":
-			x.OneZone = true
-		case "spread":
-			x.Spread = true
-		case "spot":
-			x.Spot = true
-		case "save":
-			x.Checkpoint, x.SaveS = 5, n
 		case "run":
-			j.runS, x.EstimateS = n, n
+			j.runS = parseSeconds(s.t, v).Seconds()
 		case "faulty":
 			j.faulty = true
+		case "team":
+			team = v
 		default:
-			s.t.Fatalf("unknown: %s", kv)
+			plain = append(plain, kv)
 		}
 	}
+	j.spec = (&world{t: s.t}).job(append(plain, "team="+team))
+	if j.spec.Kind == wire.KindArray {
+		j.spec.EstimateS = j.runS
+	}
 	return j
 }
 
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -92,7 +92,7 @@
 
 // world is what surrounds the nodes in a trace: a state service, a cloud, links.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	out     strings.Builder
 	now     time.Duration
 	store   *standin.Store
