The leader's own zone out of its reach is judged by what it hears itself

Ruled out: the takeover (0.3 s), the workers' leases (0 or 198 tasks, by what was cut). Now what others pass on does not count for that. Trace own_zone_out_of_reach fails without it.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -509,12 +509,18 @@
 	sort.Strings(zones)
 	l.apart = zones
 	clear(l.cutZones)
-	for zone, n := range silent {
+	for zone, total := range up {
 		// If many of a zone are silent at once, it is rather the network or a change of
-		// leaders. In this node's own zone it is the network only where nearly all are
-		// silent: what cuts zones apart takes none out of reach there, so the rest is dead,
-		// hangs or is cut off from everybody.
-		if n > 3 && n*4 > up[zone] && (zone != l.c.set.Zone || n*4 > 3*up[zone]) {
+		// leaders. In this node's own zone it is the network only where nearly all are out of
+		// its reach: what cuts zones apart takes none out of reach there, so the rest is dead,
+		// hangs or is cut off from everybody. There it counts what this node itself hears. Were
+		// reports that others pass on to count, the first of them would turn all that have yet to
+		// find another node into single silent machines, to be released at once.
+		many := silent[zone] > 3 && silent[zone]*4 > total
+		if zone == l.c.set.Zone {
+			many = apart[zone] > 3 && apart[zone]*4 > 3*total
+		}
+		if many {
 			l.cutZones[zone] = l.c.zoneOut(zone)
 			if l.cutZones[zone] {
 				l.outAt[zone] = now
