Between two terms workers with tasks are kept where they are

Ruled out: the election (20 ms), the reading of the records (0.1 s). A node that the state service serves and that knows of no leader now answers with the worker's own token, as it does in an outage, and starts nothing.

--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -57,6 +57,13 @@
 	return nil
 }
 
+// vacant tells whether nobody leads, between two terms: the state service serves this node and
+// shows no leader, or an earlier process of this very node.
+func (k *caretaker) vacant() bool {
+	d := k.c.dir
+	return d.ready && (d.leadVersion == 0 || d.lead.Node == k.c.set.Node)
+}
+
 // cutOff tells whether the leader leads but can't be reached from here.
 func (k *caretaker) cutOff() bool {
 	p := k.leader()
@@ -89,6 +96,13 @@
 	if c.stateDown {
 		return k.blind(in)
 	}
+	if k.vacant() {
+		// Sent on to the next node, it might wait for one that is down, and lose its lease
+		// before it has found the next leader. The answer repeats its own token, as that of
+		// blind does, and is safe for the same reasons.
+		c.answer(in.Req, 200, wire.ReportAnswer{Token: r.Token, Commands: c.cancelledStops(r)})
+		return true
+	}
 	term := c.dir.lead.Term
 	p := k.leader()
 	if p == nil || termOf(r.Token) > term {
