--- a/internal/core/fulfillment.go
+++ b/internal/core/fulfillment.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"bitternwing/internal/config"
+	"bitternwing/internal/wire"
 )
 
 // This file is the order of the design document: which elastic job is fed and
@@ -103,11 +104,11 @@
 // oldest first: an exception to the order of fulfillment. Equal shares let all arrays
 // that compete end at about the same, late time; one after the other, most are in time.
 // It takes from nobody.
-func (r *round) keepPace() {
+func (r *round) keepPace(jobs []*job) {
 	l := r.l
 	var late []*job
-	for _, j := range l.order {
-		if j.array() && r.ready(j) && j.unplaced() > 0 && j.instances() < l.pace(j) {
+	for _, j := range jobs {
+		if j.instances() < l.pace(j) {
 			late = append(late, j)
 		}
 	}
@@ -130,17 +131,39 @@
 	}
 }
 
+// shareOut gives free room to arrays. Idle-time work comes last: it takes what all else leaves,
+// and gives way to what found no room.
+func (r *round) shareOut() {
+	var wanted, idle []*job
+	for _, j := range r.l.order {
+		switch {
+		case !j.array() || !r.ready(j) || j.unplaced() == 0:
+		case j.idleTime():
+			idle = append(idle, j)
+		default:
+			wanted = append(wanted, j)
+		}
+	}
+	r.keepPace(wanted)
+	for _, h := range r.feed(wanted) {
+		r.preemptIdle(h)
+	}
+	r.keepPace(idle)
+	r.feed(idle)
+}
+
 // feed gives free room, one instance at a time, to the least fulfilled job below
 // 1.0. A job that finds no room for its next instance, or has reached its team's
-// limit, is out of this round.
-func (r *round) feed() {
+// limit, is out of this round. It returns those that found no room.
+func (r *round) feed(jobs []*job) []*hungry {
 	l := r.l
 	q := feedQueue{}
-	for _, j := range l.order {
-		if j.array() && r.ready(j) && j.unplaced() > 0 {
+	for _, j := range jobs {
+		if j.unplaced() > 0 {
 			q = append(q, &hungry{job: j, current: j.instances()})
 		}
 	}
+	var lacking []*hungry
 	heap.Init(&q)
 	for len(q) > 0 && r.budget() {
 		h := q[0]
@@ -151,6 +174,7 @@
 		}
 		m := r.fit(h.job, task)
 		if m == nil {
+			lacking = append(lacking, h)
 			heap.Pop(&q)
 			continue
 		}
@@ -160,8 +184,24 @@
 		h.from = task + 1
 		heap.Fix(&q, 0)
 	}
+	return lacking
 }
 
+// preemptIdle makes room for an array's further instances, where only idle-time work above its
+// minimum is in their way: an exception to the design, which takes for minimums alone. Work that
+// is to run when nobody else wants the machines must not keep them from anybody, and its
+// tasks can hold all the CPUs of a fleet whose GPUs are free.
+func (r *round) preemptIdle(h *hungry) {
+	lacks := h.job.maxInstance() - h.current
+	for lacks > 0 && r.budget() && r.use.allows(h.job, 1) && r.shrinkFor(h.job, 1, r.idleVictim) {
+		r.use.add(h.job, 1) // it is as good as placed: its team's limit holds for the next one
+		lacks--
+	}
+}
+
+// idleTime tells whether a job is to run only on what nobody else wants.
+func (j *job) idleTime() bool { return priority(j) == wire.Priority(wire.PriorityIdle) }
+
 // mayStop tells whether the protocol lets a task of victim be stopped for job j: j
 // is of higher priority, or j lies within its team's guarantee and the victim's
 // team, another one, runs beyond its own.
--- a/internal/wire/user.go
+++ b/internal/wire/user.go
@@ -42,7 +42,10 @@
 )
 
 // Priorities from the most to the least important.
-var priorities = map[string]int{"prod": 3, "high": 2, "standard": 1, "idle": 0}
+var priorities = map[string]int{"prod": 3, "high": 2, "standard": 1, PriorityIdle: 0}
+
+// PriorityIdle is the priority of work that is to run only on what nobody else wants.
+const PriorityIdle = "idle"
 
 // Priority gives the rank of a priority; a larger one goes first.
 func Priority(name string) int { return priorities[name] }
