Ends of jobs and urgent records are written before those of a huge array; cancelled tasks get to report

The end of a job needs two at once, which never came together: ends waited more than 10 s, and records of services queued behind 195 of the array. Now ends get theirs, the most urgent records go first, and idle-time ones leave half a second's worth. A leader that ended meanwhile left tasks of jobs on record that were cancelled 12 s before and long gone; the next one released their machines as it began (5 machines with 53 tasks).

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -476,6 +476,11 @@
 	if j == nil || task >= j.spec.Tasks {
 		return l.c.dir.jobs[id] == nil || task >= l.c.dir.jobs[id].Job.Tasks
 	}
+	if j.final {
+		// Its end holds what this exit tells, and is yet to be written: no record is written of it
+		// any more, so a clean one proves nothing.
+		return false
+	}
 	ch := j.chunks[task/l.chunkSize()]
 	if ch != nil && !ch.clean() {
 		return false
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -356,13 +356,22 @@
 		if !j.cancelled || len(j.placed) == 0 {
 			continue
 		}
-		// Releasing takes a call or two and a retry; half the time is left for it.
-		due := j.cancelledAt + l.c.t.cancel*4/10
-		if l.c.now.Steady < due {
-			continue
-		}
 		for _, p := range j.byTask() {
-			l.rentals.release(p.machine, "a cancelled task does not go")
+			if l.c.now.Steady >= l.cancelDue(p) {
+				l.rentals.release(p.machine, "a cancelled task does not go")
+			}
 		}
 	}
 }
+
+// cancelDue tells when a machine with a task of a cancelled job is released for it. Releasing takes
+// a call or two and a retry: half the time is left for it. What an earlier leader
+// recorded may long be gone, its end not yet written: the machine gets the time to say so here,
+// as far as there is any.
+func (l *leader) cancelDue(p *placement) time.Duration {
+	due := p.job.cancelledAt + l.c.t.cancel*4/10
+	if !p.machine.up {
+		due = max(due, min(l.since+l.c.t.lease/2, p.job.cancelledAt+l.c.t.cancel*6/10))
+	}
+	return due
+}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -59,7 +60,7 @@
 
 func (w *writer) refill() {
 	now := w.l.c.now.Steady
-	w.tokens = min(w.rate(), w.tokens+w.rate()*(now-w.tokensAt).Seconds())
+	w.tokens = min(max(w.rate(), endWrites), w.tokens+w.rate()*(now-w.tokensAt).Seconds())
 	w.tokensAt = now
 }
 
@@ -67,18 +68,43 @@
 	c := w.l.c
 	w.refill()
 	for w.inFlight < 2 && !c.stateDown {
-		if w.tokens < 1 {
-			c.at(c.now.Steady + config.Seconds(1/w.rate()))
+		if need := w.least(); w.tokens < need {
+			w.wakeAt(need)
 			return
 		}
 		if !w.one() {
 			break
 		}
 	}
+	if len(w.dirty) > 0 && w.tokens < w.reserve()+1 {
+		w.wakeAt(w.reserve() + 1)
+	}
 	w.counts()
 	w.writeCatalog()
 }
 
+// endWrites is what the end of a job takes at least: its final state is put, its key deleted.
+const endWrites = 2
+
+// least is what a transaction has to be able to write. Where writes are scarce the end of a job
+// would never find its two at once, were records of tasks to take each as it comes.
+func (w *writer) least() float64 {
+	if len(w.finishes) > 0 {
+		return endWrites
+	}
+	return 1
+}
+
+// reserve is what records of idle-time work leave to all other writes: a huge array of short
+// tasks always has more to write than the rate allows.
+func (w *writer) reserve() float64 { return w.rate() / 2 }
+
+// wakeAt has the core woken when there are so many tokens.
+func (w *writer) wakeAt(tokens float64) {
+	c := w.l.c
+	c.at(c.now.Steady + max(time.Millisecond, config.Seconds((tokens-w.tokens)/w.rate())))
+}
+
 // batch is a transaction being put together.
 type batch struct {
 	txn    wire.Txn
@@ -110,7 +136,7 @@
 		if l.jobs[j.id] != j {
 			continue
 		}
-		if len(b.txn.Then)+2 > ops {
+		if len(b.txn.Then)+endWrites > ops {
 			laterJobs = append(laterJobs, w.finishes[i:]...)
 			break
 		}
@@ -120,6 +146,9 @@
 	}
 	w.finishes = laterJobs
 
+	// Then records of tasks, the most urgent work first: what starts waits for them.
+	slices.SortStableFunc(w.dirty, func(a, b *chunk) int { return priority(b.job) - priority(a.job) })
+	idleOps := int(w.tokens - w.reserve())
 	var laterChunks []*chunk
 	for _, ch := range w.dirty {
 		if ch.job.final || l.jobs[ch.job.id] != ch.job {
@@ -127,7 +156,7 @@
 			continue
 		}
 		if ch.inFlight || ch.reading || len(b.txn.Then) >= ops || len(b.txn.If)+2 > 4*c.set.Params.State.TxnOps ||
-			b.size > wire.MaxBody/2 {
+			b.size > wire.MaxBody/2 || ch.job.idleTime() && len(b.txn.Then) >= idleOps {
 			laterChunks = append(laterChunks, ch)
 			continue
 		}
