--- a/.ci/knownred/main.go
+++ b/.ci/knownred/main.go
@@ -82,7 +82,7 @@
 	for scan.Scan() {
 		var e event
 		if json.Unmarshal(scan.Bytes(), &e) != nil {
-			fmt.Fprintln(out, scan.Text())
+			say(out, scan.Text())
 			continue
 		}
 		key := e.Package + " " + e.Test
@@ -96,7 +96,7 @@
 			if e.Test != "" {
 				passed++
 			} else {
-				fmt.Fprintln(out, "ok  ", e.Package)
+				say(out, "ok  ", e.Package)
 			}
 			delete(output, key)
 		case "build-fail":
@@ -117,7 +117,7 @@
 		if !failed[test] {
 			return fmt.Errorf("KNOWN-RED names %s, which does not exist or does not fail", test)
 		}
-		fmt.Fprintln(out, "KNOWN RED:", line)
+		say(out, "KNOWN RED:", line)
 		for name := test; name != ""; {
 			excused[name] = true // a test fails with its part
 			i := strings.LastIndex(name, "/")
@@ -132,23 +132,26 @@
 		}
 		if !part {
 			red++
-			fmt.Fprintln(out, "FAIL", test)
+			say(out, "FAIL", test)
 		}
 	}
 	for name := range packages {
 		if !byTest[name] {
 			red++ // it did not build, or ended outside a test
-			fmt.Fprintln(out, "FAIL", name)
+			say(out, "FAIL", name)
 		}
 	}
 	for key, b := range output {
 		if text := b.String(); strings.Contains(text, "FAIL") || strings.Contains(text, "panic:") || strings.HasSuffix(key, " ") {
-			fmt.Fprint(out, text)
+			say(out, strings.TrimSuffix(text, "\n"))
 		}
 	}
-	fmt.Fprintf(out, "%d passed, %d failed\n", passed, red)
+	say(out, fmt.Sprintf("%d passed, %d failed", passed, red))
 	if red > 0 {
 		return fmt.Errorf("%d failed", red)
 	}
 	return nil
 }
+
+// say prints a line. Whoever can't print it has nobody to tell; the exit status stands.
+func say(out io.Writer, args ...any) { _, _ = fmt.Fprintln(out, args...) }
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -100,7 +100,7 @@
 		}
 		return Unknown
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBody+1))
 	o := outcomeOf(resp.StatusCode)
 	if err != nil || int64(len(data)) > c.maxBody {
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -25,7 +25,7 @@
 			return
 		}
 		w.WriteHeader(a.status)
-		w.Write([]byte(a.body))
+		_, _ = w.Write([]byte(a.body))
 	}))
 	defer s.Close()
 	defer close(end)
@@ -63,7 +63,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.Close()
+	_ = l.Close()
 	if got := do(New(l.Addr().String(), 1000, 2, 100)); got != Refused {
 		t.Errorf("a connection that never stood: %v", got)
 	}
--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -184,7 +184,7 @@
 		k.foreign = true
 	}
 	alone := c.noneServed() && c.leadingPeer() == ""
-	if !(cut && !k.foreign) && !(alone && c.dir.ready) {
+	if wholeZone, lastWord := cut && !k.foreign, alone && c.dir.ready; !wholeZone && !lastWord {
 		return false
 	}
 	c.answer(in.Req, 200, wire.ReportAnswer{Token: r.Token, Commands: c.cancelledStops(r)})
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -21,7 +21,6 @@
 	listed   bool          // seen in the cloud's list
 	listedAt time.Duration
 	missing  int  // complete lists in a row that lack it
-	failed   bool // the cloud says that it stopped
 	seenUp   bool // it has reported at some time, in this term or an earlier one
 
 	up      bool // it has reported in this term
@@ -560,7 +559,7 @@
 	if m.lastHeard() > m.inspectedAt {
 		m.deaf = 0
 	}
-	if !(m.up || m.seenUp) || m.releasing || m.inspecting || m.addr == "" || l.inspecting >= l.c.mostInspections() ||
+	if !m.up && !m.seenUp || m.releasing || m.inspecting || m.addr == "" || l.inspecting >= l.c.mostInspections() ||
 		now-max(m.heard, m.reached) < l.c.t.lease/4 || now-m.inspectedAt < l.c.t.beat {
 		return
 	}
--- a/internal/core/images.go
+++ b/internal/core/images.go
@@ -35,32 +35,7 @@
 		return
 	}
 	h.at = c.now.Steady
-	// As many keys as the fleet needs, each within the limit of a value.
-	shards := []map[string][]string{{}}
-	most := c.mostValue()
-	sum := 0
-	for _, m := range l.fleet {
-		names := []string{}
-		size := len(m.name) + 8
-		for _, img := range m.images {
-			if img.ready {
-				names = append(names, img.name)
-				size += len(img.name) + 8
-			}
-		}
-		if len(names) == 0 {
-			continue
-		}
-		if sum += size; sum > most {
-			shards = append(shards, map[string][]string{})
-			sum = size
-		}
-		shards[len(shards)-1][m.name] = names
-	}
-	for len(shards) < h.shards {
-		shards = append(shards, map[string][]string{}) // a smaller fleet empties the rest
-	}
-	h.shards = max(h.shards, len(shards))
+	shards := h.shardsOf(l.fleet)
 	txn := wire.Txn{If: []wire.Cond{{Key: keyTerm, Version: l.version}}}
 	for i, s := range shards {
 		k := keyImages + strconv.Itoa(i)
@@ -90,6 +65,37 @@
 	c.send(StateTxn{ID: id, Txn: txn})
 }
 
+// shardsOf gives the images of all machines, in as many keys as the fleet needs, each within the
+// limit of a value.
+func (h *imageHints) shardsOf(fleet []*machine) []map[string][]string {
+	shards := []map[string][]string{{}}
+	most := h.l.c.mostValue()
+	sum := 0
+	for _, m := range fleet {
+		names := []string{}
+		size := len(m.name) + 8
+		for _, img := range m.images {
+			if img.ready {
+				names = append(names, img.name)
+				size += len(img.name) + 8
+			}
+		}
+		if len(names) == 0 {
+			continue
+		}
+		if sum += size; sum > most {
+			shards = append(shards, map[string][]string{})
+			sum = size
+		}
+		shards[len(shards)-1][m.name] = names
+	}
+	for len(shards) < h.shards {
+		shards = append(shards, map[string][]string{}) // a smaller fleet empties the rest
+	}
+	h.shards = max(h.shards, len(shards))
+	return shards
+}
+
 // hint gives a machine, when first seen in this term, the images that the last
 // leader knew of.
 func (l *leader) hint(m *machine) {
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -27,16 +27,19 @@
 // Tick is the passing of time.
 type Tick struct{}
 
-// Submit, Poll and Cancel are requests of users. Req names the waiting request.
+// Requests of users. Req names the waiting request.
 type (
+	// Submit hands in a job.
 	Submit struct {
 		Req uint64
 		Job *wire.Job
 	}
+	// Poll asks for a job's state.
 	Poll struct {
 		Req uint64
 		ID  string
 	}
+	// Cancel calls a job off.
 	Cancel struct {
 		Req uint64
 		ID  string
@@ -110,39 +113,50 @@
 
 // The calls; each is answered by one Result with its ID.
 type (
+	// StateGet reads a key.
 	StateGet struct {
 		ID  uint64
 		Key string
 	}
+	// StateList reads the keys below a prefix, a page at a time.
 	StateList struct {
 		ID            uint64
 		Prefix, After string
 	}
+	// StateTxn carries out a transaction.
 	StateTxn struct {
 		ID  uint64
 		Txn wire.Txn
 	}
+	// StateGrant asks for a lease.
 	StateGrant struct {
 		ID  uint64
 		TTL time.Duration
 	}
+	// StateExtend renews a lease.
 	StateExtend struct{ ID, Lease uint64 }
+	// StateRevoke ends a lease.
 	StateRevoke struct{ ID, Lease uint64 }
-	StateWatch  struct {
+	// StateWatch waits for changes of the keys below a prefix.
+	StateWatch struct {
 		ID     uint64
 		Prefix string
 		After  uint64
 		Wait   time.Duration
 	}
+	// CloudCatalog reads the machine types.
 	CloudCatalog struct{ ID uint64 }
-	CloudRent    struct {
+	// CloudRent asks for machines.
+	CloudRent struct {
 		ID      uint64
 		Request wire.RentRequest
 	}
+	// CloudRelease gives machines back.
 	CloudRelease struct {
 		ID    uint64
 		Names []string
 	}
+	// CloudList reads a page of the machines that the cloud lists.
 	CloudList struct {
 		ID    uint64
 		After string
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -367,7 +367,7 @@
 			}
 			got := strings.Join(script, "\n") + "\n" + s.out.String()
 			if *showIn != "" {
-				os.WriteFile(filepath.Join(*showIn, filepath.Base(file)+".all"), []byte(s.all.String()), 0o644)
+				show(t, filepath.Base(file)+".all", s.all.String())
 			}
 			switch {
 			case *update:
@@ -393,13 +393,20 @@
 			}
 			t.Errorf("%s\n%s", strings.Join(broken, "\n"), script)
 			if *showIn != "" {
-				os.WriteFile(filepath.Join(*showIn, fmt.Sprintf("%d.trace", seed)), []byte(script), 0o644)
-				os.WriteFile(filepath.Join(*showIn, fmt.Sprintf("%d.all", seed)), []byte(s.all.String()), 0o644)
+				show(t, fmt.Sprintf("%d.trace", seed), script)
+				show(t, fmt.Sprintf("%d.all", seed), s.all.String())
 			}
 		})
 	}
 }
 
+// show writes a file into the directory that -show names.
+func show(t *testing.T, name, text string) {
+	if err := os.WriteFile(filepath.Join(*showIn, name), []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestSearchRepeats plays a day twice: the same comes of it, to the byte.
 func TestSearchRepeats(t *testing.T) {
 	a, _ := playDay(t, randomDay(5))
@@ -527,79 +534,88 @@
 	return b.String()
 }
 
+// Jobs of TestJudge.
+const judgedID, otherID = "run-000001", "run-000002"
+
+// judgedJob is the job that TestJudge submits.
+func judgedJob(t testing.TB) *wire.Job {
+	return (&sim{t: t}).newJob([]string{judgedID, "tasks=4", "gpus=3", "team=red"}).spec
+}
+
+// seconds gives a time in seconds.
+func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+
+// judgedDays break one rule each, which the first word of their name tells.
+var judgedDays = map[string]func(j *judge){
+	"ran_twice": func(j *judge) {
+		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
+		j.starts(seconds(2), judgedID+"/0", "m2", "g8", "z1", false)
+	},
+	"quota": func(j *judge) {
+		for i := range 3 {
+			j.starts(seconds(1), wire.TaskName(judgedID, i), "m1", "g8", "z1", false)
+		}
+	},
+	"wrong_place spot": func(j *judge) { j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", true) },
+	"wrong_place type": func(j *judge) {
+		j.jobs[judgedID].spec.Types = []string{"h4"}
+		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
+	},
+	"wrong_place zone": func(j *judge) {
+		j.submits(judgedJob(nil)).spec.Zone = "z2"
+		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
+	},
+	"wrong_place one_zone": func(j *judge) {
+		j.jobs[judgedID].spec.OneZone = true
+		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
+		j.starts(seconds(1), judgedID+"/1", "m2", "g8", "z2", false)
+	},
+	"wrong_place spread": func(j *judge) {
+		j.jobs[judgedID].spec.Spread, j.jobs[judgedID].spec.GPUs = true, 1
+		for i := range 3 {
+			j.starts(seconds(1), wire.TaskName(judgedID, i), "m1", "g8", "z1", false)
+		}
+	},
+	"ran_cancelled stays": func(j *judge) {
+		j.jobs[judgedID].asked = true
+		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
+		j.told(seconds(2), seconds(2), "cancel", judgedID, 200, wire.JobCancelled)
+		j.passes(seconds(2) + simCancel + 1)
+	},
+	"ran_cancelled starts": func(j *judge) {
+		j.jobs[judgedID].asked = true
+		j.told(seconds(2), seconds(2), "cancel", judgedID, 200, wire.JobCancelled)
+		j.starts(seconds(2)+simCancel+1, judgedID+"/0", "m1", "g8", "z1", false)
+	},
+	"started_cancelled": func(j *judge) {
+		j.jobs[judgedID].asked = true
+		j.told(seconds(2), seconds(2), "cancel", judgedID, 200, wire.JobCancelled)
+		j.starts(seconds(3), judgedID+"/0", "m1", "g8", "z1", false)
+	},
+	"forgotten poll": func(j *judge) {
+		j.told(seconds(1), seconds(1), "submit", judgedID, 201, wire.JobPending)
+		j.told(seconds(3), seconds(2), "poll", judgedID, 404, "")
+	},
+	"forgotten submit": func(j *judge) {
+		j.told(seconds(1), seconds(1), "submit", judgedID, 201, wire.JobPending)
+		j.told(seconds(3), seconds(2), "submit", judgedID, 422, "")
+	},
+	"invented answer": func(j *judge) { j.told(seconds(1), seconds(1), "poll", otherID, 200, wire.JobPending) },
+	"invented start":  func(j *judge) { j.starts(seconds(1), otherID+"/0", "m1", "g8", "z1", false) },
+	"not_done":        func(j *judge) { j.told(seconds(1), seconds(1), "poll", judgedID, 200, wire.JobDone) },
+	"went_back": func(j *judge) {
+		j.jobs[judgedID].asked = true
+		j.told(seconds(2), seconds(1), "cancel", judgedID, 200, wire.JobCancelled)
+		j.told(seconds(4), seconds(3), "poll", judgedID, 200, wire.JobRunning)
+	},
+	"went_back unasked": func(j *judge) { j.told(seconds(2), seconds(1), "poll", judgedID, 200, wire.JobCancelled) },
+}
+
 // TestJudge shows that each check of the judge can fail.
 func TestJudge(t *testing.T) {
-	const id, other = "run-000001", "run-000002"
-	job := func(f ...string) *wire.Job {
-		return (&sim{t: t}).newJob(append([]string{id, "tasks=4", "gpus=3", "team=red"}, f...)).spec
-	}
-	sec := func(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
-	for rule, day := range map[string]func(j *judge){
-		"ran_twice": func(j *judge) {
-			j.starts(sec(1), id+"/0", "m1", "g8", "z1", false)
-			j.starts(sec(2), id+"/0", "m2", "g8", "z1", false)
-		},
-		"quota": func(j *judge) {
-			for i := range 3 {
-				j.starts(sec(1), wire.TaskName(id, i), "m1", "g8", "z1", false)
-			}
-		},
-		"wrong_place spot": func(j *judge) { j.starts(sec(1), id+"/0", "m1", "g8", "z1", true) },
-		"wrong_place type": func(j *judge) {
-			j.jobs[id].spec.Types = []string{"h4"}
-			j.starts(sec(1), id+"/0", "m1", "g8", "z1", false)
-		},
-		"wrong_place zone": func(j *judge) {
-			j.submits(job()).spec.Zone = "z2"
-			j.starts(sec(1), id+"/0", "m1", "g8", "z1", false)
-		},
-		"wrong_place one_zone": func(j *judge) {
-			j.jobs[id].spec.OneZone = true
-			j.starts(sec(1), id+"/0", "m1", "g8", "z1", false)
-			j.starts(sec(1), id+"/1", "m2", "g8", "z2", false)
-		},
-		"wrong_place spread": func(j *judge) {
-			j.jobs[id].spec.Spread, j.jobs[id].spec.GPUs = true, 1
-			for i := range 3 {
-				j.starts(sec(1), wire.TaskName(id, i), "m1", "g8", "z1", false)
-			}
-		},
-		"ran_cancelled stays": func(j *judge) {
-			j.jobs[id].asked = true
-			j.starts(sec(1), id+"/0", "m1", "g8", "z1", false)
-			j.told(sec(2), sec(2), "cancel", id, 200, wire.JobCancelled)
-			j.passes(sec(2) + simCancel + 1)
-		},
-		"ran_cancelled starts": func(j *judge) {
-			j.jobs[id].asked = true
-			j.told(sec(2), sec(2), "cancel", id, 200, wire.JobCancelled)
-			j.starts(sec(2)+simCancel+1, id+"/0", "m1", "g8", "z1", false)
-		},
-		"started_cancelled": func(j *judge) {
-			j.jobs[id].asked = true
-			j.told(sec(2), sec(2), "cancel", id, 200, wire.JobCancelled)
-			j.starts(sec(3), id+"/0", "m1", "g8", "z1", false)
-		},
-		"forgotten poll": func(j *judge) {
-			j.told(sec(1), sec(1), "submit", id, 201, wire.JobPending)
-			j.told(sec(3), sec(2), "poll", id, 404, "")
-		},
-		"forgotten submit": func(j *judge) {
-			j.told(sec(1), sec(1), "submit", id, 201, wire.JobPending)
-			j.told(sec(3), sec(2), "submit", id, 422, "")
-		},
-		"invented answer": func(j *judge) { j.told(sec(1), sec(1), "poll", other, 200, wire.JobPending) },
-		"invented start":  func(j *judge) { j.starts(sec(1), other+"/0", "m1", "g8", "z1", false) },
-		"not_done":        func(j *judge) { j.told(sec(1), sec(1), "poll", id, 200, wire.JobDone) },
-		"went_back": func(j *judge) {
-			j.jobs[id].asked = true
-			j.told(sec(2), sec(1), "cancel", id, 200, wire.JobCancelled)
-			j.told(sec(4), sec(3), "poll", id, 200, wire.JobRunning)
-		},
-		"went_back unasked": func(j *judge) { j.told(sec(2), sec(1), "poll", id, 200, wire.JobCancelled) },
-	} {
+	for rule, day := range judgedDays {
 		j := newJudge(map[string]float64{"red": 8}, simCancel)
-		j.submits(job())
+		j.submits(judgedJob(t))
 		if day(j); len(j.broken) != 1 || !strings.Contains(j.broken[0], strings.Fields(rule)[0]) {
 			t.Errorf("%s: the judge says %v", rule, j.broken)
 		}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -26,7 +26,8 @@
 		if p.asking {
 			continue
 		}
-		if p.askedAt != 0 && c.now.Steady < due && !(p.reached && len(c.cancels.missing(p)) > 0) {
+		mayWait := !p.reached || len(c.cancels.missing(p)) == 0
+		if p.askedAt != 0 && c.now.Steady < due && mayWait {
 			c.at(due)
 			continue
 		}
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -35,7 +35,6 @@
 	nodes   []*yardNode
 	workers []*yardWorker
 	byAddr  map[string]*yardWorker
-	booting int
 	rented  int
 	most    int // machines that the cloud has
 	jobs    int
@@ -214,7 +213,7 @@
 			t.State, t.Why, t.at = wire.TaskExited, wire.WhyDone, 0
 		}
 	}
-	if y.now < w.due && !(changed && w.due-y.now < 500*time.Millisecond) {
+	if early := w.due - y.now; early > 0 && (!changed || early >= 500*time.Millisecond) {
 		return
 	}
 	report := config.Seconds(y.set.Params.Workers.ReportS)
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -347,24 +347,24 @@
 	for _, kv := range f[1:] {
 		k, v, _ := strings.Cut(kv, "=")
 		num, _ := strconv.ParseFloat(v, 64)
-		switch {
-		case k == "session":
+		switch k {
+		case "session":
 			r.Session = uint64(num)
-		case k == "seq":
+		case "seq":
 			r.Seq = uint64(num)
-		case k == "token":
+		case "token":
 			// term, or term.count within the term
 			term, count, _ := strings.Cut(v, ".")
 			a, _ := strconv.ParseUint(term, 10, 64)
 			b, _ := strconv.ParseUint(count, 10, 64)
 			r.Token = a*1_000_000 + b
-		case k == "notice":
+		case "notice":
 			r.NoticeS = &num
-		case k == "spot":
+		case "spot":
 			r.Spot = true
-		case k == "zone":
+		case "zone":
 			r.Zone = v
-		case k == "addr":
+		case "addr":
 			r.Addr = v
 		default:
 			task, att, ok := strings.Cut(k, "#")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,7 @@
 	}
 	inner, err := lc.Listen(ctx, "tcp4", n.set.PeerListen)
 	if err != nil {
-		public.Close()
+		_ = public.Close()
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -113,10 +113,11 @@
 		err = nil
 	case err = <-errs:
 	}
-	hs.Close()
+	// The process ends: connections that can't be closed end with it.
+	_ = hs.Close()
 	ps.Stop()
 	for _, c := range n.peers {
-		c.Close()
+		_ = c.Close()
 	}
 	return err
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -110,10 +110,10 @@
 	if err != nil {
 		return 0, wire.JobState{}
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	var st wire.JobState
 	data, _ := io.ReadAll(resp.Body)
-	json.NewDecoder(bytes.NewReader(data)).Decode(&st)
+	_ = json.NewDecoder(bytes.NewReader(data)).Decode(&st) // an answer without a body has no state
 	return resp.StatusCode, st
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -113,7 +113,7 @@
 }
 
 // Close ends the server at once.
-func (s *Server) Close() { s.http.Close() }
+func (s *Server) Close() error { return s.http.Close() }
 
 type errorBody struct {
 	Error string `json:"error"`
@@ -131,7 +131,7 @@
 		h.Set("Retry-After", strconv.Itoa(retryAfter))
 	}
 	w.WriteHeader(status)
-	w.Write(data)
+	_, _ = w.Write(data) // a caller that has gone away learns nothing
 }
 
 func (s *Server) ask(w http.ResponseWriter, r *http.Request, patience time.Duration, input func(uint64) core.Input) {
@@ -184,7 +184,7 @@
 
 func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
-	io.Copy(io.Discard, io.LimitReader(r.Body, wire.MaxBody))
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, wire.MaxBody))
 	s.ask(w, r, userPatience, func(req uint64) core.Input { return core.Cancel{Req: req, ID: id} })
 }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -26,8 +26,8 @@
 		t.Fatal(err)
 	}
 	s := New(fixed{}, 9)
-	go s.Serve(l)
-	defer s.Close()
+	go func() { _ = s.Serve(l) }()
+	defer func() { _ = s.Close() }()
 	url := "http://" + l.Addr().String()
 	do := func(method, path, body string) *http.Response {
 		t.Helper()
@@ -41,8 +41,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		io.Copy(io.Discard, r.Body)
-		r.Body.Close()
+		_, _ = io.Copy(io.Discard, r.Body)
+		_ = r.Body.Close()
 		return r
 	}
 	closed := 0
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -58,7 +58,7 @@
 func answer(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(body)
+	_ = json.NewEncoder(w).Encode(body)
 }
 
 var statusOf = map[call.Outcome]int{call.OK: 200, call.Conflict: 409, call.Missing: 404, call.Invalid: 400, call.TooOld: 410}
@@ -270,6 +270,6 @@
 	if err != nil {
 		panic(err)
 	}
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -126,7 +126,7 @@
 			}
 		case 421:
 			var to wire.Redirect
-			json.NewDecoder(resp.Body).Decode(&to)
+			_ = json.NewDecoder(resp.Body).Decode(&to) // without a body it tries the next node
 			next := at + 1
 			for i, n := range names {
 				if n == to.Leader && i != at {
@@ -137,7 +137,7 @@
 		default:
 			at++
 		}
-		resp.Body.Close()
+		_ = resp.Body.Close()
 	}
 }
 
