--- a/internal/core/judge_test.go
+++ b/internal/core/judge_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
+	"testing"
 	"time"
 
 	"bitternwing/internal/wire"
@@ -179,3 +181,91 @@
 	sort.Strings(ks)
 	return ks
 }
+
+// Jobs of TestJudge.
+const judgedID, otherID = "run-000001", "run-000002"
+
+// judgedJob is the job that TestJudge submits.
+func judgedJob(t testing.TB) *wire.Job {
+	return (&sim{t: t}).newJob([]string{judgedID, "tasks=4", "gpus=3", "team=red"}).spec
+}
+
+// seconds gives a time in seconds.
+func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+
+// judgedDays break one rule each, which the first word of their name tells.
+var judgedDays = map[string]func(j *judge){
+	"ran_twice": func(j *judge) {
+		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
+		j.starts(seconds(2), judgedID+"/0", "m2", "g8", "z1", false)
+	},
+	"quota": func(j *judge) {
+		for i := range 3 {
+			j.starts(seconds(1), wire.TaskName(judgedID, i), "m1", "g8", "z1", false)
+		}
+	},
+	"wrong_place spot": func(j *judge) { j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", true) },
+	"wrong_place type": func(j *judge) {
+		j.jobs[judgedID].spec.Types = []string{"h4"}
+		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
+	},
+	"wrong_place zone": func(j *judge) {
+		j.submits(judgedJob(nil)).spec.Zone = "z2"
+		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
+	},
+	"wrong_place one_zone": func(j *judge) {
+		j.jobs[judgedID].spec.OneZone = true
+		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
+		j.starts(seconds(1), judgedID+"/1", "m2", "g8", "z2", false)
+	},
+	"wrong_place spread": func(j *judge) {
+		j.jobs[judgedID].spec.Spread, j.jobs[judgedID].spec.GPUs = true, 1
+		for i := range 3 {
+			j.starts(seconds(1), wire.TaskName(judgedID, i), "m1", "g8", "z1", false)
+		}
+	},
+	"ran_cancelled stays": func(j *judge) {
+		j.jobs[judgedID].asked = true
+		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
+		j.told(seconds(2), seconds(2), "cancel", judgedID, 200, wire.JobCancelled)
+		j.passes(seconds(2) + simCancel + 1)
+	},
+	"ran_cancelled starts": func(j *judge) {
+		j.jobs[judgedID].asked = true
+		j.told(seconds(2), seconds(2), "cancel", judgedID, 200, wire.JobCancelled)
+		j.starts(seconds(2)+simCancel+1, judgedID+"/0", "m1", "g8", "z1", false)
+	},
+	"started_cancelled": func(j *judge) {
+		j.jobs[judgedID].asked = true
+		j.told(seconds(2), seconds(2), "cancel", judgedID, 200, wire.JobCancelled)
+		j.starts(seconds(3), judgedID+"/0", "m1", "g8", "z1", false)
+	},
+	"forgotten poll": func(j *judge) {
+		j.told(seconds(1), seconds(1), "submit", judgedID, 201, wire.JobPending)
+		j.told(seconds(3), seconds(2), "poll", judgedID, 404, "")
+	},
+	"forgotten submit": func(j *judge) {
+		j.told(seconds(1), seconds(1), "submit", judgedID, 201, wire.JobPending)
+		j.told(seconds(3), seconds(2), "submit", judgedID, 422, "")
+	},
+	"invented answer": func(j *judge) { j.told(seconds(1), seconds(1), "poll", otherID, 200, wire.JobPending) },
+	"invented start":  func(j *judge) { j.starts(seconds(1), otherID+"/0", "m1", "g8", "z1", false) },
+	"not_done":        func(j *judge) { j.told(seconds(1), seconds(1), "poll", judgedID, 200, wire.JobDone) },
+	"went_back": func(j *judge) {
+		j.jobs[judgedID].asked = true
+		j.told(seconds(2), seconds(1), "cancel", judgedID, 200, wire.JobCancelled)
+		j.told(seconds(4), seconds(3), "poll", judgedID, 200, wire.JobRunning)
+	},
+	"went_back unasked": func(j *judge) { j.told(seconds(2), seconds(1), "poll", judgedID, 200, wire.JobCancelled) },
+}
+
+// TestJudge shows that each check of the judge can fail.
+func TestJudge(t *testing.T) {
+	for rule, day := range judgedDays {
+		j := newJudge(map[string]float64{"red": 8}, simCancel)
+		j.submits(judgedJob(t))
+		if day(j); len(j.broken) != 1 || !strings.Contains(j.broken[0], strings.Fields(rule)[0]) {
+			t.Errorf("%s: the judge says %v", rule, j.broken)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/machine.go
@@ -0,0 +1,234 @@
+package core
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"bitternwing/internal/wire"
+)
+
+// machine is a worker's machine as the leader knows it.
+type machine struct {
+	name, kind, zone, addr string
+	spot                   bool
+	mt                     *wire.MachineType
+
+	since    time.Duration // when this leader first knew of it
+	rentedAt time.Duration // when it was asked for, as far as known
+	rented   bool          // by this leader
+	listed   bool          // seen in the cloud's list
+	listedAt time.Duration
+	missing  int  // complete lists in a row that lack it
+	seenUp   bool // it has reported at some time, in this term or an earlier one
+
+	up      bool // it has reported in this term
+	session uint64
+	seq     uint64
+	heard   time.Duration
+	kept    time.Duration // when another node last passed a report of it on
+	notice  bool
+
+	inspecting  bool
+	inspectedAt time.Duration // when it was last asked directly
+	reached     time.Duration // when it last answered that
+	deaf        int           // questions in a row without an answer, since it was last heard
+
+	runs      map[string]*placement // by task name
+	list      []*placement          // the same, by job and task
+	host      *host                 // in the present round
+	exits     []wire.TaskReport     // exited tasks of the last report
+	strays    []wire.TaskReport     // tasks it holds that no record explains
+	releasing bool
+	ordering  bool                   // direct commands are on the way
+	current   uint64                 // the token used with it
+	direct    map[attemptName]uint64 // attempts started directly, and with which token
+	idleSince time.Duration
+	images    []image // most recently used last
+	full      time.Duration
+
+	// Failure accounting, see faults.go.
+	errors  map[string]int // by job, since something last started and ran well here
+	erredAt time.Duration  // when something last failed
+	sick    bool
+
+	// Whether answers reach it, see doubt.
+	proof     uint64        // the token it has to show; 0: there is no doubt
+	doubtedAt time.Duration // since when its reports come and don't show it
+}
+
+type attemptName struct {
+	task    string
+	attempt uint64
+}
+
+type image struct {
+	name  string
+	gb    float64
+	ready bool
+}
+
+func (m *machine) add(p *placement) {
+	m.runs[p.name()] = p
+	i, _ := slices.BinarySearchFunc(m.list, p, comparePlacements)
+	m.list = slices.Insert(m.list, i, p)
+}
+
+func (m *machine) remove(p *placement) {
+	delete(m.runs, p.name())
+	if i, ok := slices.BinarySearchFunc(m.list, p, comparePlacements); ok && m.list[i] == p {
+		m.list = slices.Delete(m.list, i, i+1)
+	}
+}
+
+func comparePlacements(a, b *placement) int {
+	switch {
+	case a.job != b.job && a.job.before(b.job):
+		return -1
+	case a.job != b.job:
+		return 1
+	}
+	return a.task - b.task
+}
+
+// sorted gives the machine's placements in order, in a list that stays as it is while
+// they end.
+func (m *machine) sorted() []*placement { return slices.Clone(m.list) }
+
+// machine gives a machine by name and takes it up if it is new.
+func (l *leader) machine(name string) *machine {
+	if m := l.machines[name]; m != nil {
+		return m
+	}
+	m := &machine{name: name, since: l.c.now.Steady, rentedAt: l.c.now.Steady, heard: l.heardBefore(name),
+		idleSince: l.c.now.Steady, runs: map[string]*placement{}, errors: map[string]int{}}
+	l.machines[name] = m
+	l.hint(m)
+	i := sort.Search(len(l.fleet), func(i int) bool { return l.fleet[i].name > name })
+	l.fleet = append(l.fleet, nil)
+	copy(l.fleet[i+1:], l.fleet[i:])
+	l.fleet[i] = m
+	return m
+}
+
+// describe fills in what kind of machine it is.
+func (m *machine) describe(kind, zone, addr string, spot bool) {
+	m.kind, m.zone, m.spot = kind, zone, spot
+	if addr != "" {
+		m.addr = addr
+	}
+}
+
+// gone drops a machine: there is evidence that it and all on it are no more.
+func (l *leader) gone(m *machine, why string) {
+	for _, p := range m.sorted() {
+		l.end(p)
+	}
+	if l.machines[m.name] != m {
+		return
+	}
+	delete(l.machines, m.name)
+	for i, x := range l.fleet {
+		if x == m {
+			l.fleet = append(l.fleet[:i], l.fleet[i+1:]...)
+			break
+		}
+	}
+	l.released[m.name] = l.c.now.Steady
+	l.c.log(Info, "machine gone", "machine", m.name, "why", why)
+	l.wantRound()
+}
+
+// end ends a placement: its attempt is not and will not be on its machine.
+func (l *leader) end(p *placement) {
+	j := p.job
+	if j.placed[p.task] != p {
+		p.machine.remove(p)
+		return
+	}
+	delete(j.placed, p.task)
+	if p.stop != keep {
+		j.halted--
+	}
+	p.machine.remove(p)
+	if len(p.machine.runs) == 0 {
+		p.machine.idleSince = l.c.now.Steady
+	}
+	j.cursor = min(j.cursor, p.task)
+	l.mark(l.chunkOf(j, p.task))
+	l.wantRound()
+	l.finishIfDone(j)
+}
+
+// enter takes a machine into a session. Direct commands of earlier ones are refused
+// by the worker from then on.
+func (m *machine) enter(session uint64) {
+	if session != m.session {
+		m.session, m.direct = session, nil
+	}
+}
+
+// lastHeard is when a report of a machine last came, here or by another node.
+func (m *machine) lastHeard() time.Duration { return max(m.heard, m.kept) }
+
+// imageReady notes that a machine has an image.
+func (m *machine) imageReady(name string) {
+	for i := range m.images {
+		if m.images[i].name == name {
+			m.images[i].ready = true
+		}
+	}
+}
+
+// touch notes that a machine will have an image; the least recently used make way.
+func (m *machine) touch(name string, gb float64) {
+	img := image{name: name, gb: gb}
+	sum := gb
+	for i := range m.images {
+		if m.images[i].name == name {
+			img = m.images[i]
+			m.images = append(m.images[:i], m.images[i+1:]...)
+			break
+		}
+	}
+	m.images = append(m.images, img)
+	if m.mt == nil {
+		return
+	}
+	for i := len(m.images) - 2; i >= 0; i-- {
+		sum += m.images[i].gb
+		if sum > m.mt.CacheGB && m.mt.CacheGB > 0 {
+			m.images = append([]image(nil), m.images[i+1:]...)
+			break
+		}
+	}
+}
+
+// cached is how much a machine has in its cache, as far as known.
+func (m *machine) cached() float64 {
+	sum := 0.0
+	for _, img := range m.images {
+		if img.ready {
+			sum += img.gb
+		}
+	}
+	return sum
+}
+
+// warmth of a machine for an image: 0 it is there, 1 it is being fetched, 2 it
+// has to be fetched, 3 it has to share the fetch with others.
+func (m *machine) warmth(name string) int {
+	w := 2
+	for i := range m.images {
+		if m.images[i].name == name {
+			if m.images[i].ready {
+				return 0
+			}
+			return 1
+		}
+		if !m.images[i].ready {
+			w = 3
+		}
+	}
+	return w
+}
--- /dev/null
+++ b/internal/core/provisioning.go
@@ -0,0 +1,314 @@
+package core
+
+import (
+	"fmt"
+	"math"
+	"sort"
+
+	"bitternwing/internal/config"
+	"bitternwing/internal/wire"
+)
+
+// bin is a machine to come: booting, asked for, or planned.
+type bin struct {
+	offer
+	mt   *wire.MachineType
+	room room
+	new  bool
+}
+
+// planner finds how many machines are missing by packing what waits into those
+// that are to come.
+type planner struct {
+	r     *round
+	t     *rentals
+	bins  []*bin
+	count map[offer]int
+	zones map[*job]map[string]int // where a job's tasks are or will be
+	work  float64                 // array work not yet worth a machine, in machines
+}
+
+// plan rents and returns machines after a round.
+func (l *leader) plan(r *round) {
+	t := &l.rentals
+	if !t.settled() {
+		return
+	}
+	now := l.c.now.Steady
+	t.unask()
+	p := &planner{r: r, t: t, count: map[offer]int{}, zones: map[*job]map[string]int{}}
+	for _, m := range l.fleet {
+		if m.mt == nil || m.releasing {
+			continue
+		}
+		o := offer{m.kind, m.zone, m.spot}
+		p.count[o]++
+		// A machine overdue may never come; what it should have taken is not
+		// left waiting for it.
+		if !m.up && !m.seenUp && now-m.rentedAt < config.Seconds(1.5*m.mt.BootS) {
+			p.bins = append(p.bins, &bin{offer: o, mt: m.mt, room: room{m.mt.GPUs, m.mt.CPUs, m.mt.MemoryGB}})
+		}
+	}
+	for _, q := range t.requests {
+		mt := l.c.machineType(q.kind)
+		for i := 0; mt != nil && i < q.count; i++ {
+			p.count[q.offer]++
+			p.bins = append(p.bins, &bin{offer: q.offer, mt: mt, room: room{mt.GPUs, mt.CPUs, mt.MemoryGB}})
+		}
+	}
+	counted := map[*job]int{}
+	for _, w := range r.want {
+		counted[w.job] += w.tasks
+		for i := 0; i < w.tasks; i++ {
+			if !p.put(w.job, w.job.spec.Spot) && !p.put(w.job, false) {
+				break
+			}
+		}
+	}
+	for _, j := range l.order {
+		if j.array() && r.ready(j) {
+			p.array(j, j.unplaced()-counted[j])
+		}
+	}
+	p.spare()
+	p.order()
+	p.giveBack()
+}
+
+// put packs a task into a bin, opening one if need be.
+func (p *planner) put(j *job, spot bool) bool {
+	p.r.looks -= len(p.bins) / 4
+	for _, b := range p.bins {
+		if b.room.holds(j.spec) && p.suits(j, b.offer) {
+			p.take(b, j)
+			return true
+		}
+	}
+	b := p.open(j, spot)
+	if b == nil {
+		return false
+	}
+	p.take(b, j)
+	return true
+}
+
+func (p *planner) take(b *bin, j *job) {
+	b.room.take(j.spec)
+	p.zonesOf(j)[b.zone]++
+}
+
+func (p *planner) zonesOf(j *job) map[string]int {
+	z := p.zones[j]
+	if z == nil {
+		z = map[string]int{}
+		for _, x := range j.placed {
+			z[x.machine.zone]++
+		}
+		p.zones[j] = z
+	}
+	return z
+}
+
+func (p *planner) suits(j *job, o offer) bool {
+	s := j.spec
+	if o.spot && !s.Spot || s.Zone != "" && s.Zone != o.zone || !allowsType(s, o.kind) {
+		return false
+	}
+	if !s.OneZone && !s.Spread {
+		return true
+	}
+	z := p.zonesOf(j)
+	if s.OneZone && len(z) > 0 && z[o.zone] == 0 {
+		return false
+	}
+	return !s.Spread || z[o.zone] < (s.Tasks+1)/2
+}
+
+// open plans a new machine for a task: of the cheapest type that holds it, in the
+// zone with the fewest machines of that kind.
+func (p *planner) open(j *job, spot bool) *bin {
+	l := p.r.l
+	var best offer
+	var bestType *wire.MachineType
+	bestCost, bestCount := math.Inf(1), 0
+	for i := range l.c.catalog {
+		mt := &l.c.catalog[i]
+		if !(room{mt.GPUs, mt.CPUs, mt.MemoryGB}).holds(j.spec) {
+			continue
+		}
+		cost := mt.Price
+		if spot {
+			cost = mt.SpotPrice
+		}
+		cost /= max(1, mt.GPUs)
+		for _, z := range mt.Zones {
+			o := offer{mt.Name, z, spot}
+			if _, cut := l.cutZones[z]; cut || l.c.now.Steady < p.t.exhausted[o] || !p.suits(j, o) {
+				continue
+			}
+			if cost < bestCost || cost == bestCost && p.count[o] < bestCount {
+				best, bestType, bestCost, bestCount = o, mt, cost, p.count[o]
+			}
+		}
+	}
+	if bestType == nil {
+		return nil
+	}
+	p.count[best]++
+	b := &bin{offer: best, mt: bestType, room: room{bestType.GPUs, bestType.CPUs, bestType.MemoryGB}, new: true}
+	p.bins = append(p.bins, b)
+	return b
+}
+
+// array plans machines for an array's n further waiting tasks. A machine costs its boot time
+// before it helps, so one is rented only for about as much work as that.
+func (p *planner) array(j *job, n int) {
+	if x := p.r.use.of(j.spec.Team); j.team.GPUsMax > 0 && j.spec.GPUs > 0 {
+		n = min(n, int((j.team.GPUsMax-x[0])/j.spec.GPUs))
+	}
+	for i := 0; n > 0 && i < len(p.bins); i++ {
+		for b := p.bins[i]; n > 0 && b.room.holds(j.spec) && p.suits(j, b.offer); n-- {
+			p.take(b, j)
+		}
+	}
+	for _, spot := range []bool{true, false} {
+		if spot && !j.spec.Spot {
+			continue
+		}
+		for n > 0 {
+			b := p.open(j, spot)
+			if b == nil {
+				break
+			}
+			fits := 0
+			for n > 0 && b.room.holds(j.spec) {
+				p.take(b, j)
+				fits++
+				n--
+			}
+			share := 1 - b.room.gpus/max(1, b.mt.GPUs)
+			p.work += share * max(j.spec.EstimateS, 1) / b.mt.BootS
+			if !spot && j.spec.Spot {
+				// An ordinary machine in place of a cheap one has to be worth more.
+				p.work -= share * max(j.spec.EstimateS, 1) / b.mt.BootS * (1 - b.mt.SpotPrice/b.mt.Price)
+			}
+			if p.work >= 0.5 {
+				p.work -= 1
+				continue
+			}
+			// Not worth it yet.
+			p.bins = p.bins[:len(p.bins)-1]
+			p.count[b.offer]--
+			return
+		}
+	}
+}
+
+// spareWanted is the room on ordinary machines to keep free for services to come.
+func (p *planner) spareWanted() float64 {
+	inUse, largest := 0.0, 0.0
+	for _, j := range p.r.l.order {
+		if !j.array() && !j.cancelled {
+			all := float64(j.spec.Tasks) * j.spec.GPUs
+			inUse += all
+			largest = max(largest, all)
+		}
+	}
+	if inUse == 0 || p.r.l.c.op.SpareShare == 0 {
+		return 0
+	}
+	return max(largest, inUse*p.r.l.c.op.SpareShare)
+}
+
+// spareNow is the room on ordinary machines that services could have: free, to
+// come, or held by elastic jobs above their minimum (half of it, since those have
+// to stop first).
+func (p *planner) spareNow() float64 {
+	sum := 0.0
+	for _, h := range p.r.hosts {
+		if !h.m.spot {
+			sum += p.spareOn(h)
+		}
+	}
+	for _, b := range p.bins {
+		if !b.spot {
+			sum += max(0, b.room.gpus)
+		}
+	}
+	return sum
+}
+
+func (p *planner) spareOn(h *host) float64 {
+	sum := max(0, h.free.gpus)
+	for _, x := range h.m.runs {
+		if x.job.shrinkable() {
+			sum += x.job.spec.GPUs / 2
+		}
+	}
+	return sum
+}
+
+func (p *planner) spare() {
+	l := p.r.l
+	want := p.spareWanted()
+	for i := 0; i < 4 && p.spareNow() < want; i++ {
+		var any *job
+		for _, j := range l.order {
+			if !j.array() && !j.cancelled && j.team != nil && !j.spec.Spread && !j.spec.OneZone {
+				any = j
+			}
+		}
+		if any == nil || p.open(any, false) == nil {
+			return
+		}
+	}
+}
+
+// order sends the new bins as requests, one for each kind and zone.
+func (p *planner) order() {
+	c := p.r.l.c
+	counts := map[offer]int{}
+	var kinds []offer
+	for _, b := range p.bins {
+		if b.new {
+			if counts[b.offer] == 0 {
+				kinds = append(kinds, b.offer)
+			}
+			counts[b.offer]++
+		}
+	}
+	// What is missing most goes first where the cloud's rate makes the rest wait.
+	sort.SliceStable(kinds, func(a, b int) bool { return counts[kinds[a]] > counts[kinds[b]] })
+	for _, o := range kinds {
+		p.t.seq++
+		p.t.requests = append(p.t.requests, &rental{offer: o, count: min(counts[o], wire.MaxRent),
+			name: fmt.Sprintf("bw-%d-%d", p.r.l.term, p.t.seq), at: c.now.Steady})
+	}
+}
+
+// giveBack returns idle machines. One is kept about as long as another takes to
+// boot, and ordinary ones as long as they are the spare room: those with the least in
+// their caches go first, since what the next service needs may be in the others'.
+func (p *planner) giveBack() {
+	l := p.r.l
+	now := l.c.now.Steady
+	spare := p.spareNow() - p.spareWanted()
+	var idle []*machine
+	for _, h := range p.r.hosts {
+		m := h.m
+		if len(m.list) == 0 && len(m.strays) == 0 && !m.releasing &&
+			now >= m.idleSince+config.Seconds(m.mt.BootS*l.c.op.IdleBoots) {
+			idle = append(idle, m)
+		}
+	}
+	sort.SliceStable(idle, func(a, b int) bool { return idle[a].cached() < idle[b].cached() })
+	for _, m := range idle {
+		if !m.spot {
+			if spare < m.mt.GPUs {
+				continue
+			}
+			spare -= m.mt.GPUs
+		}
+		p.t.release(m, "idle")
+	}
+}
--- /dev/null
+++ b/internal/core/reports.go
@@ -0,0 +1,280 @@
+package core
+
+import (
+	"time"
+
+	"bitternwing/internal/wire"
+)
+
+// checkin answers a worker's report.
+func (c *Core) checkin(in Checkin) {
+	r := in.Report
+	c.lastReport = c.now.Steady
+	l := c.lead
+	if l == nil {
+		if c.care.checkin(in) {
+			return
+		}
+		to := ""
+		if c.dir.leadVersion != 0 && c.dir.lead.Node != c.set.Node {
+			to = c.dir.lead.Node
+		} else if !c.dir.ready {
+			to = c.leadingPeer() // started while the state service is down
+		}
+		c.answer(in.Req, 421, wire.Redirect{Leader: to})
+		return
+	}
+	// A worker that knows a newer term would drop what this node says; a node
+	// past its deadline is not entitled to say anything.
+	if termOf(r.Token) > l.term || !l.entitled() {
+		if len(r.Tasks) > 0 && c.stateDown && c.care.blind(in) {
+			return
+		}
+		c.answer(in.Req, 421, wire.Redirect{})
+		return
+	}
+	cmds := l.report(r)
+	token := max(firstToken(l.term), r.Token)
+	if m := l.machines[r.Machine]; m != nil {
+		m.current = max(m.current, token)
+		token = l.token(m)
+	}
+	c.answer(in.Req, 200, wire.ReportAnswer{Token: token, Commands: cmds})
+}
+
+// report takes in a report and gives the commands of its answer.
+func (l *leader) report(r *wire.Report) []wire.Command {
+	none := []wire.Command{}
+	if !l.loaded {
+		return none // the answer renews the lease; what runs is not yet known
+	}
+	if _, was := l.released[r.Machine]; was {
+		return none
+	}
+	m := l.machine(r.Machine)
+	if m.up && (r.Session < m.session || r.Session == m.session && r.Seq <= m.seq) {
+		// A late copy. It proves nothing, and its answer reaches nobody.
+		return none
+	}
+	now := l.c.now.Steady
+	if !m.up {
+		l.c.log(Debug, "machine up", "machine", m.name, "after", (now - m.rentedAt).String())
+		l.wantRound()
+	}
+	switch {
+	case !m.up && !m.listed && !m.rented && termOf(r.Token) < l.term:
+		// Nobody here knows it: its report may be a late copy, of a machine long gone.
+		l.doubt(m, firstToken(l.term))
+	case m.up && r.Session > m.session:
+		l.c.log(Info, "machine in a new session", "machine", m.name, "tasks", len(m.runs))
+		if now-m.heard < l.c.t.lease/2 {
+			// Its lease ran out although its reports came and were answered.
+			l.doubt(m, l.token(m)+1)
+		}
+	}
+	if now-m.heard > l.c.t.quiet {
+		m.doubtedAt = now
+	}
+	m.describe(r.Type, r.Zone, r.Addr, r.Spot)
+	m.enter(r.Session)
+	m.up, m.seenUp, m.missing = true, true, 0
+	m.seq, m.heard = r.Seq, now
+	if r.NoticeS != nil && !m.notice {
+		m.notice = true
+		l.c.log(Info, "machine will be taken", "machine", m.name, "in_s", *r.NoticeS)
+		l.wantRound()
+	}
+	l.evidence(m, r, false)
+	return l.commands(m, r)
+}
+
+// evidence draws from a report what has ended. A report is newer than all before
+// it here. What it lacks is proven absent only if it carries this term's token:
+// the worker then had taken an answer of this term, after which no earlier start
+// can still take effect, and each answer of this term before it was either taken
+// or dropped. That does not hold for a report that the worker was asked for: it may come
+// while an answer with a start is still on its way to the worker.
+func (l *leader) evidence(m *machine, r *wire.Report, asked bool) {
+	now := l.c.now.Steady
+	if m.proof != 0 && r.Token >= m.proof {
+		m.proof = 0
+		l.wantRound()
+	}
+	settled := termOf(r.Token) == l.term
+	reported := make(map[string]bool, len(r.Tasks))
+	m.exits, m.strays = m.exits[:0], m.strays[:0]
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		p := m.runs[t.Task]
+		if p == nil || p.attempt != t.Attempt || p.session != r.Session {
+			l.unexplained(m, t)
+			continue
+		}
+		if t.State == wire.TaskExited {
+			m.exits = append(m.exits, *t)
+			reported[t.Task] = true
+			l.exited(p, t)
+			continue
+		}
+		reported[t.Task] = true
+		if p.phase < seen {
+			p.phase = seen
+		}
+		if p.state != t.State {
+			p.state = t.State
+			if t.State == wire.TaskRunning && p.ranAt == 0 {
+				p.ranAt = now
+				m.imageReady(p.job.spec.Image)
+				l.c.log(Debug, "task runs", "task", t.Task, "class", p.job.spec.Class, "machine", m.name, "warmth", p.warmth,
+					"placed_ms", (p.since - l.c.now.Steady + time.Duration(l.c.now.WallMS-p.job.at)*time.Millisecond).Milliseconds(),
+					"ran_ms", (now - p.since).Milliseconds())
+			}
+		}
+		if p.ranAt != 0 && (!p.job.proven || len(m.errors) > 0) {
+			l.ranWell(p, false)
+		}
+	}
+	for _, p := range m.sorted() {
+		switch {
+		case p.session < r.Session:
+			// The worker killed and forgot all of its earlier session.
+			l.c.log(Debug, "task lost with its session", "task", p.name(), "attempt", p.attempt)
+			l.end(p)
+		case reported[p.name()] || p.session > r.Session || !settled:
+		case p.waits:
+		case p.direct != 0 && r.Token <= p.direct:
+			// Its direct start may take effect yet.
+			if p.answer == 0 || r.Seq > p.answer {
+				l.raise(m, p.direct)
+			}
+		case p.direct != 0:
+			l.c.log(Debug, "task absent", "task", p.name(), "attempt", p.attempt)
+			l.end(p)
+		case p.phase == seen,
+			p.phase == sent && (p.sentSeq == inherited || r.Seq > p.sentSeq && !asked):
+			l.c.log(Debug, "task absent", "task", p.name(), "attempt", p.attempt)
+			l.end(p)
+		}
+	}
+}
+
+// unexplained handles a task in a report that no placement here explains.
+func (l *leader) unexplained(m *machine, t *wire.TaskReport) {
+	id, task, ok := wire.ParseTask(t.Task)
+	if !ok {
+		return
+	}
+	j := l.jobs[id]
+	if t.State != wire.TaskExited {
+		m.strays = append(m.strays, *t)
+		return
+	}
+	m.exits = append(m.exits, *t)
+	if t.Why == wire.WhyDone && j != nil && task < j.spec.Tasks && j.array() && !l.isDone(j, task) {
+		// Done is true whichever attempt says it.
+		l.setDone(j, task)
+		if p := j.placed[task]; p != nil {
+			if p.phase < sent {
+				l.end(p)
+			} else {
+				p.halt(stopNow, "done elsewhere")
+			}
+		}
+		l.finishIfDone(j)
+	}
+}
+
+// exited ends a placement whose task has exited.
+func (l *leader) exited(p *placement, t *wire.TaskReport) {
+	j := p.job
+	l.c.log(Debug, "task exited", "task", t.Task, "attempt", t.Attempt, "why", t.Why, "told", p.stopWhy, "machine", p.machine.name)
+	switch t.Why {
+	case wire.WhyDone:
+		if j.array() {
+			l.setDone(j, p.task)
+		}
+		l.ranWell(p, true)
+	case wire.WhyError:
+		l.erred(p)
+	case wire.WhyNoRoom:
+		p.machine.full = l.c.now.Steady + l.c.t.beat*2
+	case wire.WhyBusy, wire.WhyUnknown:
+		j.waitFor = max(j.waitFor, l.c.now.Steady+l.c.t.beat*2)
+	}
+	l.end(p)
+}
+
+// most commands in an answer, so that its one line stays within the protocol's 64
+// KiB; the rest follows with the next.
+const mostCommands = 400
+
+// commands gives a machine its orders.
+func (l *leader) commands(m *machine, r *wire.Report) []wire.Command {
+	cmds := []wire.Command{}
+	for _, t := range m.exits {
+		if len(cmds) < mostCommands && l.forgettable(&t) {
+			name := attemptName{t.Task, t.Attempt}
+			if used, ok := m.direct[name]; ok {
+				l.raise(m, used)
+				delete(m.direct, name)
+			}
+			cmds = append(cmds, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	zero := 0.0
+	for _, t := range m.strays {
+		// No record explains it, and it has no right to run.
+		cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+	}
+	mayStart := l.c.elect.inTime()
+	for _, p := range m.sorted() {
+		if len(cmds) >= mostCommands {
+			break
+		}
+		switch {
+		case p.session != m.session:
+		case p.stop != keep && p.phase >= sent:
+			if p.stop == stopSaving && p.state == wire.TaskSaving {
+				continue
+			}
+			cmds = append(cmds, p.stopCommand())
+		case p.phase == committed && p.stop == keep && mayStart && !p.job.cancelled:
+			p.phase, p.sentSeq = sent, r.Seq
+			cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: p.name(), Attempt: p.attempt})
+		}
+	}
+	return cmds
+}
+
+// stopCommand stops a task, with time to save where it is to save.
+func (p *placement) stopCommand() wire.Command {
+	grace := 0.0
+	if p.stop == stopSaving {
+		grace = 1.5 * p.job.spec.SaveS
+	}
+	return wire.Command{Op: wire.OpStop, Task: p.name(), Attempt: p.attempt, GraceS: &grace}
+}
+
+// forgettable tells whether an exit may be forgotten: only once all that it tells
+// is in the state service, for after that a repeated start would run again.
+func (l *leader) forgettable(t *wire.TaskReport) bool {
+	id, task, ok := wire.ParseTask(t.Task)
+	if !ok {
+		return true
+	}
+	j := l.jobs[id]
+	if j == nil || task >= j.spec.Tasks {
+		return l.c.dir.jobs[id] == nil || task >= l.c.dir.jobs[id].Job.Tasks
+	}
+	if j.final {
+		// Its end holds what this exit tells, and is yet to be written: no record is written of it
+		// any more, so a clean one proves nothing.
+		return false
+	}
+	ch := j.chunks[task/l.chunkSize()]
+	if ch != nil && !ch.clean() {
+		return false
+	}
+	p := j.placed[task]
+	return p == nil || p.attempt != t.Attempt
+}
--- /dev/null
+++ b/internal/core/script_test.go
@@ -0,0 +1,311 @@
+package core_test
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"bitternwing/internal/core"
+	"bitternwing/internal/wire"
+)
+
+// playDay plays a script.
+func playDay(t testing.TB, script string) (*sim, []string) {
+	var s *sim
+	zones := map[string]string{}
+	seed := uint64(1)
+	begin := func() {
+		if s == nil {
+			s = newSim(t, seed, zones)
+		}
+	}
+	for _, line := range strings.Split(script, "\n") {
+		f := strings.Fields(line)
+		if len(f) == 0 || f[0][0] == '#' || f[0] == "|" {
+			continue
+		}
+		switch f[0] {
+		case "zones":
+			for _, kv := range f[1:] {
+				k, v, _ := strings.Cut(kv, "=")
+				zones[k] = v
+			}
+			continue
+		case "seed":
+			seed, _ = strconv.ParseUint(f[1], 10, 64)
+			continue
+		case "machines":
+			begin()
+			for i, z := range f[1:] {
+				zone, spot := strings.CutSuffix(z, "-spot")
+				s.addMachine(zone, spot, time.Duration(100*i)*time.Millisecond)
+			}
+			continue
+		case "calm", "end":
+			begin()
+			at := parseSeconds(t, f[1])
+			if f[0] == "calm" {
+				s.calm = at
+			} else {
+				s.end = at
+			}
+			continue
+		}
+		begin()
+		s.plan(parseSeconds(t, f[0]), f[1:])
+	}
+	s.run()
+	return s, s.verdict()
+}
+
+func parseSeconds(t testing.TB, text string) time.Duration {
+	x, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		t.Fatalf("not a number: %s", text)
+	}
+	return time.Duration(x * float64(time.Second))
+}
+
+// plan takes a line of a script.
+func (s *sim) plan(at time.Duration, f []string) {
+	num := func(i int) time.Duration { return parseSeconds(s.t, f[i]) }
+	nodes := func() []*simNode {
+		switch f[1] {
+		case "all":
+			return s.nodes
+		case "leader":
+			return []*simNode{s.leader()}
+		case "other":
+			for _, n := range s.nodes {
+				if n != s.leader() && n.core != nil {
+					return []*simNode{n}
+				}
+			}
+			return nil
+		}
+		return []*simNode{s.node(f[1])}
+	}
+	machine := func() *simWorker {
+		if i, err := strconv.Atoi(f[1]); err == nil {
+			var up []*simWorker
+			for _, w := range s.workers {
+				if w.up && !w.gone {
+					up = append(up, w)
+				}
+			}
+			if len(up) == 0 {
+				return nil
+			}
+			return up[i%len(up)]
+		}
+		return s.byName[f[1]]
+	}
+	switch f[0] {
+	case "submit":
+		j := s.newJob(f[1:])
+		j.at = at
+		s.jobs = append(s.jobs, j)
+		s.at(at, func() { s.submit(j) })
+		return
+	case "cancel", "cancel_at_end":
+		for _, j := range s.jobs {
+			if j.spec.ID != f[1] {
+				continue
+			}
+			if f[0] == "cancel" {
+				s.at(at, func() { s.cancelJob(j) })
+				return
+			}
+			j.cancelAt = -1
+			var look func()
+			look = func() {
+				n := 0
+				for i := 0; i < j.spec.Tasks; i++ {
+					if s.results[wire.TaskName(j.spec.ID, i)] {
+						n++
+					}
+				}
+				if n == j.spec.Tasks {
+					s.cancelJob(j)
+					s.submit(j)
+					return
+				}
+				s.after(10*time.Millisecond, look)
+			}
+			s.at(at, look)
+			return
+		}
+		s.t.Fatalf("no job %s", f[1])
+	}
+	s.at(at, func() {
+		s.note("trouble: %s", strings.Join(f, " "))
+		until := func(i int) time.Duration { return s.now + num(i) }
+		switch f[0] {
+		case "refuse":
+			for _, n := range nodes() {
+				n.refused = max(n.refused, until(2))
+			}
+		case "cut":
+			for _, n := range nodes() {
+				for _, what := range strings.Split(f[2], ",") {
+					switch what {
+					case "state":
+						n.noState = max(n.noState, until(3))
+					case "peers":
+						n.noPeers = max(n.noPeers, until(3))
+					case "workers":
+						n.noWorkers = max(n.noWorkers, until(3))
+					case "users":
+						n.noUsers = max(n.noUsers, until(3))
+					}
+				}
+			}
+		case "kill":
+			for _, n := range nodes() {
+				s.kill(n)
+				life := n.life
+				s.at(until(2), func() {
+					if n.life == life {
+						s.start(n)
+					}
+				})
+			}
+		case "freeze":
+			for _, n := range nodes() {
+				n.frozen = max(n.frozen, until(2))
+			}
+		case "outage":
+			s.outage = max(s.outage, until(1))
+		case "slow":
+			s.slow, s.slowUntil = num(1), until(2)
+		case "cloud":
+			s.cloudOut = max(s.cloudOut, until(1))
+		case "late_writes", "late_reports", "late_orders":
+			share := num(1).Seconds()
+			x := map[string]*float64{"late_writes": &s.lateWrites, "late_reports": &s.lateReports, "late_orders": &s.lateOrders}[f[0]]
+			*x = share
+			s.at(until(2), func() { *x = 0 })
+		case "boots":
+			s.bootFail, s.bootFactor = num(1).Seconds(), num(2).Seconds()
+			s.at(until(3), func() { s.bootFail, s.bootFactor = 0, 0 })
+		case "polls":
+			stop := until(2)
+			every := time.Duration(float64(time.Second) / num(1).Seconds())
+			var ask func()
+			ask = func() {
+				if s.now < stop {
+					s.pollOnce()
+					s.after(every, ask)
+				}
+			}
+			ask()
+			s.at(stop+2*time.Second, func() { s.say("polls: %v", s.polled) })
+		case "partition":
+			s.partition = true
+			s.at(until(1), func() { s.partition = false })
+		case "zone_cut":
+			s.zoneCut = f[1]
+			s.at(until(2), func() { s.zoneCut = "" })
+		case "hang", "deaf", "mute", "sick", "die", "take", "recall":
+			w := machine()
+			if w == nil || w.gone {
+				return
+			}
+			s.note("it is %s", w.name)
+			switch f[0] {
+			case "hang":
+				w.hung = max(w.hung, until(2))
+			case "deaf":
+				w.deaf = max(w.deaf, until(2))
+			case "mute":
+				w.mute = max(w.mute, until(2))
+			case "sick":
+				w.sick = true
+				s.at(until(2), func() { w.sick = false })
+			case "die":
+				w.gone, w.up, w.stopped = true, false, s.now
+				s.killTasks(w)
+			case "take":
+				s.remove(w)
+			case "recall":
+				w.notice = true
+				s.soon(w)
+				s.after(5*time.Second, func() { s.remove(w) })
+			}
+		case "odd":
+			s.odd()
+		default:
+			s.t.Fatalf("unknown: %v", f)
+		}
+	})
+}
+
+// pollOnce asks about some job, and counts the answers.
+func (s *sim) pollOnce() {
+	j, sent := s.jobs[s.rnd.IntN(len(s.jobs))], s.now
+	if !j.accepted {
+		return
+	}
+	if s.polled == nil {
+		s.polled = map[int]int{}
+	}
+	s.ask(func(req uint64) core.Input { return core.Poll{Req: req, ID: j.spec.ID} }, func(status int, state string) {
+		s.judge.told(s.now, sent, "poll", j.spec.ID, status, state)
+		s.polled[status]++
+	})
+}
+
+// odd sends what must be refused, and repeats of what is known.
+func (s *sim) odd() {
+	sent := s.now
+	big := &simJob{spec: s.newJob([]string{"run-999001", "gpus=9"}).spec}
+	s.judge.submits(big.spec)
+	s.ask(func(req uint64) core.Input { return core.Submit{Req: req, Job: big.spec} }, func(status int, _ string) {
+		if status == 200 || status == 201 || status == 400 || status == 404 {
+			s.judge.breaks(s.now, "odd", "a job that fits no machine gets %d", status)
+		}
+	})
+	s.ask(func(req uint64) core.Input { return core.Poll{Req: req, ID: "run-999002"} }, func(status int, state string) {
+		s.judge.told(s.now, sent, "poll", "run-999002", status, state)
+	})
+	for _, j := range s.jobs {
+		if !j.accepted {
+			continue
+		}
+		spec := *j.spec
+		s.ask(func(req uint64) core.Input { return core.Submit{Req: req, Job: &spec} }, func(status int, state string) {
+			s.judge.told(s.now, sent, "submit", j.spec.ID, status, state)
+		})
+		if j.told == wire.JobDone {
+			s.judge.jobs[j.spec.ID].asked = true
+			s.ask(func(req uint64) core.Input { return core.Cancel{Req: req, ID: j.spec.ID} }, func(status int, state string) {
+				s.judge.told(s.now, sent, "cancel", j.spec.ID, status, state)
+			})
+		}
+	}
+}
+
+// newJob takes a job as in the other traces, and what the world has to know of it.
+func (s *sim) newJob(f []string) *simJob {
+	j := &simJob{runS: 20}
+	plain, team := []string{f[0]}, "green"
+	for _, kv := range f[1:] {
+		k, v, _ := strings.Cut(kv, "=")
+		switch k {
+		case "run":
+			j.runS = parseSeconds(s.t, v).Seconds()
+		case "faulty":
+			j.faulty = true
+		case "team":
+			team = v
+		default:
+			plain = append(plain, kv)
+		}
+	}
+	j.spec = (&world{t: s.t}).job(append(plain, "team="+team))
+	if j.spec.Kind == wire.KindArray {
+		j.spec.EstimateS = j.runS
+	}
+	return j
+}
--- /dev/null
+++ b/internal/core/search_test.go
@@ -0,0 +1,154 @@
+package core_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// TestSearch plays days of random troubles. The list of seeds is fixed.
+func TestSearch(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			script := randomDay(seed)
+			s, broken := playDay(t, script)
+			if len(broken) == 0 {
+				return
+			}
+			t.Errorf("%s\n%s", strings.Join(broken, "\n"), script)
+			if *showIn != "" {
+				show(t, fmt.Sprintf("%d.trace", seed), script)
+				show(t, fmt.Sprintf("%d.all", seed), s.all.String())
+			}
+		})
+	}
+}
+
+// TestSearchRepeats plays a day twice: the same comes of it, to the byte.
+func TestSearchRepeats(t *testing.T) {
+	a, _ := playDay(t, randomDay(5))
+	b, _ := playDay(t, randomDay(5))
+	if a.all.String() != b.all.String() {
+		t.Error(firstDifference(a.all.String(), b.all.String()))
+	}
+}
+
+// randomDay makes up a script: two to four moments, at each of which a few troubles meet, with
+// jobs that begin, end and are cancelled about then.
+func randomDay(seed uint64) string {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var b strings.Builder
+	add := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	pick := func(xs ...string) string { return xs[r.IntN(len(xs))] }
+	in := func(lo, hi float64) float64 { return float64(int(10*(lo+(hi-lo)*r.Float64()))) / 10 }
+	at := func(t float64) string { return fmt.Sprintf("%.1f", t) }
+	add("zones %s", pick("a=z1 b=z1 c=z1", "a=z1 b=z1 c=z2", "a=z1 b=z2 c=z2"))
+	add("seed %d", seed)
+	add("machines z1 z1 z2 z2%s", pick("", " z1-spot", " z2-spot"))
+	var moments []float64
+	for i, n := 0, 2+r.IntN(3); i < n; i++ {
+		moments = append(moments, in(15, 85))
+	}
+	near := func(lo, hi float64) float64 { return max(0.5, moments[r.IntN(len(moments))]+in(lo, hi)) }
+	green := 0
+	for i := 1; i <= 14; i++ {
+		id := fmt.Sprintf("run-%06d", i)
+		begin := near(-25, -0.5)
+		if r.IntN(4) == 0 {
+			begin = near(-0.5, 3)
+		}
+		var what string
+		cancelled := r.IntN(2) == 0
+		switch r.IntN(7) {
+		case 0, 1:
+			n, g := 1+r.IntN(3), 1+r.IntN(3)
+			if !cancelled {
+				if green+n*g > 14 {
+					n, g = 1, 1
+				}
+				green += n * g
+			}
+			what = fmt.Sprintf("kind=service tasks=%d gpus=%d team=green priority=%s", n, g, pick("prod", "high"))
+			if n > 1 {
+				what += pick("", "", " spread")
+			}
+		case 2:
+			what = fmt.Sprintf("tasks=%d gpus=1 team=green one_zone run=%g", 2+r.IntN(4), in(3, 60))
+		case 3:
+			what = fmt.Sprintf("tasks=%d gpus=1 team=green spread run=%g", 2+r.IntN(4), in(3, 40))
+		case 4:
+			what = fmt.Sprintf("tasks=%d gpus=2 team=red run=%g", 2+r.IntN(5), in(2, 25))
+		case 5:
+			what = fmt.Sprintf("tasks=%d gpus=1 team=blue spot save=1 run=%g zone=%s", 1+r.IntN(6), in(3, 40), pick("z1", "z2"))
+		default:
+			what = fmt.Sprintf("tasks=%d gpus=2 team=blue run=%g", 2+r.IntN(3), in(5, 60))
+		}
+		add("%s submit %s %s", at(begin), id, what)
+		switch {
+		case cancelled:
+			t := near(-1, 4)
+			if t < begin {
+				t = begin + in(0.1, 30)
+			}
+			add("%s cancel %s", at(t), id)
+		case !strings.Contains(what, "service") && r.IntN(3) == 0:
+			add("%s cancel_at_end %s", at(begin), id)
+		}
+	}
+	for _, moment := range moments {
+		for i, n := 0, 1+r.IntN(4); i < n; i++ {
+			t := at(moment + in(0, 3))
+			node := pick("leader", "leader", "leader", "other", "a", "b", "c")
+			m := r.IntN(8)
+			switch r.IntN(19) {
+			case 0:
+				add("%s refuse %s %g", t, node, in(2, 25))
+			case 1:
+				add("%s refuse leader %g", at(moment), in(4, 14))
+				add("%s outage %g", at(moment+in(0.5, 2.5)), in(5, 45))
+			case 2, 3:
+				add("%s cut %s %s %g", t, node, pick("state", "state,peers", "state,peers", "peers", "workers", "state,peers,workers,users"), in(3, 40))
+			case 4:
+				add("%s kill %s %g", t, node, in(0.1, 6))
+			case 5:
+				add("%s kill all %g", t, in(0.1, 14))
+			case 6:
+				add("%s freeze %s %g", t, node, in(1, 12))
+			case 7:
+				add("%s outage %g", t, in(1, 45))
+			case 8:
+				add("%s slow %g %g", t, in(0.2, 3), in(5, 30))
+			case 9:
+				add("%s late_writes %g %g", t, in(0.1, 0.6), in(5, 30))
+			case 10:
+				add("%s late_reports %g %g", t, in(0.1, 0.8), in(5, 40))
+			case 11, 12:
+				add("%s late_orders %g %g", t, in(0.2, 1), in(5, 40))
+			case 13:
+				add("%s partition %g", t, in(5, 40))
+			case 14:
+				add("%s zone_cut %s %g", t, pick("z1", "z2"), in(5, 40))
+			case 15:
+				add("%s hang %d %g", t, m, in(2, 14))
+				add("%s hang %d %g", t, m+1, in(2, 14))
+			case 16:
+				add("%s %s %d %g", t, pick("deaf", "mute"), m, in(2, 25))
+				add("%s %s %d", t, pick("die", "take", "recall"), m+1)
+			case 17:
+				step := in(0.5, 12)
+				for k, kills := 0, 3+r.IntN(8); k < kills; k++ {
+					add("%s kill leader %g", at(moment+float64(k)*step), in(0.1, 4))
+				}
+			default:
+				add("%s cloud %g", t, in(3, 25))
+				add("%s odd", t)
+			}
+		}
+	}
+	// The longest trouble begins at 88 s and lasts 45 s; ten leaders may follow each other.
+	add("calm 150")
+	add("end 270")
+	return b.String()
+}
--- /dev/null
+++ b/internal/core/sim_user_test.go
@@ -0,0 +1,153 @@
+package core_test
+
+import (
+	"time"
+
+	"bitternwing/internal/core"
+	"bitternwing/internal/wire"
+)
+
+type simJob struct {
+	spec     *wire.Job
+	at       time.Duration
+	cancelAt time.Duration // 0: never
+	runS     float64
+	faulty   bool // it fails wherever it runs
+	accepted bool
+	refused  int
+	told     string
+	lastOK   time.Duration // when a question about it was last answered
+}
+
+// Users.
+
+// ask has a user ask some healthy node; the answer is status 0 if none came.
+func (s *sim) ask(in func(req uint64) core.Input, then func(status int, state string)) {
+	s.askAt(nil, in, then)
+}
+
+func (s *sim) askAt(n *simNode, in func(req uint64) core.Input, then func(status int, state string)) {
+	over := false
+	give := func(status int, state string) {
+		if !over {
+			over = true
+			then(status, state)
+		}
+	}
+	if n == nil {
+		var up []*simNode
+		for _, x := range s.nodes {
+			if x.core != nil && s.zoneCut != x.zone && s.now >= x.noUsers && x.core.Healthy() {
+				up = append(up, x)
+			}
+		}
+		if len(up) == 0 {
+			s.after(100*time.Millisecond, func() { give(0, "") })
+			return
+		}
+		n = up[s.rnd.IntN(len(up))]
+	}
+	s.after(1800*time.Millisecond, func() { give(503, "") })
+	s.after(s.latency(), func() {
+		if n.core == nil {
+			give(0, "")
+			return
+		}
+		n.req++
+		n.waiting[n.req] = func(a core.Answer) {
+			// What a standstill has made late is not told any more: see node.Ask.
+			s.after(s.latency(), func() {
+				st := ""
+				if js, ok := a.Body.(wire.JobState); ok {
+					st = js.State
+				}
+				give(a.Status, st)
+			})
+		}
+		s.step(n, in(n.req))
+	})
+}
+
+func (s *sim) submit(j *simJob) {
+	s.judge.submits(j.spec)
+	spec, sent := *j.spec, s.now
+	s.ask(func(req uint64) core.Input { return core.Submit{Req: req, Job: &spec} }, func(status int, state string) {
+		s.judge.told(s.now, sent, "submit", j.spec.ID, status, state)
+		switch status {
+		case 200, 201:
+			if !j.accepted {
+				j.accepted, j.lastOK = true, s.now
+				s.after(s.between(time.Second, 5*time.Second), func() { s.poll(j) })
+			}
+			j.told = state
+		case 400, 422:
+			j.refused = status
+		default:
+			s.after(time.Second, func() { s.submit(j) })
+		}
+	})
+}
+
+func (s *sim) poll(j *simJob) {
+	sent := s.now
+	s.ask(func(req uint64) core.Input { return core.Poll{Req: req, ID: j.spec.ID} }, func(status int, state string) {
+		s.judge.told(s.now, sent, "poll", j.spec.ID, status, state)
+		if status == 200 {
+			if state != j.told && (state == wire.JobDone || state == wire.JobCancelled) {
+				s.say("poll of %s: %s", j.spec.ID, state)
+			}
+			j.told, j.lastOK = state, s.now
+		}
+		if s.now > s.calm+75*time.Second && s.now-j.lastOK > 75*time.Second && j.accepted {
+			s.judge.breaks(s.now, "forgotten", "no answer about %s since %.1f", j.spec.ID, j.lastOK.Seconds())
+		}
+		s.after(s.between(3*time.Second, 6*time.Second), func() { s.poll(j) })
+	})
+}
+
+func (s *sim) cancelJob(j *simJob) {
+	if !j.accepted {
+		s.after(500*time.Millisecond, func() { s.cancelJob(j) })
+		return
+	}
+	s.judge.submits(j.spec).asked = true
+	sent := s.now
+	s.ask(func(req uint64) core.Input { return core.Cancel{Req: req, ID: j.spec.ID} }, func(status int, state string) {
+		s.judge.told(s.now, sent, "cancel", j.spec.ID, status, state)
+		if status == 200 {
+			s.say("cancel of %s: %s", j.spec.ID, state)
+			j.told = state
+			return
+		}
+		if status != 404 && status != 400 {
+			s.after(s.between(time.Second, 1500*time.Millisecond), func() { s.cancelJob(j) })
+		}
+	})
+}
+
+// verdict judges what must hold in the end: nothing waits, and nothing is forgotten.
+func (s *sim) verdict() []string {
+	j := s.judge
+	for _, x := range s.jobs {
+		y := j.jobs[x.spec.ID]
+		switch {
+		case y == nil || x.refused != 0:
+		case !x.accepted:
+			j.breaks(s.now, "stuck", "%s is not accepted", x.spec.ID)
+		case y.asked && y.final == "":
+			j.breaks(s.now, "stuck", "%s is not cancelled", x.spec.ID)
+		case y.asked || x.faulty:
+		case x.spec.Kind == wire.KindArray && y.final != wire.JobDone:
+			j.breaks(s.now, "stuck", "%s is not done: %d of %d tasks", x.spec.ID, len(y.done), x.spec.Tasks)
+		case x.spec.Kind != wire.KindArray:
+			n := 0
+			for t := 0; t < x.spec.Tasks; t++ {
+				n += len(j.on[wire.TaskName(x.spec.ID, t)])
+			}
+			if n != x.spec.Tasks {
+				j.breaks(s.now, "stuck", "%s has %d of %d replicas", x.spec.ID, n, x.spec.Tasks)
+			}
+		}
+	}
+	return j.broken
+}
--- /dev/null
+++ b/internal/core/sim_worker_test.go
@@ -0,0 +1,348 @@
+package core_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"bitternwing/internal/core"
+	"bitternwing/internal/wire"
+)
+
+type simWorker struct {
+	name, zone   string
+	spot         bool
+	rentedAt     time.Duration
+	up           bool // the worker runs
+	gone         bool // released, taken, or it stopped
+	stopped      time.Duration
+	session, tly uint64
+	token        uint64
+	answered     time.Duration // when the last answered report was sent
+	hung         time.Duration // until then
+	deaf, mute   time.Duration
+	held         []func() // what came while it hung
+	tasks        map[string]*simTask
+	node         int
+	busy         bool // a report is on its way
+	next         time.Duration
+	lastSent     time.Duration
+	notice       bool
+	images       map[string]bool
+	sick         bool
+	gen          int
+}
+
+type simTask struct {
+	wire.TaskReport
+	on  bool
+	gen int
+}
+
+// Workers.
+
+func (s *sim) direct(n *simNode, id uint64, addr string, there func(*simWorker) core.Result) {
+	w := s.byName[strings.TrimSuffix(addr, ":1")]
+	reach := func() bool { return w != nil && s.workerReach(n, w) && s.now >= w.deaf }
+	s.call(n, id, simPatience, reach, true, func() (core.Result, bool) {
+		if w.gone || !w.up {
+			return core.Result{}, false
+		}
+		if s.now < w.hung {
+			w.held = append(w.held, func() { there(w) })
+			return core.Result{}, false
+		}
+		s.expire(w)
+		if s.lateOrders > 0 && s.rnd.Float64() < s.lateOrders {
+			// Held up on the way for seconds, or carried out and repeated later.
+			s.after(s.between(time.Second, 12*time.Second), func() {
+				if w.up && s.now >= w.hung {
+					s.expire(w)
+					s.note("late orders at %s", w.name)
+					there(w)
+				}
+			})
+			if s.rnd.IntN(2) == 0 {
+				return core.Result{}, false
+			}
+		}
+		return there(w), true
+	})
+}
+
+func (s *sim) killTasks(w *simWorker) {
+	for _, k := range sortedKeys(w.tasks) {
+		s.leave(w, w.tasks[k], false)
+	}
+	clear(w.tasks)
+}
+
+func (s *sim) leave(w *simWorker, t *simTask, done bool) {
+	t.gen++
+	if t.on {
+		t.on = false
+		s.judge.ends(t.Task, w.name, done)
+	}
+}
+
+// expire ends a session whose lease is over.
+func (s *sim) expire(w *simWorker) {
+	if s.now-w.answered <= simLease {
+		return
+	}
+	if len(w.tasks) > 0 {
+		s.say("%s loses its lease with %d tasks", w.name, len(w.tasks))
+	}
+	s.killTasks(w)
+	w.session++
+	w.answered = s.now
+	s.soon(w)
+}
+
+// work is a worker's own clock.
+func (s *sim) work(w *simWorker) {
+	if w.gone {
+		return
+	}
+	s.after(50*time.Millisecond, func() { s.work(w) })
+	if s.now < w.hung {
+		return
+	}
+	s.expire(w)
+	for _, f := range w.held {
+		f()
+	}
+	w.held = nil
+	if !w.busy && s.now >= w.next {
+		s.checkin(w)
+	}
+}
+
+// soon has a worker report as early as it may.
+func (s *sim) soon(w *simWorker) { w.next = min(w.next, w.lastSent+500*time.Millisecond) }
+
+func (s *sim) report(w *simWorker) *wire.Report {
+	w.tly++
+	r := &wire.Report{Machine: w.name, Addr: w.name + ":1", Type: "g8", Zone: w.zone, Spot: w.spot, Session: w.session, Seq: w.tly, Token: w.token}
+	if w.notice {
+		left := 5.0
+		r.NoticeS = &left
+	}
+	for _, k := range sortedKeys(w.tasks) {
+		r.Tasks = append(r.Tasks, w.tasks[k].TaskReport)
+	}
+	return r
+}
+
+func (s *sim) checkin(w *simWorker) {
+	n := s.nodes[w.node]
+	r := s.report(w)
+	w.busy, w.lastSent = true, s.now
+	w.next = s.now + s.between(simReport*3/4, simReport*5/4)
+	w.gen++
+	gen, sent := w.gen, s.now
+	elsewhere := func(d time.Duration) {
+		w.busy = false
+		w.node = (w.node + 1) % len(s.nodes)
+		w.next = s.now + d
+	}
+	s.after(4*time.Second, func() {
+		if w.busy && w.gen == gen {
+			elsewhere(time.Second)
+		}
+	})
+	reach := func() bool { return s.workerReach(n, w) && s.now >= w.mute }
+	hand := func(then func(core.Answer)) {
+		if n.core == nil {
+			if then != nil && w.gen == gen && w.busy {
+				elsewhere(time.Second) // refused
+			}
+			return
+		}
+		n.req++
+		if then != nil {
+			n.waiting[n.req] = then
+		}
+		copied := *r
+		copied.Tasks = append([]wire.TaskReport(nil), r.Tasks...)
+		s.step(n, core.Checkin{Req: n.req, Report: &copied})
+	}
+	if s.lateReports > 0 && s.rnd.Float64() < s.lateReports {
+		s.after(s.between(2*time.Second, 15*time.Second), func() {
+			n := s.nodes[s.rnd.IntN(len(s.nodes))]
+			if n.core != nil {
+				n.req++
+				copied := *r
+				s.step(n, core.Checkin{Req: n.req, Report: &copied})
+			}
+		})
+	}
+	s.deliver(reach, true, func() {
+		hand(func(a core.Answer) {
+			s.deliver(func() bool { return s.workerReach(n, w) && s.now >= w.deaf }, false, func() {
+				s.answerTo(w, n, a, gen, sent, r.Session, elsewhere)
+			})
+		})
+	})
+}
+
+func (s *sim) answerTo(w *simWorker, n *simNode, a core.Answer, gen int, sent time.Duration, session uint64, elsewhere func(time.Duration)) {
+	if w.gone || w.gen != gen || !w.busy {
+		return
+	}
+	if s.now < w.hung {
+		return // dropped after four seconds, or read late: the page says they are never executed late
+	}
+	s.expire(w)
+	if a.Status != 200 {
+		d := time.Second
+		if to, ok := a.Body.(wire.Redirect); ok && a.Status == 421 && to.Leader != "" && to.Leader != n.name {
+			for i, m := range s.nodes {
+				if m.name == to.Leader {
+					w.busy, w.node, w.next = false, i, s.now+s.between(0, 500*time.Millisecond)
+					return
+				}
+			}
+		}
+		elsewhere(d)
+		return
+	}
+	w.busy = false
+	ra, ok := a.Body.(wire.ReportAnswer)
+	if !ok || session != w.session || ra.Token < w.token {
+		return
+	}
+	if ra.Token > w.token {
+		s.soon(w)
+	}
+	w.token, w.answered = ra.Token, max(w.answered, sent)
+	if len(ra.Commands) > 0 {
+		s.note("%s: answers %s token %s%s", n.name, w.name, showToken(ra.Token), showCommands(ra.Commands))
+	}
+	s.execute(w, ra.Commands)
+}
+
+func (s *sim) execute(w *simWorker, cmds []wire.Command) {
+	for _, c := range cmds {
+		key := fmt.Sprint(c.Task, "#", c.Attempt)
+		t := w.tasks[key]
+		switch c.Op {
+		case wire.OpStart:
+			if t == nil {
+				s.begin(w, key, c)
+			}
+		case wire.OpStop:
+			if t == nil || t.State == wire.TaskExited {
+				break
+			}
+			if j := s.jobOf(t.Task); t.State == wire.TaskRunning && j != nil && j.spec.Checkpoint > 0 && c.GraceS != nil && *c.GraceS >= j.spec.SaveS {
+				t.State = wire.TaskSaving
+				t.gen++
+				gen := t.gen
+				s.after(time.Duration(j.spec.SaveS*float64(time.Second)), func() {
+					if t.gen == gen {
+						s.exit(w, t, wire.WhyStopped)
+					}
+				})
+				break
+			}
+			s.exit(w, t, wire.WhyStopped)
+		case wire.OpForget:
+			if t != nil && t.State == wire.TaskExited {
+				delete(w.tasks, key)
+			}
+		}
+	}
+	s.soon(w)
+}
+
+func (s *sim) jobOf(task string) *simJob {
+	id, _, _ := wire.ParseTask(task)
+	for _, j := range s.jobs {
+		if j.spec.ID == id {
+			return j
+		}
+	}
+	return nil
+}
+
+func (s *sim) begin(w *simWorker, key string, c wire.Command) {
+	t := &simTask{TaskReport: wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskFetching}}
+	w.tasks[key] = t
+	j := s.jobOf(c.Task)
+	used := 0.0
+	for _, k := range sortedKeys(w.tasks) {
+		o := w.tasks[k]
+		if o == t || o.State == wire.TaskExited {
+			continue
+		}
+		if o.Task == c.Task {
+			s.exit(w, t, wire.WhyBusy)
+			return
+		}
+		if x := s.jobOf(o.Task); x != nil {
+			used += x.spec.GPUs
+		}
+	}
+	switch {
+	case j == nil:
+		s.exit(w, t, wire.WhyUnknown)
+		return
+	case used+j.spec.GPUs > 8:
+		s.exit(w, t, wire.WhyNoRoom)
+		return
+	}
+	fetch := 100 * time.Millisecond
+	if !w.images[j.spec.Image] {
+		fetch = s.between(2*time.Second, 4*time.Second)
+	}
+	gen := t.gen
+	s.resume(w, t, gen, fetch, func() {
+		w.images[j.spec.Image] = true
+		t.State, t.on = wire.TaskRunning, true
+		s.say("%s starts %s#%d", w.name, t.Task, t.Attempt)
+		s.judge.starts(s.now, t.Task, w.name, "g8", w.zone, w.spot)
+		s.soon(w)
+		run := time.Duration(j.runS * (0.8 + 0.4*s.rnd.Float64()) * float64(time.Second))
+		switch {
+		case s.results[t.Task]:
+			s.exit(w, t, wire.WhyDone)
+		case j.faulty || w.sick:
+			s.resume(w, t, t.gen, 300*time.Millisecond, func() { s.exit(w, t, wire.WhyError) })
+		case j.spec.Kind == wire.KindArray:
+			s.resume(w, t, t.gen, run, func() { s.exit(w, t, wire.WhyDone) })
+		}
+	})
+}
+
+// resume does something on a machine after a time in which it does not hang.
+func (s *sim) resume(w *simWorker, t *simTask, gen int, d time.Duration, do func()) {
+	s.after(d, func() {
+		if t.gen != gen || w.gone {
+			return
+		}
+		if s.now < w.hung {
+			s.resume(w, t, gen, w.hung-s.now+time.Millisecond, do)
+			return
+		}
+		s.expire(w)
+		if t.gen == gen {
+			do()
+		}
+	})
+}
+
+func (s *sim) exit(w *simWorker, t *simTask, why string) {
+	if t.State == wire.TaskExited {
+		return
+	}
+	t.State, t.Why = wire.TaskExited, why
+	if why == wire.WhyDone {
+		s.results[t.Task] = true
+	}
+	if why == wire.WhyStopped && t.on {
+		s.say("%s stops %s#%d", w.name, t.Task, t.Attempt)
+	}
+	s.leave(w, t, why == wire.WhyDone)
+	s.soon(w)
+}
--- /dev/null
+++ b/internal/core/trace_world_test.go
@@ -0,0 +1,435 @@
+package core_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/config"
+	"bitternwing/internal/core"
+	"bitternwing/internal/standin"
+	"bitternwing/internal/wire"
+)
+
+// world is what surrounds the nodes in a trace: a state service, a cloud, links.
+type world struct {
+	t       testing.TB
+	out     strings.Builder
+	now     time.Duration
+	store   *standin.Store
+	outage  bool
+	nodes   map[string]*node
+	names   []string
+	req     uint64
+	cut     string                  // "cut": no node reaches another, "zones": none in another zone
+	budget  float64                 // the operators' round_budget, for nodes that start after
+	spare   float64                 // the same for spare_share
+	zones   map[string]string       // of nodes; "": z1
+	hidden  string                  // a machine that lists lack
+	answers map[string]*wire.Report // of workers that are asked directly, by address
+	orders  string                  // what becomes of direct orders; "": carried out
+
+	cloudDown, cloudNone bool
+	machines             map[string]*wire.Machine
+	rented               int
+}
+
+type node struct {
+	name    string
+	core    *core.Core
+	mode    string // of its requests to the state service
+	held    []core.StateTxn
+	watches []core.StateWatch
+	opened  time.Duration
+}
+
+func (w *world) settings(name string) *config.Settings {
+	zone := func(node string) string {
+		if z := w.zones[node]; z != "" {
+			return z
+		}
+		return "z1"
+	}
+	s := &config.Settings{Node: name, Zone: zone(name), Operator: config.DefaultOperator()}
+	for _, p := range []string{"a", "b", "c"} {
+		if p != name {
+			s.Peers = append(s.Peers, config.Peer{Node: p, Zone: zone(p), Addr: "127.0.0.1:1"})
+		}
+	}
+	s.Params = config.Params{Nodes: 3, Zones: []string{"z1", "z2"}, ClockOffMS: 5,
+		Teams:      []config.Team{{Name: "red", GPUs: 4, GPUsMax: 8}, {Name: "blue", GPUs: 8, GPUsMax: 16}, {Name: "green", GPUs: 40, GPUsMax: 80}},
+		Objectives: []config.Objective{{Kind: "finished", Class: "rush", WithinS: 150, Share: 0.9}},
+		Workers:    config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
+		State:      config.State{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 12},
+		Cloud:      config.Cloud{RPS: 2, ListLagS: 5},
+		Limits:     config.Limits{CPUShare: 0.06, MemoryMB: 98, MaxConnections: 600}}
+	s.Operator.SpareShare = w.spare
+	if w.budget > 0 {
+		s.Operator.RoundBudget = w.budget
+	}
+	return s
+}
+
+var catalog = wire.Catalog{Types: []wire.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 512, CacheGB: 300,
+	FetchGBPerS: 4, Price: 16, SpotPrice: 5, BootS: 40, Zones: []string{"z1", "z2"}}}}
+
+func (w *world) job(f []string) *wire.Job {
+	j := &wire.Job{ID: f[0], Class: "c", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 1,
+		CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 10, EstimateS: 60}
+	for _, kv := range f[1:] {
+		k, v, _ := strings.Cut(kv, "=")
+		num, _ := strconv.ParseFloat(v, 64)
+		switch k {
+		case "kind":
+			if v == "service" {
+				j.Kind, j.EstimateS = wire.KindService, 0
+			}
+		case "tasks":
+			j.Tasks = int(num)
+		case "gpus":
+			j.GPUs = num
+		case "team":
+			j.Team = v
+		case "class":
+			j.Class = v
+		case "image":
+			j.Image = v
+		case "priority":
+			j.Priority = v
+		case "zone":
+			j.Zone = v
+		case "type":
+			j.Types = []string{v}
+		case "spread":
+			j.Spread = true
+		case "one_zone":
+			j.OneZone = true
+		case "spot":
+			j.Spot = true
+		case "save":
+			j.Checkpoint, j.SaveS = 10, num
+		default:
+			w.t.Fatalf("unknown: %s", kv)
+		}
+	}
+	return j
+}
+
+func (w *world) report(f []string) *wire.Report {
+	r := &wire.Report{Machine: f[0], Type: "g8", Zone: "z1"}
+	if m := w.machines[r.Machine]; m != nil {
+		r.Zone, r.Spot = m.Zone, m.Spot
+	}
+	for _, kv := range f[1:] {
+		k, v, _ := strings.Cut(kv, "=")
+		num, _ := strconv.ParseFloat(v, 64)
+		switch k {
+		case "session":
+			r.Session = uint64(num)
+		case "seq":
+			r.Seq = uint64(num)
+		case "token":
+			// term, or term.count within the term
+			term, count, _ := strings.Cut(v, ".")
+			a, _ := strconv.ParseUint(term, 10, 64)
+			b, _ := strconv.ParseUint(count, 10, 64)
+			r.Token = a*1_000_000 + b
+		case "notice":
+			r.NoticeS = &num
+		case "spot":
+			r.Spot = true
+		case "zone":
+			r.Zone = v
+		case "addr":
+			r.Addr = v
+		default:
+			task, att, ok := strings.Cut(k, "#")
+			a, err := strconv.ParseUint(att, 10, 64)
+			if !ok || err != nil {
+				w.t.Fatalf("unknown: %s", kv)
+			}
+			state, why, _ := strings.Cut(v, ":")
+			r.Tasks = append(r.Tasks, wire.TaskReport{Task: task, Attempt: a, State: state, Why: why})
+		}
+	}
+	return r
+}
+
+// pass lets time pass: nodes are woken when they want to be.
+func (w *world) pass(d time.Duration) {
+	end := w.now + d
+	for w.now < end {
+		next := end
+		for _, name := range w.names {
+			next = min(next, max(w.now+time.Millisecond, w.nodes[name].core.Wake()))
+		}
+		w.now = next
+		if !w.outage {
+			w.store.At(w.now)
+		}
+		for _, name := range append([]string(nil), w.names...) {
+			if n := w.nodes[name]; n.core.Wake() <= w.now {
+				w.step(n, core.Tick{})
+			}
+		}
+		w.settle()
+	}
+}
+
+// settle answers watches until nothing new comes.
+func (w *world) settle() {
+	for again := true; again; {
+		again = false
+		for _, name := range append([]string(nil), w.names...) {
+			n := w.nodes[name]
+			ws := n.watches
+			n.watches = nil
+			for _, e := range ws {
+				if w.outage || n.mode != "serve" && n.mode != "slow" && n.mode != "nolist" {
+					n.watches = append(n.watches, e)
+					continue
+				}
+				ch, o := w.store.Changes(e.Prefix, e.After)
+				if len(ch.Events) == 0 && w.now-n.opened < e.Wait {
+					n.watches = append(n.watches, e)
+					continue
+				}
+				again = true
+				w.step(n, core.Result{ID: e.ID, Outcome: o, Changes: ch, Sent: n.opened})
+			}
+		}
+	}
+}
+
+// step hands a node an input and carries out what it returns.
+func (w *world) step(n *node, in core.Input) {
+	effects := append([]core.Effect(nil), n.core.Step(core.Time{Steady: w.now, WallMS: int64(w.now / time.Millisecond)}, in)...)
+	var results []core.Result
+	for _, e := range effects {
+		if r, ok := w.carryOut(n, e); ok {
+			r.Sent = w.now
+			results = append(results, r)
+		}
+	}
+	for _, r := range results {
+		w.step(n, r)
+	}
+}
+
+func (w *world) refused(n *node) bool { return w.outage || n.mode == "refuse" }
+
+// lost tells whether the answers of requests other than transactions get lost, and
+// gives them their result.
+func (w *world) lost(n *node, r core.Result) (core.Result, bool) {
+	switch {
+	case w.refused(n):
+		r = core.Result{ID: r.ID, Outcome: call.Refused}
+	case n.mode == "hold" || n.mode == "lose":
+		r = core.Result{ID: r.ID, Outcome: call.Unknown}
+	}
+	return r, true
+}
+
+func (w *world) carryOut(n *node, e core.Effect) (core.Result, bool) {
+	switch e := e.(type) {
+	case core.Answer:
+		w.answer(n, e)
+	case core.Log:
+		if e.Level > core.Debug {
+			var b strings.Builder
+			for i := 0; i+1 < len(e.Pairs); i += 2 {
+				fmt.Fprintf(&b, " %v=%v", e.Pairs[i], e.Pairs[i+1])
+			}
+			w.say(n, "log %s%s", e.Message, b.String())
+		}
+	case core.StateTxn:
+		w.withinLimits(e.Txn)
+		r := core.Result{ID: e.ID}
+		switch {
+		case w.refused(n):
+			r.Outcome = call.Refused
+		case n.mode == "hold" || n.mode == "slow":
+			n.held = append(n.held, e)
+			r.Outcome = call.Unknown
+		default:
+			r.Txn, r.Outcome = w.store.Txn(e.Txn)
+			if n.mode == "lose" {
+				r = core.Result{ID: e.ID, Outcome: call.Unknown}
+			}
+		}
+		if k := keysOf(e.Txn); k != "" {
+			w.say(n, "writes %s: %s", k, r.Outcome)
+		}
+		return r, true
+	case core.StateGet:
+		it, o := w.store.Get(e.Key)
+		return w.lost(n, core.Result{ID: e.ID, Outcome: o, Item: it})
+	case core.StateList:
+		if n.mode == "nolist" {
+			return core.Result{ID: e.ID, Outcome: call.Unknown}, true
+		}
+		return w.lost(n, core.Result{ID: e.ID, Outcome: call.OK, Page: w.store.List(e.Prefix, e.After, 500)})
+	case core.StateGrant:
+		if w.refused(n) {
+			return w.lost(n, core.Result{ID: e.ID})
+		}
+		return w.lost(n, core.Result{ID: e.ID, Outcome: call.OK, Lease: w.store.Grant(e.TTL)})
+	case core.StateExtend:
+		if w.refused(n) || n.mode == "hold" {
+			return w.lost(n, core.Result{ID: e.ID})
+		}
+		return w.lost(n, core.Result{ID: e.ID, Outcome: w.store.Extend(e.Lease)})
+	case core.StateRevoke:
+		if w.refused(n) || n.mode == "hold" {
+			return w.lost(n, core.Result{ID: e.ID})
+		}
+		return w.lost(n, core.Result{ID: e.ID, Outcome: w.store.Revoke(e.Lease)})
+	case core.StateWatch:
+		n.watches = append(n.watches, e)
+		n.opened = w.now
+	case core.CloudCatalog:
+		if w.cloudDown {
+			return core.Result{ID: e.ID, Outcome: call.Refused}, true
+		}
+		return core.Result{ID: e.ID, Outcome: call.OK, Catalog: catalog}, true
+	case core.CloudRent:
+		q := e.Request
+		if w.cloudDown || w.cloudNone {
+			return core.Result{ID: e.ID, Outcome: call.Refused}, true
+		}
+		r := core.Result{ID: e.ID, Outcome: call.OK}
+		for i := 0; i < q.Count; i++ {
+			w.rented++
+			name := fmt.Sprintf("m%d", w.rented)
+			w.machines[name] = &wire.Machine{Name: name, Type: q.Type, Zone: q.Zone, Spot: q.Spot, State: wire.MachineRunning}
+			r.Names = append(r.Names, name)
+		}
+		w.say(n, "rents %s %s spot=%v as %s: %v", q.Type, q.Zone, q.Spot, q.Request, r.Names)
+		return r, true
+	case core.CloudRelease:
+		if w.cloudDown {
+			return core.Result{ID: e.ID, Outcome: call.Refused}, true
+		}
+		for _, m := range e.Names {
+			delete(w.machines, m)
+		}
+		w.say(n, "releases %v", e.Names)
+		return core.Result{ID: e.ID, Outcome: call.OK}, true
+	case core.CloudList:
+		if w.cloudDown {
+			return core.Result{ID: e.ID, Outcome: call.Refused}, true
+		}
+		r := core.Result{ID: e.ID, Outcome: call.OK}
+		for _, m := range w.machines {
+			if m.Name == w.hidden {
+				continue
+			}
+			r.Machines.Machines = append(r.Machines.Machines, *m)
+		}
+		sort.Slice(r.Machines.Machines, func(a, b int) bool { return r.Machines.Machines[a].Name < r.Machines.Machines[b].Name })
+		return r, true
+	case core.WorkerOrders:
+		r := core.Result{ID: e.ID, Outcome: call.OK, Report: wire.Report{Seq: 0}}
+		if w.orders != "" {
+			r.Outcome = map[string]call.Outcome{"lost": call.Unknown, "refused": call.Refused, "conflict": call.Conflict}[w.orders]
+		}
+		w.say(n, "orders %s token %s%s: %s", e.Addr, showToken(e.Token), showCommands(e.Commands), r.Outcome)
+		return r, true
+	case core.WorkerInspect:
+		r := core.Result{ID: e.ID, Outcome: call.Unknown}
+		if w.answers[e.Addr] != nil {
+			r.Outcome, r.Report = call.OK, *w.answers[e.Addr]
+		}
+		w.say(n, "inspects %s: %s", e.Addr, r.Outcome)
+		return r, true
+	case core.PeerAsk:
+		p := w.nodes[e.Node]
+		if p == nil || w.cut == "cut" || w.cut == "zones" && w.zones[n.name] != w.zones[e.Node] {
+			return core.Result{ID: e.ID, Outcome: call.Unknown}, true
+		}
+		if len(e.Cancellations) > 0 {
+			w.req++
+			for _, it := range e.Cancellations {
+				w.say(p, "hears that %s is cancelled", it.Job)
+			}
+			w.step(p, core.Heard{Req: w.req, Cancellations: e.Cancellations})
+		}
+		return core.Result{ID: e.ID, Outcome: call.OK, Peer: p.core.PeerStatus()}, true
+	}
+	return core.Result{}, false
+}
+
+// withinLimits checks a transaction against the protocol's limits.
+func (w *world) withinLimits(t wire.Txn) {
+	p := w.settings("a").Params.State
+	body, err := json.Marshal(t)
+	if err != nil || len(body) > wire.MaxBody || len(t.Then) > p.TxnOps || len(t.If) > 4*p.TxnOps {
+		w.t.Errorf("a transaction of %d changes, %d conditions, %d bytes: %v", len(t.Then), len(t.If), len(body), err)
+	}
+	for _, op := range t.Then {
+		if float64(len(op.Value)) > 1024*p.ValueKB {
+			w.t.Errorf("a value of %d bytes for %s", len(op.Value), op.Put)
+		}
+	}
+}
+
+// keysOf shows the changes of a transaction, without the counts for display.
+func keysOf(t wire.Txn) string {
+	var ks []string
+	for _, op := range t.Then {
+		switch {
+		case len(op.Value) > 400:
+			ks = append(ks, op.Put+" (long)")
+		case strings.HasPrefix(op.Put, "w/n/"), strings.HasPrefix(op.Put, "w/i/"), op.Put == "w/catalog":
+		case op.Delete != "":
+			ks = append(ks, "-"+op.Delete)
+		case strings.HasPrefix(op.Put, "r/") || strings.HasPrefix(op.Put, "f/"):
+			ks = append(ks, op.Put+"="+string(op.Value))
+		default:
+			ks = append(ks, op.Put)
+		}
+	}
+	return strings.Join(ks, " ")
+}
+
+func showToken(token uint64) string {
+	if token%1_000_000 == 0 {
+		return fmt.Sprint(token / 1_000_000)
+	}
+	return fmt.Sprintf("%d.%d", token/1_000_000, token%1_000_000)
+}
+
+func showCommands(cmds []wire.Command) string {
+	var b strings.Builder
+	for _, c := range cmds {
+		fmt.Fprintf(&b, ", %s %s#%d", c.Op, c.Task, c.Attempt)
+		if c.GraceS != nil {
+			fmt.Fprintf(&b, " grace %v", *c.GraceS)
+		}
+	}
+	return b.String()
+}
+
+func (w *world) answer(n *node, a core.Answer) {
+	if ra, ok := a.Body.(wire.ReportAnswer); ok {
+		w.say(n, "%d token %s%s", a.Status, showToken(ra.Token), showCommands(ra.Commands))
+		return
+	}
+	if a.Body == nil {
+		return // a node that it heard
+	}
+	body, err := json.Marshal(a.Body)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	retry := ""
+	if a.RetryAfter > 0 {
+		retry = fmt.Sprintf(" retry after %d s", a.RetryAfter)
+	}
+	w.say(n, "%d %s%s", a.Status, body, retry)
+}
