--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,7 +40,7 @@
 	probeAt     time.Duration
 	lastReport  time.Duration // when a worker last reported here; negative: never
 	wake        time.Duration
-	looks       lookRate
+	evaluations evaluationRate
 }
 
 // times are the durations derived from the settings, each a ratio of one of them.
@@ -108,7 +108,7 @@
 // call.
 func (c *Core) Step(now Time, in Input) []Effect {
 	c.now = now
-	c.looks.learn(now.Took)
+	c.evaluations.learn(now.Took)
 	clear(c.out)
 	c.out = c.out[:0]
 	switch in := in.(type) {
--- a/internal/core/export_test.go
+++ b/internal/core/export_test.go
@@ -1,7 +1,7 @@
 package core
 
-// Looks is how many looks at machines the rounds of this node's present term took.
-func (c *Core) Looks() int {
+// Evaluations is how many the rounds of this node's present term took.
+func (c *Core) Evaluations() int {
 	if c.lead == nil {
 		return 0
 	}
@@ -9,10 +9,10 @@
 }
 
 // LooksPerSecond is what the settings allow of them, at the cost that was measured.
-func (c *Core) LooksPerSecond() float64 { return c.looksPerSecond() }
+func (c *Core) EvaluationsPerSecond() float64 { return c.evaluationsPerSecond() }
 
 // LastLooks is how many the last step took.
-func (c *Core) LastLooks() int { return c.looks.taken }
+func (c *Core) LastEvaluations() int { return c.evaluations.taken }
 
 // Finals is how many final states this node remembers.
 func (c *Core) Finals() int { return len(c.dir.finals) }
--- a/internal/core/faults.go
+++ b/internal/core/faults.go
@@ -7,7 +7,7 @@
 
 // A failed task mostly means a faulty machine, but a job submitted with a mistake
 // fails on each machine. So neither is condemned by itself: a machine counts as
-// sick once several jobs that are not themselves suspect failed on it, or one that
+// faulty once several jobs that are not themselves suspect failed on it, or one that
 // is proven did repeatedly; a job that fails on several machines is suspect and
 // waits longer with each of them. Where a fifth of the fleet is faulty most new jobs
 // meet several such machines: what a suspect's failures say of machines counts once it
@@ -34,19 +34,19 @@
 	for _, name := range slices.Sorted(maps.Keys(failed)) {
 		if x := l.machines[name]; x != nil && x != p.machine {
 			x.errors[j.id] = max(1, x.errors[j.id])
-			l.judge(x)
+			l.assessMachine(x)
 		}
 	}
 }
 
-// judge finds a machine faulty by the jobs that failed on it.
-func (l *leader) judge(m *machine) {
+// assessMachine finds a machine faulty by the jobs that failed on it.
+func (l *leader) assessMachine(m *machine) {
 	repeated := false
 	for id, n := range m.errors {
 		repeated = repeated || n >= 2 && l.jobs[id] != nil && l.jobs[id].proven
 	}
-	if !m.sick && (len(m.errors) >= 2 || repeated) {
-		m.sick = true
+	if !m.faulty && (len(m.errors) >= 2 || repeated) {
+		m.faulty = true
 		l.c.log(Info, "machine is faulty", "machine", m.name, "jobs", len(m.errors))
 	}
 }
@@ -67,13 +67,13 @@
 		pause := l.c.t.beat << min(len(j.failed)-1, 6)
 		j.waitFor = max(j.waitFor, now+min(pause, 3*l.c.t.lease))
 		for name := range j.failed {
-			if x := l.machines[name]; x != nil && !x.sick {
+			if x := l.machines[name]; x != nil && !x.faulty {
 				delete(x.errors, j.id)
 			}
 		}
 		return
 	}
-	l.judge(m)
+	l.assessMachine(m)
 }
 
 // avoids tells whether a job should rather not be tried on a machine again. Where
--- a/internal/core/fulfillment.go
+++ b/internal/core/fulfillment.go
@@ -8,7 +8,7 @@
 	"bitternwing/internal/wire"
 )
 
-// This file is the order of the design document: which elastic job is fed and
+// This file is the order of the design document: which elastic job is given more and
 // which is shrunk.
 //
 // An array is elastic: its bounds are one task and its unfinished tasks. A service
@@ -57,20 +57,20 @@
 	return float64(current-least) / float64(most-least)
 }
 
-// hungry is a job waiting to be fed.
-type hungry struct {
+// candidate is a job that more instances may be allocated to.
+type candidate struct {
 	job     *job
 	current int
 	from    int // where to look for its next task
 }
 
-func (h *hungry) score() float64 {
+func (h *candidate) score() float64 {
 	return score(h.current, h.job.minInstance(), h.job.maxInstance())
 }
 
 // lessFulfilled orders elastic jobs: by score, then by what an instance asks of
 // GPUs, CPU and memory (the smaller first: more of them find room), then by age.
-func lessFulfilled(a, b *hungry) bool {
+func lessFulfilled(a, b *candidate) bool {
 	if x, y := a.score(), b.score(); x != y {
 		return x < y
 	}
@@ -86,25 +86,25 @@
 	return a.job.before(b.job)
 }
 
-// feedQueue has the least fulfilled job on top.
-type feedQueue []*hungry
+// candidateQueue has the least fulfilled job on top.
+type candidateQueue []*candidate
 
-func (q feedQueue) Len() int           { return len(q) }
-func (q feedQueue) Less(a, b int) bool { return lessFulfilled(q[a], q[b]) }
-func (q feedQueue) Swap(a, b int)      { q[a], q[b] = q[b], q[a] }
-func (q *feedQueue) Push(x any)        { *q = append(*q, x.(*hungry)) }
-func (q *feedQueue) Pop() any {
+func (q candidateQueue) Len() int           { return len(q) }
+func (q candidateQueue) Less(a, b int) bool { return lessFulfilled(q[a], q[b]) }
+func (q candidateQueue) Swap(a, b int)      { q[a], q[b] = q[b], q[a] }
+func (q *candidateQueue) Push(x any)        { *q = append(*q, x.(*candidate)) }
+func (q *candidateQueue) Pop() any {
 	old := *q
 	x := old[len(old)-1]
 	*q = old[:len(old)-1]
 	return x
 }
 
-// keepPace gives free room to arrays that would miss their class's aim without it, the
+// allocateForDeadlines gives free room to arrays that would miss their class's aim without it, the
 // oldest first: an exception to the order of fulfillment. Equal shares let all arrays
 // that compete end at about the same, late time; one after the other, most are in time.
 // It takes from nobody.
-func (r *round) keepPace(jobs []*job) {
+func (r *round) allocateForDeadlines(jobs []*job) {
 	l := r.l
 	var late []*job
 	for _, j := range jobs {
@@ -131,9 +131,9 @@
 	}
 }
 
-// shareOut gives free room to arrays. Idle-time work comes last: it takes what all else leaves,
+// allocateElastic gives free room to arrays. Idle-time work comes last: it takes what all else leaves,
 // and gives way to what found no room.
-func (r *round) shareOut() {
+func (r *round) allocateElastic() {
 	var wanted, idle []*job
 	for _, j := range r.l.order {
 		switch {
@@ -144,26 +144,26 @@
 			wanted = append(wanted, j)
 		}
 	}
-	r.keepPace(wanted)
-	for _, h := range r.feed(wanted) {
+	r.allocateForDeadlines(wanted)
+	for _, h := range r.allocate(wanted) {
 		r.preemptIdle(h)
 	}
-	r.keepPace(idle)
-	r.feed(idle)
+	r.allocateForDeadlines(idle)
+	r.allocate(idle)
 }
 
-// feed gives free room, one instance at a time, to the least fulfilled job below
+// allocate gives free room, one instance at a time, to the least fulfilled job below
 // 1.0. A job that finds no room for its next instance, or has reached its team's
 // limit, is out of this round. It returns those that found no room.
-func (r *round) feed(jobs []*job) []*hungry {
+func (r *round) allocate(jobs []*job) []*candidate {
 	l := r.l
-	q := feedQueue{}
+	q := candidateQueue{}
 	for _, j := range jobs {
 		if j.unplaced() > 0 {
-			q = append(q, &hungry{job: j, current: j.instances()})
+			q = append(q, &candidate{job: j, current: j.instances()})
 		}
 	}
-	var lacking []*hungry
+	var lacking []*candidate
 	heap.Init(&q)
 	for len(q) > 0 && r.budget() {
 		h := q[0]
@@ -191,7 +191,7 @@
 // minimum is in their way: an exception to the design, which takes for minimums alone. Work that
 // is to run when nobody else wants the machines must not keep them from anybody, and its
 // tasks can hold all the CPUs of a fleet whose GPUs are free.
-func (r *round) preemptIdle(h *hungry) {
+func (r *round) preemptIdle(h *candidate) {
 	lacks := h.job.maxInstance() - h.current
 	for lacks > 0 && r.budget() && r.use.allows(h.job, 1) && r.shrinkFor(h.job, 1, r.idleVictim) {
 		r.use.add(h.job, 1) // it is as good as placed: its team's limit holds for the next one
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -14,7 +14,7 @@
 
 // Time is the moment of an input: the steady clock of this process and the time
 // of day in milliseconds. Took is how long the step before this one took; 0 if that is not
-// known. Rounds learn from it what a look costs.
+// known. Rounds learn from it what an evaluation costs.
 type Time struct {
 	Steady time.Duration
 	WallMS int64
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -358,7 +358,7 @@
 		}
 		for _, p := range j.byTask() {
 			if l.c.now.Steady >= l.cancelDue(p) {
-				l.rentals.release(p.machine, "a cancelled task does not go")
+				l.rentals.release(p.machine, releaseCancelled)
 			}
 		}
 	}
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -75,12 +75,12 @@
 	}
 	for _, m := range l.fleet {
 		if (m.up || m.seenUp) && !m.releasing && entitled && now >= l.silentUntil(m) {
-			l.rentals.release(m, "silent")
+			l.rentals.release(m, releaseSilent)
 		}
 		if entitled && l.deafened(m) {
-			l.rentals.release(m, "answers don't reach it")
+			l.rentals.release(m, releaseUnreached)
 		}
-		if m.notice || m.sick {
+		if m.notice || m.faulty {
 			l.drain(m)
 		}
 		if entitled {
@@ -155,7 +155,7 @@
 }
 
 // drain stops what can save its progress on a machine that will be taken, and all on one
-// that is sick.
+// that is faulty.
 func (l *leader) drain(m *machine) {
 	for _, p := range m.sorted() {
 		switch {
@@ -164,11 +164,11 @@
 			l.end(p)
 		case p.job.spec.Checkpoint > 0:
 			p.halt(stopSaving, "drain")
-		case m.sick:
+		case m.faulty:
 			p.halt(stopNow, "drain")
 		}
 	}
-	if m.sick && len(m.runs) == 0 {
-		l.rentals.release(m, "sick")
+	if m.faulty && len(m.runs) == 0 {
+		l.rentals.release(m, releaseFaulty)
 	}
 }
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -50,7 +50,7 @@
 	// Failure accounting, see faults.go.
 	errors  map[string]int // by job, since something last started and ran well here
 	erredAt time.Duration  // when something last failed
-	sick    bool
+	faulty  bool
 
 	// Whether answers reach it, see doubt.
 	proof     uint64        // the token it has to show; 0: there is no doubt
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -34,11 +34,11 @@
 // may run on cheap machines prefers those; then the tightest, so that others empty
 // and can be returned.
 func (r *round) fit(j *job, task int) *machine {
-	a, plain := askOf(j)
+	a, plain := requestOf(j)
 	if plain && r.full[a] {
 		return nil
 	}
-	r.looks -= len(r.hosts)
+	r.evaluations -= len(r.hosts)
 	var best *host
 	bestScore := math.Inf(1)
 	for _, h := range r.hosts {
--- a/internal/core/provisioning.go
+++ b/internal/core/provisioning.go
@@ -57,7 +57,7 @@
 		}
 	}
 	counted := map[*job]int{}
-	for _, w := range r.want {
+	for _, w := range r.unmet {
 		counted[w.job] += w.tasks
 		for i := 0; i < w.tasks; i++ {
 			if !p.put(w.job, w.job.spec.Spot) && !p.put(w.job, false) {
@@ -70,14 +70,14 @@
 			p.array(j, j.unplaced()-counted[j])
 		}
 	}
-	p.spare()
+	p.ensureHeadroom()
 	p.order()
 	p.giveBack()
 }
 
 // put packs a task into a bin, opening one if need be.
 func (p *planner) put(j *job, spot bool) bool {
-	p.r.looks -= len(p.bins) / 4
+	p.r.evaluations -= len(p.bins) / 4
 	for _, b := range p.bins {
 		if b.room.holds(j.spec) && p.suits(j, b.offer) {
 			p.take(b, j)
@@ -205,7 +205,7 @@
 }
 
 // spareWanted is the room on ordinary machines to keep free for services to come.
-func (p *planner) spareWanted() float64 {
+func (p *planner) headroomWanted() float64 {
 	inUse, largest := 0.0, 0.0
 	for _, j := range p.r.l.order {
 		if !j.array() && !j.cancelled {
@@ -223,11 +223,11 @@
 // spareNow is the room on ordinary machines that services could have: free, to
 // come, or held by elastic jobs above their minimum (half of it, since those have
 // to stop first).
-func (p *planner) spareNow() float64 {
+func (p *planner) headroomNow() float64 {
 	sum := 0.0
 	for _, h := range p.r.hosts {
 		if !h.m.spot {
-			sum += p.spareOn(h)
+			sum += p.headroomOn(h)
 		}
 	}
 	for _, b := range p.bins {
@@ -238,7 +238,7 @@
 	return sum
 }
 
-func (p *planner) spareOn(h *host) float64 {
+func (p *planner) headroomOn(h *host) float64 {
 	sum := max(0, h.free.gpus)
 	for _, x := range h.m.runs {
 		if x.job.shrinkable() {
@@ -248,10 +248,10 @@
 	return sum
 }
 
-func (p *planner) spare() {
+func (p *planner) ensureHeadroom() {
 	l := p.r.l
-	want := p.spareWanted()
-	for i := 0; i < 4 && p.spareNow() < want; i++ {
+	wanted := p.headroomWanted()
+	for i := 0; i < 4 && p.headroomNow() < wanted; i++ {
 		var any *job
 		for _, j := range l.order {
 			if !j.array() && !j.cancelled && j.team != nil && !j.spec.Spread && !j.spec.OneZone {
@@ -292,7 +292,7 @@
 func (p *planner) giveBack() {
 	l := p.r.l
 	now := l.c.now.Steady
-	spare := p.spareNow() - p.spareWanted()
+	surplus := p.headroomNow() - p.headroomWanted()
 	var idle []*machine
 	for _, h := range p.r.hosts {
 		m := h.m
@@ -304,11 +304,11 @@
 	sort.SliceStable(idle, func(a, b int) bool { return idle[a].cached() < idle[b].cached() })
 	for _, m := range idle {
 		if !m.spot {
-			if spare < m.mt.GPUs {
+			if surplus < m.mt.GPUs {
 				continue
 			}
-			spare -= m.mt.GPUs
+			surplus -= m.mt.GPUs
 		}
-		p.t.release(m, "idle")
+		p.t.release(m, releaseIdle)
 	}
 }
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -101,8 +101,21 @@
 	}
 }
 
+// releaseReason is why a machine is given back.
+type releaseReason string
+
+// The reasons.
+const (
+	releaseIdle      releaseReason = "idle"
+	releaseSilent    releaseReason = "silent"
+	releaseFaulty    releaseReason = "faulty"
+	releaseNeverUp   releaseReason = "did not come up"
+	releaseCancelled releaseReason = "a cancelled task does not go"
+	releaseUnreached releaseReason = "answers don't reach it"
+)
+
 // release gives a machine back. What is on it counts until the cloud says 200.
-func (t *rentals) release(m *machine, why string) {
+func (t *rentals) release(m *machine, why releaseReason) {
 	if m.releasing {
 		return
 	}
@@ -303,7 +316,7 @@
 			due = max(due, l.since+2*c.t.lease)
 		}
 		if c.now.Steady >= due {
-			t.release(m, "did not come up")
+			t.release(m, releaseNeverUp)
 		}
 	}
 }
--- a/internal/core/judge_test.go
+++ b/internal/core/rule_checker_test.go
@@ -10,20 +10,20 @@
 	"bitternwing/internal/wire"
 )
 
-// judge watches a simulated day for broken rules. It knows what is on the machines and what
+// ruleChecker watches a simulated day for broken rules. It knows what is on the machines and what
 // users were told, and nothing of what the nodes think. A task is on its machine from the
 // moment its image is there until it exits, is killed or the machine is gone.
-type judge struct {
+type ruleChecker struct {
 	limits map[string]float64 // GPUs that a team may use
 	cancel time.Duration      // time for a cancelled job's tasks to be gone
 	types  map[string]bool    // machine types that the cloud has
 
-	jobs   map[string]*judged
+	jobs   map[string]*checkedJob
 	on     map[string]map[string]onMachine // by task, by machine
 	broken []string
 }
 
-type judged struct {
+type checkedJob struct {
 	spec      *wire.Job
 	submitted bool
 	accepted  time.Duration // when its user was first told; 0: not yet
@@ -36,19 +36,19 @@
 
 type onMachine struct{ zone string }
 
-func newJudge(limits map[string]float64, cancel time.Duration) *judge {
-	return &judge{limits: limits, cancel: cancel, types: map[string]bool{"g8": true},
-		jobs: map[string]*judged{}, on: map[string]map[string]onMachine{}}
+func newRuleChecker(limits map[string]float64, cancel time.Duration) *ruleChecker {
+	return &ruleChecker{limits: limits, cancel: cancel, types: map[string]bool{"g8": true},
+		jobs: map[string]*checkedJob{}, on: map[string]map[string]onMachine{}}
 }
 
-func (j *judge) breaks(now time.Duration, rule, format string, args ...any) {
+func (j *ruleChecker) breaks(now time.Duration, rule, format string, args ...any) {
 	j.broken = append(j.broken, fmt.Sprintf("%.3f %s: %s", now.Seconds(), rule, fmt.Sprintf(format, args...)))
 }
 
-func (j *judge) submits(spec *wire.Job) *judged {
+func (j *ruleChecker) submits(spec *wire.Job) *checkedJob {
 	x := j.jobs[spec.ID]
 	if x == nil {
-		x = &judged{spec: spec, done: map[int]bool{}}
+		x = &checkedJob{spec: spec, done: map[int]bool{}}
 		j.jobs[spec.ID] = x
 	}
 	x.submitted = true
@@ -56,7 +56,7 @@
 }
 
 // starts takes note of a task that is on a machine from now on.
-func (j *judge) starts(now time.Duration, task, machine, kind, zone string, spot bool) {
+func (j *ruleChecker) starts(now time.Duration, task, machine, kind, zone string, spot bool) {
 	id, _, _ := wire.ParseTask(task)
 	x := j.jobs[id]
 	if x == nil {
@@ -108,7 +108,7 @@
 }
 
 // ends takes note of a task that is on a machine no more; done if it completed there.
-func (j *judge) ends(task, machine string, done bool) {
+func (j *ruleChecker) ends(task, machine string, done bool) {
 	delete(j.on[task], machine)
 	if id, n, ok := wire.ParseTask(task); ok && done && j.jobs[id] != nil {
 		j.jobs[id].done[n] = true
@@ -116,7 +116,7 @@
 }
 
 // passes looks for cancelled jobs whose time is over.
-func (j *judge) passes(now time.Duration) {
+func (j *ruleChecker) passes(now time.Duration) {
 	for _, t := range sortedKeys(j.on) {
 		id, _, _ := wire.ParseTask(t)
 		x := j.jobs[id]
@@ -132,7 +132,7 @@
 
 // told takes note of an answer about a job: to a submission, a poll or a cancel that was sent
 // at asked. Questions that cross on their way may be answered in any order.
-func (j *judge) told(now, asked time.Duration, verb, id string, status int, state string) {
+func (j *ruleChecker) told(now, asked time.Duration, verb, id string, status int, state string) {
 	x := j.jobs[id]
 	known := status == 200 || status == 201
 	if x == nil || !x.submitted {
@@ -182,90 +182,90 @@
 	return ks
 }
 
-// Jobs of TestJudge.
-const judgedID, otherID = "run-000001", "run-000002"
+// Jobs of TestRuleChecker.
+const checkedID, otherID = "run-000001", "run-000002"
 
-// judgedJob is the job that TestJudge submits.
-func judgedJob(t testing.TB) *wire.Job {
-	return (&sim{t: t}).newJob([]string{judgedID, "tasks=4", "gpus=3", "team=red"}).spec
+// checkedSpec is the job that TestRuleChecker submits.
+func checkedSpec(t testing.TB) *wire.Job {
+	return (&sim{t: t}).newJob([]string{checkedID, "tasks=4", "gpus=3", "team=red"}).spec
 }
 
 // seconds gives a time in seconds.
 func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
 
-// judgedDays break one rule each, which the first word of their name tells.
-var judgedDays = map[string]func(j *judge){
-	"ran_twice": func(j *judge) {
-		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
-		j.starts(seconds(2), judgedID+"/0", "m2", "g8", "z1", false)
+// ruleBreakingDays break one rule each, which the first word of their name tells.
+var ruleBreakingDays = map[string]func(j *ruleChecker){
+	"ran_twice": func(j *ruleChecker) {
+		j.starts(seconds(1), checkedID+"/0", "m1", "g8", "z1", false)
+		j.starts(seconds(2), checkedID+"/0", "m2", "g8", "z1", false)
 	},
-	"quota": func(j *judge) {
+	"quota": func(j *ruleChecker) {
 		for i := range 3 {
-			j.starts(seconds(1), wire.TaskName(judgedID, i), "m1", "g8", "z1", false)
+			j.starts(seconds(1), wire.TaskName(checkedID, i), "m1", "g8", "z1", false)
 		}
 	},
-	"wrong_place spot": func(j *judge) { j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", true) },
-	"wrong_place type": func(j *judge) {
-		j.jobs[judgedID].spec.Types = []string{"h4"}
-		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
+	"wrong_place spot": func(j *ruleChecker) { j.starts(seconds(1), checkedID+"/0", "m1", "g8", "z1", true) },
+	"wrong_place type": func(j *ruleChecker) {
+		j.jobs[checkedID].spec.Types = []string{"h4"}
+		j.starts(seconds(1), checkedID+"/0", "m1", "g8", "z1", false)
 	},
-	"wrong_place zone": func(j *judge) {
-		j.submits(judgedJob(nil)).spec.Zone = "z2"
-		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
+	"wrong_place zone": func(j *ruleChecker) {
+		j.submits(checkedSpec(nil)).spec.Zone = "z2"
+		j.starts(seconds(1), checkedID+"/0", "m1", "g8", "z1", false)
 	},
-	"wrong_place one_zone": func(j *judge) {
-		j.jobs[judgedID].spec.OneZone = true
-		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
-		j.starts(seconds(1), judgedID+"/1", "m2", "g8", "z2", false)
+	"wrong_place one_zone": func(j *ruleChecker) {
+		j.jobs[checkedID].spec.OneZone = true
+		j.starts(seconds(1), checkedID+"/0", "m1", "g8", "z1", false)
+		j.starts(seconds(1), checkedID+"/1", "m2", "g8", "z2", false)
 	},
-	"wrong_place spread": func(j *judge) {
-		j.jobs[judgedID].spec.Spread, j.jobs[judgedID].spec.GPUs = true, 1
+	"wrong_place spread": func(j *ruleChecker) {
+		j.jobs[checkedID].spec.Spread, j.jobs[checkedID].spec.GPUs = true, 1
 		for i := range 3 {
-			j.starts(seconds(1), wire.TaskName(judgedID, i), "m1", "g8", "z1", false)
+			j.starts(seconds(1), wire.TaskName(checkedID, i), "m1", "g8", "z1", false)
 		}
 	},
-	"ran_cancelled stays": func(j *judge) {
-		j.jobs[judgedID].asked = true
-		j.starts(seconds(1), judgedID+"/0", "m1", "g8", "z1", false)
-		j.told(seconds(2), seconds(2), "cancel", judgedID, 200, wire.JobCancelled)
+	"ran_cancelled stays": func(j *ruleChecker) {
+		j.jobs[checkedID].asked = true
+		j.starts(seconds(1), checkedID+"/0", "m1", "g8", "z1", false)
+		j.told(seconds(2), seconds(2), "cancel", checkedID, 200, wire.JobCancelled)
 		j.passes(seconds(2) + simCancel + 1)
 	},
-	"ran_cancelled starts": func(j *judge) {
-		j.jobs[judgedID].asked = true
-		j.told(seconds(2), seconds(2), "cancel", judgedID, 200, wire.JobCancelled)
-		j.starts(seconds(2)+simCancel+1, judgedID+"/0", "m1", "g8", "z1", false)
+	"ran_cancelled starts": func(j *ruleChecker) {
+		j.jobs[checkedID].asked = true
+		j.told(seconds(2), seconds(2), "cancel", checkedID, 200, wire.JobCancelled)
+		j.starts(seconds(2)+simCancel+1, checkedID+"/0", "m1", "g8", "z1", false)
 	},
-	"started_cancelled": func(j *judge) {
-		j.jobs[judgedID].asked = true
-		j.told(seconds(2), seconds(2), "cancel", judgedID, 200, wire.JobCancelled)
-		j.starts(seconds(3), judgedID+"/0", "m1", "g8", "z1", false)
+	"started_cancelled": func(j *ruleChecker) {
+		j.jobs[checkedID].asked = true
+		j.told(seconds(2), seconds(2), "cancel", checkedID, 200, wire.JobCancelled)
+		j.starts(seconds(3), checkedID+"/0", "m1", "g8", "z1", false)
 	},
-	"forgotten poll": func(j *judge) {
-		j.told(seconds(1), seconds(1), "submit", judgedID, 201, wire.JobPending)
-		j.told(seconds(3), seconds(2), "poll", judgedID, 404, "")
+	"forgotten poll": func(j *ruleChecker) {
+		j.told(seconds(1), seconds(1), "submit", checkedID, 201, wire.JobPending)
+		j.told(seconds(3), seconds(2), "poll", checkedID, 404, "")
 	},
-	"forgotten submit": func(j *judge) {
-		j.told(seconds(1), seconds(1), "submit", judgedID, 201, wire.JobPending)
-		j.told(seconds(3), seconds(2), "submit", judgedID, 422, "")
+	"forgotten submit": func(j *ruleChecker) {
+		j.told(seconds(1), seconds(1), "submit", checkedID, 201, wire.JobPending)
+		j.told(seconds(3), seconds(2), "submit", checkedID, 422, "")
 	},
-	"invented answer": func(j *judge) { j.told(seconds(1), seconds(1), "poll", otherID, 200, wire.JobPending) },
-	"invented start":  func(j *judge) { j.starts(seconds(1), otherID+"/0", "m1", "g8", "z1", false) },
-	"not_done":        func(j *judge) { j.told(seconds(1), seconds(1), "poll", judgedID, 200, wire.JobDone) },
-	"went_back": func(j *judge) {
-		j.jobs[judgedID].asked = true
-		j.told(seconds(2), seconds(1), "cancel", judgedID, 200, wire.JobCancelled)
-		j.told(seconds(4), seconds(3), "poll", judgedID, 200, wire.JobRunning)
+	"invented answer": func(j *ruleChecker) { j.told(seconds(1), seconds(1), "poll", otherID, 200, wire.JobPending) },
+	"invented start":  func(j *ruleChecker) { j.starts(seconds(1), otherID+"/0", "m1", "g8", "z1", false) },
+	"not_done":        func(j *ruleChecker) { j.told(seconds(1), seconds(1), "poll", checkedID, 200, wire.JobDone) },
+	"went_back": func(j *ruleChecker) {
+		j.jobs[checkedID].asked = true
+		j.told(seconds(2), seconds(1), "cancel", checkedID, 200, wire.JobCancelled)
+		j.told(seconds(4), seconds(3), "poll", checkedID, 200, wire.JobRunning)
 	},
-	"went_back unasked": func(j *judge) { j.told(seconds(2), seconds(1), "poll", judgedID, 200, wire.JobCancelled) },
+	"went_back unasked": func(j *ruleChecker) { j.told(seconds(2), seconds(1), "poll", checkedID, 200, wire.JobCancelled) },
 }
 
-// TestJudge shows that each check of the judge can fail.
-func TestJudge(t *testing.T) {
-	for rule, day := range judgedDays {
-		j := newJudge(map[string]float64{"red": 8}, simCancel)
-		j.submits(judgedJob(t))
+// TestRuleChecker shows that each check can fail.
+func TestRuleChecker(t *testing.T) {
+	for rule, day := range ruleBreakingDays {
+		j := newRuleChecker(map[string]float64{"red": 8}, simCancel)
+		j.submits(checkedSpec(t))
 		if day(j); len(j.broken) != 1 || !strings.Contains(j.broken[0], strings.Fields(rule)[0]) {
-			t.Errorf("%s: the judge says %v", rule, j.broken)
+			t.Errorf("%s: the checker says %v", rule, j.broken)
 		}
 	}
 }
--- a/internal/core/yard_test.go
+++ b/internal/core/scale_cluster_test.go
@@ -16,77 +16,77 @@
 	"bitternwing/internal/wire"
 )
 
-// yard is a large deployment around pure cores: a state service, a cloud and workers
+// scaleCluster is a large deployment around pure cores: a state service, a cloud and workers
 // that report, fetch, run and obey. Time goes in steps; what is asked for in one is
 // answered in the next. It counts what the nodes ask for.
-type yard struct {
-	t       testing.TB
-	now     time.Duration
-	rnd     *rand.Rand
-	store   *standin.Store
-	set     *config.Settings
-	op      *config.Operator
-	memory  float64       // MB a node may use
-	look    time.Duration // what a look takes a node; 0: nobody measures it
-	large   bool          // settings of a fleet of about 1,000 machines, not of 200
-	apart   string        // workers of this zone can't reach nodes of the first one, nor they them
-	polled  any           // the last answer to a user
-	nodes   []*yardNode
-	workers []*yardWorker
-	byAddr  map[string]*yardWorker
-	rented  int
-	most    int // machines that the cloud has
-	jobs    int
-	live    []string // services that are accepted, oldest first
-	req     uint64
+type scaleCluster struct {
+	t              testing.TB
+	now            time.Duration
+	rnd            *rand.Rand
+	store          *standin.Store
+	set            *config.Settings
+	op             *config.Operator
+	memory         float64       // MB a node may use
+	evaluationCost time.Duration // what an evaluation takes a node; 0: nobody measures it
+	large          bool          // settings of a fleet of about 1,000 machines, not of 200
+	apart          string        // workers of this zone can't reach nodes of the first one, nor they them
+	polled         any           // the last answer to a user
+	nodes          []*scaleNode
+	workers        []*scaleWorker
+	byAddr         map[string]*scaleWorker
+	rented         int
+	most           int // machines that the cloud has
+	jobs           int
+	live           []string // services that are accepted, oldest first
+	req            uint64
 
-	counted yardCounts
+	counted scaleCounts
 }
 
-type yardCounts struct {
+type scaleCounts struct {
 	txns, writes, bytes, gets, lists, pages, orders, checkins int
 	largest, body                                             int // changes and bytes in a transaction, at most
 	atOnce                                                    int // calls to workers, at most
 	released                                                  int // machines with work on them
 }
 
-type yardNode struct {
+type scaleNode struct {
 	name    string
 	zone    string
 	core    *core.Core
 	results []core.Result
-	watches []yardWatch
+	watches []scaleWatch
 	asked   int // workers, without an answer yet
 }
 
-type yardWatch struct {
+type scaleWatch struct {
 	core.StateWatch
 	opened time.Duration
 }
 
-type yardWorker struct {
+type scaleWorker struct {
 	name, addr, zone string
 	spot             bool
 	up               time.Duration
 	due, next        time.Duration // its next report; when a task goes on
 	node             int
 	seq, token       uint64
-	tasks            map[string]*yardTask
+	tasks            map[string]*scaleTask
 	dead             bool
 }
 
-type yardTask struct {
+type scaleTask struct {
 	wire.TaskReport
 	at time.Duration // when it goes on
 }
 
-const yardStep = 10 * time.Millisecond
+const scaleStep = 10 * time.Millisecond
 
-func newYard(t testing.TB, nodes, machines int) *yard {
-	y := &yard{t: t, now: time.Second, rnd: rand.New(rand.NewSource(1)), store: standin.NewStore(),
-		byAddr: map[string]*yardWorker{}, most: machines, op: config.DefaultOperator(), memory: 98}
+func newScaleCluster(t testing.TB, nodes, machines int) *scaleCluster {
+	y := &scaleCluster{t: t, now: time.Second, rnd: rand.New(rand.NewSource(1)), store: standin.NewStore(),
+		byAddr: map[string]*scaleWorker{}, most: machines, op: config.DefaultOperator(), memory: 98}
 	for i := 0; i < nodes; i++ {
-		y.nodes = append(y.nodes, &yardNode{name: fmt.Sprintf("n%d", i), zone: []string{"z1", "z2"}[i%2]})
+		y.nodes = append(y.nodes, &scaleNode{name: fmt.Sprintf("n%d", i), zone: []string{"z1", "z2"}[i%2]})
 	}
 	for i := range y.nodes {
 		y.start(i)
@@ -97,9 +97,9 @@
 	return y
 }
 
-// newLargeYard has the settings of a fleet of about 1,000 machines.
-func newLargeYard(t testing.TB, nodes, machines int) *yard {
-	y := newYard(t, nodes, machines)
+// newLargeScaleCluster has the settings of a fleet of about 1,000 machines.
+func newLargeScaleCluster(t testing.TB, nodes, machines int) *scaleCluster {
+	y := newScaleCluster(t, nodes, machines)
 	y.large = true
 	for i := range y.nodes {
 		y.start(i)
@@ -108,7 +108,7 @@
 	return y
 }
 
-func (y *yard) settings(i int) *config.Settings {
+func (y *scaleCluster) settings(i int) *config.Settings {
 	s := &config.Settings{Node: y.nodes[i].name, Zone: []string{"z1", "z2"}[i%2], Operator: y.op}
 	for k, n := range y.nodes {
 		if k != i {
@@ -134,15 +134,15 @@
 }
 
 // start makes a node's process anew.
-func (y *yard) start(i int) {
+func (y *scaleCluster) start(i int) {
 	y.set = y.settings(i)
 	n := y.nodes[i]
 	n.results, n.watches = nil, nil
 	n.core = core.New(y.set, fmt.Sprint(n.name, y.now))
 }
 
-func (y *yard) step(n *yardNode, in core.Input) {
-	took := time.Duration(n.core.LastLooks()) * y.look
+func (y *scaleCluster) step(n *scaleNode, in core.Input) {
+	took := time.Duration(n.core.LastEvaluations()) * y.evaluationCost
 	effects := n.core.Step(core.Time{Steady: y.now, WallMS: int64(y.now / time.Millisecond), Took: took}, in)
 	for _, e := range append([]core.Effect(nil), effects...) {
 		if r, ok := y.carryOut(n, e); ok {
@@ -153,9 +153,9 @@
 }
 
 // pass lets time pass.
-func (y *yard) pass(d time.Duration) {
+func (y *scaleCluster) pass(d time.Duration) {
 	for end := y.now + d; y.now < end; {
-		y.now += yardStep
+		y.now += scaleStep
 		y.store.At(y.now)
 		for _, n := range y.nodes {
 			results := n.results
@@ -186,7 +186,7 @@
 }
 
 // live lets a worker's tasks go on and has it report.
-func (w *yardWorker) live(y *yard) {
+func (w *scaleWorker) live(y *scaleCluster) {
 	if y.now < w.due && y.now < w.next {
 		return
 	}
@@ -229,11 +229,11 @@
 }
 
 // blocked tells whether a node and a worker can't reach each other.
-func (y *yard) blocked(n *yardNode, w *yardWorker) bool {
+func (y *scaleCluster) blocked(n *scaleNode, w *scaleWorker) bool {
 	return y.apart != "" && w.zone == y.apart && n.zone != y.apart
 }
 
-func (w *yardWorker) index(y *yard) int {
+func (w *scaleWorker) index(y *scaleCluster) int {
 	for i, x := range y.workers {
 		if x == w {
 			return i
@@ -242,9 +242,9 @@
 	return 0
 }
 
-func (w *yardWorker) names() []string { return slices.Sorted(maps.Keys(w.tasks)) }
+func (w *scaleWorker) names() []string { return slices.Sorted(maps.Keys(w.tasks)) }
 
-func (w *yardWorker) report() *wire.Report {
+func (w *scaleWorker) report() *wire.Report {
 	w.seq++
 	r := &wire.Report{Machine: w.name, Addr: w.addr, Type: "g8", Zone: w.zone, Spot: w.spot, Session: 1, Seq: w.seq, Token: w.token}
 	for _, name := range w.names() {
@@ -254,7 +254,7 @@
 }
 
 // obey carries out commands.
-func (w *yardWorker) obey(y *yard, token uint64, cmds []wire.Command) {
+func (w *scaleWorker) obey(y *scaleCluster, token uint64, cmds []wire.Command) {
 	if token < w.token {
 		return
 	}
@@ -271,7 +271,7 @@
 					y.t.Errorf("%s runs twice", c.Task)
 				}
 			}
-			w.tasks[c.Task] = &yardTask{wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskFetching},
+			w.tasks[c.Task] = &scaleTask{wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskFetching},
 				y.now + time.Duration(2+y.rnd.Intn(8))*time.Second}
 		case wire.OpStop:
 			if t != nil && t.Attempt == c.Attempt && t.State != wire.TaskExited {
@@ -285,7 +285,7 @@
 	}
 }
 
-func (y *yard) carryOut(n *yardNode, e core.Effect) (core.Result, bool) {
+func (y *scaleCluster) carryOut(n *scaleNode, e core.Effect) (core.Result, bool) {
 	c := &y.counted
 	switch e := e.(type) {
 	case core.Answer:
@@ -332,7 +332,7 @@
 	case core.StateRevoke:
 		return core.Result{ID: e.ID, Outcome: y.store.Revoke(e.Lease)}, true
 	case core.StateWatch:
-		n.watches = append(n.watches, yardWatch{e, y.now})
+		n.watches = append(n.watches, scaleWatch{e, y.now})
 	case core.CloudCatalog:
 		return core.Result{ID: e.ID, Outcome: call.OK, Catalog: catalog}, true
 	case core.CloudRent:
@@ -391,12 +391,12 @@
 	return core.Result{}, false
 }
 
-func (y *yard) rent(e core.CloudRent) core.Result {
+func (y *scaleCluster) rent(e core.CloudRent) core.Result {
 	r := core.Result{ID: e.ID, Outcome: call.OK}
 	for i := 0; i < e.Request.Count && y.rented < y.most; i++ {
 		y.rented++
-		w := &yardWorker{name: fmt.Sprintf("m%04d", len(y.workers)+1), zone: e.Request.Zone, spot: e.Request.Spot,
-			up: y.now + 5*time.Second + time.Duration(y.rnd.Intn(3000))*time.Millisecond, tasks: map[string]*yardTask{}}
+		w := &scaleWorker{name: fmt.Sprintf("m%04d", len(y.workers)+1), zone: e.Request.Zone, spot: e.Request.Spot,
+			up: y.now + 5*time.Second + time.Duration(y.rnd.Intn(3000))*time.Millisecond, tasks: map[string]*scaleTask{}}
 		w.addr = w.name + ":9000"
 		y.byAddr[w.addr] = w
 		y.workers = append(y.workers, w)
@@ -409,7 +409,7 @@
 }
 
 // submit hands in a job. The first letter of its number tells what it is.
-func (y *yard) submit(j wire.Job) {
+func (y *scaleCluster) submit(j wire.Job) {
 	y.jobs++
 	y.req++
 	j.Class, j.CPUs, j.MemoryGB, j.Priority = "c", 4*j.GPUs, 20*j.GPUs, map[bool]string{true: "standard", false: "prod"}[j.Kind == wire.KindArray]
@@ -425,7 +425,7 @@
 }
 
 // have brings machines up that were there before.
-func (y *yard) have(n int) {
+func (y *scaleCluster) have(n int) {
 	y.most += n
 	y.rent(core.CloudRent{Request: wire.RentRequest{Count: n, Zone: "z1"}})
 	for _, w := range y.workers {
@@ -434,7 +434,7 @@
 }
 
 // crash ends the process of the node that leads, and starts it anew.
-func (y *yard) crash() {
+func (y *scaleCluster) crash() {
 	for i, n := range y.nodes {
 		if n.core.PeerStatus().Leads {
 			y.start(i)
@@ -446,7 +446,7 @@
 }
 
 // day plays a fleet that fills up and stays full.
-func (y *yard) day(services, arrays int, seconds int) {
+func (y *scaleCluster) day(services, arrays int, seconds int) {
 	for i := 0; i < services; i++ {
 		y.submit(wire.Job{Kind: wire.KindService, Tasks: []int{1, 2, 4, 8, 12}[i%5], GPUs: []float64{4, 2, 1, 1, 1}[i%5]})
 	}
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -13,12 +13,12 @@
 // work, a leader's end included, and counts what it asks of the state service and how many
 // workers it calls at once.
 func TestScale(t *testing.T) {
-	y := newLargeYard(t, 7, 1000)
+	y := newLargeScaleCluster(t, 7, 1000)
 	y.day(500, 60, 60)
 	if y.rented < 600 {
 		t.Fatalf("only %d machines are up: the day is too small to tell", y.rented)
 	}
-	y.counted = yardCounts{}
+	y.counted = scaleCounts{}
 	y.crash()
 	const seconds = 60
 	y.day(0, 0, seconds)
@@ -49,13 +49,13 @@
 // zone keep them, and pass on more reports than one transaction holds: the leader releases
 // none of them, however long it lasts.
 func TestZoneKept(t *testing.T) {
-	y := newLargeYard(t, 3, 0)
+	y := newLargeScaleCluster(t, 3, 0)
 	y.have(400)
 	for i, w := range y.workers {
 		w.zone = []string{"z1", "z2"}[i%2]
 	}
 	y.day(400, 0, 20)
-	y.counted = yardCounts{}
+	y.counted = scaleCounts{}
 	y.apart = "z2"
 	y.pass(60 * time.Second)
 	if n := y.counted.released; n > 0 || len(y.store.Keys("w/k/")) < 6 {
@@ -67,11 +67,11 @@
 // TestWorkFollowsChange plays the same jobs on a fleet of 50 and of 200 machines. What is
 // asked of the state service and of the workers follows the jobs, not the fleet.
 func TestWorkFollowsChange(t *testing.T) {
-	play := func(machines int) yardCounts {
-		y := newYard(t, 3, 0)
+	play := func(machines int) scaleCounts {
+		y := newScaleCluster(t, 3, 0)
 		y.have(machines)
 		y.pass(10 * time.Second)
-		y.counted = yardCounts{}
+		y.counted = scaleCounts{}
 		y.day(10, 2, 30)
 		return y.counted
 	}
@@ -91,10 +91,10 @@
 }
 
 // TestRoundBudget plays a full fleet, more jobs than it holds, under a budget of a few
-// looks at it a second. The rounds keep within it, and a service and an array that come
+// evaluations a second. The rounds keep within it, and a service and an array that come
 // then get their turn all the same once there is room.
 func TestRoundBudget(t *testing.T) {
-	y := newYard(t, 1, 0)
+	y := newScaleCluster(t, 1, 0)
 	y.op.RoundBudget = 0.001
 	y.start(0)
 	y.have(100)
@@ -102,10 +102,10 @@
 	y.day(150, 20, seconds)
 	n := y.nodes[0].core
 	// A round that is out of budget, two a second at the most, still makes a step.
-	most := n.LooksPerSecond()*seconds + 2*seconds*2*100
-	t.Logf("%d looks of %.0f, %+v", n.Looks(), most, y.counted)
-	if looks := float64(n.Looks()); looks > most || looks < most/5 {
-		t.Errorf("%.0f looks in %d s, of %.0f", looks, seconds, most)
+	most := n.EvaluationsPerSecond()*seconds + 2*seconds*2*100
+	t.Logf("%d evaluations of %.0f, %+v", n.Evaluations(), most, y.counted)
+	if evaluations := float64(n.Evaluations()); evaluations > most || evaluations < most/5 {
+		t.Errorf("%.0f evaluations in %d s, of %.0f", evaluations, seconds, most)
 	}
 	for _, kind := range []string{"run-0", "run-a"} {
 		late := 0
@@ -122,18 +122,18 @@
 	}
 }
 
-// TestSlowProcessor plays rounds on a processor on which a look takes fifty times what is
+// TestSlowProcessor plays rounds on a processor on which an evaluation takes fifty times what is
 // assumed at first. Once that is measured, rounds keep to their share of the time.
 func TestSlowProcessor(t *testing.T) {
-	y := newYard(t, 1, 0)
-	y.look = 5 * time.Microsecond
+	y := newScaleCluster(t, 1, 0)
+	y.evaluationCost = 5 * time.Microsecond
 	y.have(200)
 	y.day(200, 40, 30)
 	n := y.nodes[0].core
-	before := n.Looks()
+	before := n.Evaluations()
 	const seconds = 60
 	y.day(100, 40, seconds)
-	spent := time.Duration(n.Looks()-before) * y.look
+	spent := time.Duration(n.Evaluations()-before) * y.evaluationCost
 	share := time.Duration(y.op.RoundBudget * y.set.Params.Limits.CPUShare * seconds * float64(time.Second))
 	t.Logf("%v of %v", spent, share)
 	if spent > share*3/2 || spent < share/20 {
@@ -144,7 +144,7 @@
 // TestFinishedJobsAreBounded ends more jobs than a node remembers. What it remembers stays
 // within the bound, and a job that it forgot is answered from the state service.
 func TestFinishedJobsAreBounded(t *testing.T) {
-	y := newYard(t, 2, 0)
+	y := newScaleCluster(t, 2, 0)
 	y.memory = 0.2 // 20 final states
 	for i := range y.nodes {
 		y.start(i)
--- a/internal/core/script_test.go
+++ b/internal/core/script_test.go
@@ -251,7 +251,7 @@
 		s.polled = map[int]int{}
 	}
 	s.ask(func(req uint64) core.Input { return core.Poll{Req: req, ID: j.spec.ID} }, func(status int, state string) {
-		s.judge.told(s.now, sent, "poll", j.spec.ID, status, state)
+		s.ruleChecker.told(s.now, sent, "poll", j.spec.ID, status, state)
 		s.polled[status]++
 	})
 }
@@ -260,14 +260,14 @@
 func (s *sim) odd() {
 	sent := s.now
 	big := &simJob{spec: s.newJob([]string{"run-999001", "gpus=9"}).spec}
-	s.judge.submits(big.spec)
+	s.ruleChecker.submits(big.spec)
 	s.ask(func(req uint64) core.Input { return core.Submit{Req: req, Job: big.spec} }, func(status int, _ string) {
 		if status == 200 || status == 201 || status == 400 || status == 404 {
-			s.judge.breaks(s.now, "odd", "a job that fits no machine gets %d", status)
+			s.ruleChecker.breaks(s.now, "odd", "a job that fits no machine gets %d", status)
 		}
 	})
 	s.ask(func(req uint64) core.Input { return core.Poll{Req: req, ID: "run-999002"} }, func(status int, state string) {
-		s.judge.told(s.now, sent, "poll", "run-999002", status, state)
+		s.ruleChecker.told(s.now, sent, "poll", "run-999002", status, state)
 	})
 	for _, j := range s.jobs {
 		if !j.accepted {
@@ -275,12 +275,12 @@
 		}
 		spec := *j.spec
 		s.ask(func(req uint64) core.Input { return core.Submit{Req: req, Job: &spec} }, func(status int, state string) {
-			s.judge.told(s.now, sent, "submit", j.spec.ID, status, state)
+			s.ruleChecker.told(s.now, sent, "submit", j.spec.ID, status, state)
 		})
 		if j.told == wire.JobDone {
-			s.judge.jobs[j.spec.ID].asked = true
+			s.ruleChecker.jobs[j.spec.ID].asked = true
 			s.ask(func(req uint64) core.Input { return core.Cancel{Req: req, ID: j.spec.ID} }, func(status int, state string) {
-				s.judge.told(s.now, sent, "cancel", j.spec.ID, status, state)
+				s.ruleChecker.told(s.now, sent, "cancel", j.spec.ID, status, state)
 			})
 		}
 	}
@@ -303,7 +303,7 @@
 			plain = append(plain, kv)
 		}
 	}
-	j.spec = (&world{t: s.t}).job(append(plain, "team="+team))
+	j.spec = (&traceHarness{t: s.t}).job(append(plain, "team="+team))
 	if j.spec.Kind == wire.KindArray {
 		j.spec.EstimateS = j.runS
 	}
--- a/internal/core/sim_test.go
+++ b/internal/core/sim_test.go
@@ -14,17 +14,17 @@
 
 // sim is a small world around pure cores, in which every message takes time: a state service,
 // a cloud, users, and workers that do what the protocol's page says. Its troubles are those
-// that operators know. A judge looks on. What happens follows from the script and its seed
+// that operators know. A ruleChecker looks on. What happens follows from the script and its seed
 // alone, so a day plays the same way each time.
 type sim struct {
-	t     testing.TB
-	rnd   *rand.Rand
-	now   time.Duration
-	queue events
-	seq   uint64
-	judge *judge
-	set   config.Params
-	zones map[string]string // of nodes
+	t           testing.TB
+	rnd         *rand.Rand
+	now         time.Duration
+	queue       events
+	seq         uint64
+	ruleChecker *ruleChecker
+	set         config.Params
+	zones       map[string]string // of nodes
 
 	store   *standin.Store
 	watches []*simWatch
@@ -88,7 +88,7 @@
 	s := &sim{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Second, zones: zones, store: standin.NewStore(),
 		byName: map[string]*simWorker{}, rented: map[string][]string{}, results: map[string]bool{}, perZone: 4}
 	limits := map[string]float64{"red": 8, "blue": 16, "green": 48, "guest": 32}
-	s.judge = newJudge(limits, simCancel)
+	s.ruleChecker = newRuleChecker(limits, simCancel)
 	s.set = config.Params{Nodes: 3, Zones: []string{"z1", "z2"}, ClockOffMS: 5,
 		Teams:   []config.Team{{Name: "red", GPUs: 4, GPUsMax: 8}, {Name: "blue", GPUs: 8, GPUsMax: 16}, {Name: "green", GPUs: 16, GPUsMax: 48}, {Name: "guest", GPUsMax: 32}},
 		Workers: config.Workers{ReportS: simReport.Seconds(), LeaseS: simLease.Seconds(), CancelS: simCancel.Seconds()},
@@ -102,7 +102,7 @@
 		s.start(n)
 	}
 	s.every(500*time.Millisecond, s.takeList)
-	s.every(100*time.Millisecond, func() { s.judge.passes(s.now) })
+	s.every(100*time.Millisecond, func() { s.ruleChecker.passes(s.now) })
 	return s
 }
 
--- a/internal/core/sim_user_test.go
+++ b/internal/core/sim_user_test.go
@@ -69,10 +69,10 @@
 }
 
 func (s *sim) submit(j *simJob) {
-	s.judge.submits(j.spec)
+	s.ruleChecker.submits(j.spec)
 	spec, sent := *j.spec, s.now
 	s.ask(func(req uint64) core.Input { return core.Submit{Req: req, Job: &spec} }, func(status int, state string) {
-		s.judge.told(s.now, sent, "submit", j.spec.ID, status, state)
+		s.ruleChecker.told(s.now, sent, "submit", j.spec.ID, status, state)
 		switch status {
 		case 200, 201:
 			if !j.accepted {
@@ -91,7 +91,7 @@
 func (s *sim) poll(j *simJob) {
 	sent := s.now
 	s.ask(func(req uint64) core.Input { return core.Poll{Req: req, ID: j.spec.ID} }, func(status int, state string) {
-		s.judge.told(s.now, sent, "poll", j.spec.ID, status, state)
+		s.ruleChecker.told(s.now, sent, "poll", j.spec.ID, status, state)
 		if status == 200 {
 			if state != j.told && (state == wire.JobDone || state == wire.JobCancelled) {
 				s.say("poll of %s: %s", j.spec.ID, state)
@@ -99,7 +99,7 @@
 			j.told, j.lastOK = state, s.now
 		}
 		if s.now > s.calm+75*time.Second && s.now-j.lastOK > 75*time.Second && j.accepted {
-			s.judge.breaks(s.now, "forgotten", "no answer about %s since %.1f", j.spec.ID, j.lastOK.Seconds())
+			s.ruleChecker.breaks(s.now, "forgotten", "no answer about %s since %.1f", j.spec.ID, j.lastOK.Seconds())
 		}
 		s.after(s.between(3*time.Second, 6*time.Second), func() { s.poll(j) })
 	})
@@ -110,10 +110,10 @@
 		s.after(500*time.Millisecond, func() { s.cancelJob(j) })
 		return
 	}
-	s.judge.submits(j.spec).asked = true
+	s.ruleChecker.submits(j.spec).asked = true
 	sent := s.now
 	s.ask(func(req uint64) core.Input { return core.Cancel{Req: req, ID: j.spec.ID} }, func(status int, state string) {
-		s.judge.told(s.now, sent, "cancel", j.spec.ID, status, state)
+		s.ruleChecker.told(s.now, sent, "cancel", j.spec.ID, status, state)
 		if status == 200 {
 			s.say("cancel of %s: %s", j.spec.ID, state)
 			j.told = state
@@ -127,7 +127,7 @@
 
 // verdict judges what must hold in the end: nothing waits, and nothing is forgotten.
 func (s *sim) verdict() []string {
-	j := s.judge
+	j := s.ruleChecker
 	for _, x := range s.jobs {
 		y := j.jobs[x.spec.ID]
 		switch {
--- a/internal/core/sim_worker_test.go
+++ b/internal/core/sim_worker_test.go
@@ -81,7 +81,7 @@
 	t.gen++
 	if t.on {
 		t.on = false
-		s.judge.ends(t.Task, w.name, done)
+		s.ruleChecker.ends(t.Task, w.name, done)
 	}
 }
 
@@ -301,7 +301,7 @@
 		w.images[j.spec.Image] = true
 		t.State, t.on = wire.TaskRunning, true
 		s.say("%s starts %s#%d", w.name, t.Task, t.Attempt)
-		s.judge.starts(s.now, t.Task, w.name, "g8", w.zone, w.spot)
+		s.ruleChecker.starts(s.now, t.Task, w.name, "g8", w.zone, w.spot)
 		s.soon(w)
 		run := time.Duration(j.runS * (0.8 + 0.4*s.rnd.Float64()) * float64(time.Second))
 		switch {
--- a/internal/core/trace_world_test.go
+++ b/internal/core/trace_harness_test.go
@@ -16,8 +16,8 @@
 	"bitternwing/internal/wire"
 )
 
-// world is what surrounds the nodes in a trace: a state service, a cloud, links.
-type world struct {
+// traceHarness is what surrounds the nodes in a trace: a state service, a cloud, links.
+type traceHarness struct {
 	t       testing.TB
 	out     strings.Builder
 	now     time.Duration
@@ -48,7 +48,7 @@
 	opened  time.Duration
 }
 
-func (w *world) settings(name string) *config.Settings {
+func (w *traceHarness) settings(name string) *config.Settings {
 	zone := func(node string) string {
 		if z := w.zones[node]; z != "" {
 			return z
@@ -78,7 +78,7 @@
 var catalog = wire.Catalog{Types: []wire.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 512, CacheGB: 300,
 	FetchGBPerS: 4, Price: 16, SpotPrice: 5, BootS: 40, Zones: []string{"z1", "z2"}}}}
 
-func (w *world) job(f []string) *wire.Job {
+func (w *traceHarness) job(f []string) *wire.Job {
 	j := &wire.Job{ID: f[0], Class: "c", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 1,
 		CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 10, EstimateS: 60}
 	for _, kv := range f[1:] {
@@ -120,7 +120,7 @@
 	return j
 }
 
-func (w *world) report(f []string) *wire.Report {
+func (w *traceHarness) report(f []string) *wire.Report {
 	r := &wire.Report{Machine: f[0], Type: "g8", Zone: "z1"}
 	if m := w.machines[r.Machine]; m != nil {
 		r.Zone, r.Spot = m.Zone, m.Spot
@@ -161,7 +161,7 @@
 }
 
 // pass lets time pass: nodes are woken when they want to be.
-func (w *world) pass(d time.Duration) {
+func (w *traceHarness) pass(d time.Duration) {
 	end := w.now + d
 	for w.now < end {
 		next := end
@@ -182,7 +182,7 @@
 }
 
 // settle answers watches until nothing new comes.
-func (w *world) settle() {
+func (w *traceHarness) settle() {
 	for again := true; again; {
 		again = false
 		for _, name := range append([]string(nil), w.names...) {
@@ -207,7 +207,7 @@
 }
 
 // step hands a node an input and carries out what it returns.
-func (w *world) step(n *node, in core.Input) {
+func (w *traceHarness) step(n *node, in core.Input) {
 	effects := append([]core.Effect(nil), n.core.Step(core.Time{Steady: w.now, WallMS: int64(w.now / time.Millisecond)}, in)...)
 	var results []core.Result
 	for _, e := range effects {
@@ -221,11 +221,11 @@
 	}
 }
 
-func (w *world) refused(n *node) bool { return w.outage || n.mode == "refuse" }
+func (w *traceHarness) refused(n *node) bool { return w.outage || n.mode == "refuse" }
 
 // lost tells whether the answers of requests other than transactions get lost, and
 // gives them their result.
-func (w *world) lost(n *node, r core.Result) (core.Result, bool) {
+func (w *traceHarness) lost(n *node, r core.Result) (core.Result, bool) {
 	switch {
 	case w.refused(n):
 		r = core.Result{ID: r.ID, Outcome: call.Refused}
@@ -235,7 +235,7 @@
 	return r, true
 }
 
-func (w *world) carryOut(n *node, e core.Effect) (core.Result, bool) {
+func (w *traceHarness) carryOut(n *node, e core.Effect) (core.Result, bool) {
 	switch e := e.(type) {
 	case core.Answer:
 		w.answer(n, e)
@@ -365,7 +365,7 @@
 }
 
 // withinLimits checks a transaction against the protocol's limits.
-func (w *world) withinLimits(t wire.Txn) {
+func (w *traceHarness) withinLimits(t wire.Txn) {
 	p := w.settings("a").Params.State
 	body, err := json.Marshal(t)
 	if err != nil || len(body) > wire.MaxBody || len(t.Then) > p.TxnOps || len(t.If) > 4*p.TxnOps {
@@ -415,7 +415,7 @@
 	return b.String()
 }
 
-func (w *world) answer(n *node, a core.Answer) {
+func (w *traceHarness) answer(n *node, a core.Answer) {
 	if ra, ok := a.Body.(wire.ReportAnswer); ok {
 		w.say(n, "%d token %s%s", a.Status, showToken(ra.Token), showCommands(ra.Commands))
 		return
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -88,7 +88,7 @@
 }
 
 func play(t *testing.T, text string) string {
-	w := &world{t: t, now: time.Second, store: standin.NewStore(), nodes: map[string]*node{}, answers: map[string]*wire.Report{}, machines: map[string]*wire.Machine{}}
+	w := &traceHarness{t: t, now: time.Second, store: standin.NewStore(), nodes: map[string]*node{}, answers: map[string]*wire.Report{}, machines: map[string]*wire.Machine{}}
 	for _, line := range strings.Split(strings.TrimRight(text, "\n"), "\n") {
 		if strings.HasPrefix(line, "|") {
 			continue
@@ -101,11 +101,11 @@
 	return w.out.String()
 }
 
-func (w *world) say(n *node, format string, args ...any) {
+func (w *traceHarness) say(n *node, format string, args ...any) {
 	fmt.Fprintf(&w.out, "| %s: %s\n", n.name, fmt.Sprintf(format, args...))
 }
 
-func (w *world) do(f []string) {
+func (w *traceHarness) do(f []string) {
 	arg := func(i int) string {
 		if i < len(f) {
 			return f[i]
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -90,8 +90,8 @@
 		s.reqs = append(s.reqs, in.Req)
 		return
 	}
-	verdict := c.judge(in.Job)
-	if verdict == fits && c.dir.jobs[in.Job.ID] == nil {
+	admission := c.admissionOf(in.Job)
+	if admission == fits && c.dir.jobs[in.Job.ID] == nil {
 		value, err := json.Marshal(activeValue{Job: in.Job, AtMS: c.now.WallMS})
 		if err != nil || float64(len(value)) > c.set.Params.State.ValueKB*1024 {
 			u.done(in.Req, 400, errorBody{"body: is too large"})
@@ -109,7 +109,7 @@
 			u.unsure(in.Req)
 		case f.entry != nil || f.final != nil:
 			u.done(in.Req, 200, c.stateOf(in.Job.ID, f))
-		case verdict == never:
+		case admission == never:
 			u.done(in.Req, 422, errorBody{"the job can never run here"})
 		default:
 			// Undecided, or gone from the cache while it was asked for.
@@ -430,17 +430,17 @@
 	return c.dir.countShards[countShard(id)][id]
 }
 
-// verdict on a submission.
-type verdict int
+// admission tells what becomes of a submission.
+type admission int
 
 const (
-	fits verdict = iota
+	fits admission = iota
 	never
 	undecided
 )
 
-// judge tells whether a job can ever run here.
-func (c *Core) judge(j *wire.Job) verdict {
+// admissionOf tells whether a job can ever run here.
+func (c *Core) admissionOf(j *wire.Job) admission {
 	team := c.team(j.Team)
 	if team == nil {
 		return never
--- a/internal/core/write_rate_test.go
+++ b/internal/core/write_rate_test.go
@@ -16,7 +16,7 @@
 // queue behind them: the former need two writes at once, which never came together when each
 // record took the next one.
 func TestHugeArrayLeavesWrites(t *testing.T) {
-	y := newYard(t, 1, 0)
+	y := newScaleCluster(t, 1, 0)
 	y.have(20)
 	y.pass(3 * time.Second)
 	sweep := wire.Job{ID: "run-a00001", Class: "sweep", Team: "t0", Kind: wire.KindArray, Priority: wire.PriorityIdle,
@@ -49,7 +49,7 @@
 }
 
 // holds tells whether a machine holds a task of a job.
-func (y *yard) holds(id string) bool {
+func (y *scaleCluster) holds(id string) bool {
 	for _, w := range y.workers {
 		for task := range w.tasks {
 			if strings.HasPrefix(task, fmt.Sprint(id, "/")) {
