--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -109,29 +109,13 @@
 		return false
 	}
 	w := k.kept[r.Machine]
-	if w == nil {
-		if !k.current(p) {
-			return false
-		}
-		// A worker may reach the leader from where it is. Its lease is renewed once,
-		// for it has lost time already; then it is sent there, and kept if it comes
-		// back. One whose zone is cut off as this node's is needs no proof.
-		at, was := k.asked[r.Machine]
-		w = &keptWorker{report: r, since: now}
-		w.proven = was && now-at < c.t.lease || k.cutOff() && r.Zone == c.set.Zone || k.apart(r.Zone)
-		k.kept[r.Machine] = w
-		k.names = append(k.names, r.Machine)
-		// With its next report it is sent to the leader, which must have heard of it by
-		// then: else it counts as silent there while it is on its way.
-		k.writeAt = min(k.writeAt, now+c.t.beat/2)
-		c.log(Debug, "keeping worker for the leader", "machine", r.Machine, "leader", c.dir.lead.Node)
-	} else if !w.proven && !k.apart(r.Zone) || !k.cutOff() && !k.apart(r.Zone) && now-w.since > 2*c.t.lease {
-		// Where the leader is there for others, it tries again now and then.
-		k.drop(r.Machine)
-		if len(k.asked) > 10_000 {
-			clear(k.asked)
-		}
-		k.asked[r.Machine] = now
+	switch {
+	case w == nil && !k.current(p):
+		return false
+	case w == nil:
+		w = k.adopt(r)
+	case k.mayTryLeader(w, r.Zone):
+		k.sendToLeader(r.Machine)
 		return false
 	}
 	if !k.current(p) {
@@ -149,6 +133,44 @@
 	return true
 }
 
+// adopt begins to keep a worker. It may reach the leader from where it is: its lease is renewed
+// once, for it has lost time already; then it is sent there, and kept if it comes back. One whose
+// zone is cut off as this node's is needs no proof.
+func (k *caretaker) adopt(r *wire.Report) *keptWorker {
+	c := k.c
+	now := c.now.Steady
+	at, was := k.asked[r.Machine]
+	w := &keptWorker{report: r, since: now}
+	w.proven = was && now-at < c.t.lease || k.cutOff() && r.Zone == c.set.Zone || k.apart(r.Zone)
+	k.kept[r.Machine] = w
+	k.names = append(k.names, r.Machine)
+	// With its next report it is sent to the leader, which must have heard of it by
+	// then: else it counts as silent there while it is on its way.
+	k.writeAt = min(k.writeAt, now+c.t.beat/2)
+	c.log(Debug, "keeping worker for the leader", "machine", r.Machine, "leader", c.dir.lead.Node)
+	return w
+}
+
+// mayTryLeader tells whether a kept worker had better look for the leader: it has not yet, or the
+// leader is there for others, and it tries again now and then.
+func (k *caretaker) mayTryLeader(w *keptWorker, zone string) bool {
+	if k.apart(zone) {
+		return false
+	}
+	return !w.proven || !k.cutOff() && k.c.now.Steady-w.since > 2*k.c.t.lease
+}
+
+// mostAsked bounds the workers that are remembered as sent to the leader.
+const mostAsked = 10_000
+
+func (k *caretaker) sendToLeader(machine string) {
+	k.drop(machine)
+	if len(k.asked) > mostAsked {
+		clear(k.asked)
+	}
+	k.asked[machine] = k.c.now.Steady
+}
+
 // cancelledStops stops the tasks of a report whose jobs are known to be cancelled.
 func (c *Core) cancelledStops(r *wire.Report) []wire.Command {
 	cmds := []wire.Command{}
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -93,52 +93,63 @@
 // apply takes a key's value, or its end where value is nil.
 func (d *directory) apply(key string, value json.RawMessage, version uint64) {
 	switch {
-	case len(key) > len(keyActive) && key[:len(keyActive)] == keyActive:
-		id := key[len(keyActive):]
-		if old := d.jobs[id]; old != nil && old.version >= version {
-			return
-		}
-		if value == nil {
-			delete(d.jobs, id)
-			return
-		}
-		var v activeValue
-		if json.Unmarshal(value, &v) != nil || v.Job == nil {
-			return
-		}
-		d.jobs[id] = &entry{v, version}
+	case below(key, keyActive):
+		d.applyJob(key[len(keyActive):], value, version)
 	case key == keyLead:
-		d.leadVersion, d.lead = 0, leadValue{}
-		if value != nil && json.Unmarshal(value, &d.lead) == nil {
-			d.leadVersion = version
-		}
+		d.applyLead(value, version)
 	case key == keyTerm:
-		var t termValue
-		if value != nil && json.Unmarshal(value, &t) == nil && version > d.termVersion {
-			d.term, d.termVersion = t, version
-		}
+		d.applyTerm(value, version)
 	case key == keyCatalog:
-		var t []wire.MachineType
-		if value != nil && json.Unmarshal(value, &t) == nil {
-			d.catalog = t
+		if types, ok := decode[[]wire.MachineType](value); ok {
+			d.catalog = types
 		}
 	case key == keySilent:
 		d.silent, d.silentText = nil, ""
-		if value != nil && json.Unmarshal(value, &d.silent) == nil {
-			d.silentText = string(value)
+		if since, ok := decode[map[string]int64](value); ok {
+			d.silent, d.silentText = since, string(value)
 		}
 	case strings.HasPrefix(key, keyImages):
-		var m map[string][]string
-		if value == nil || json.Unmarshal(value, &m) != nil {
-			m = nil
-		}
-		d.images[key] = m
-	case len(key) > len(keyCounts) && key[:len(keyCounts)] == keyCounts:
-		var m map[string]counts
-		if value == nil || json.Unmarshal(value, &m) != nil {
-			m = nil
-		}
-		d.countShards[key] = m
+		d.images[key], _ = decode[map[string][]string](value)
+	case below(key, keyCounts):
+		d.countShards[key], _ = decode[map[string]counts](value)
+	}
+}
+
+// below tells whether a key is one of those that begin with a prefix.
+func below(key, prefix string) bool { return len(key) > len(prefix) && strings.HasPrefix(key, prefix) }
+
+// decode reads a stored value; false, and nothing, for one that is gone or can't be read.
+func decode[T any](value json.RawMessage) (T, bool) {
+	var v, none T
+	if value == nil || json.Unmarshal(value, &v) != nil {
+		return none, false
+	}
+	return v, true
+}
+
+func (d *directory) applyJob(id string, value json.RawMessage, version uint64) {
+	if old := d.jobs[id]; old != nil && old.version >= version {
+		return
+	}
+	if value == nil {
+		delete(d.jobs, id)
+		return
+	}
+	if v, ok := decode[activeValue](value); ok && v.Job != nil {
+		d.jobs[id] = &entry{v, version}
+	}
+}
+
+func (d *directory) applyLead(value json.RawMessage, version uint64) {
+	d.leadVersion, d.lead = 0, leadValue{}
+	if v, ok := decode[leadValue](value); ok {
+		d.lead, d.leadVersion = v, version
+	}
+}
+
+func (d *directory) applyTerm(value json.RawMessage, version uint64) {
+	if v, ok := decode[termValue](value); ok && version > d.termVersion {
+		d.term, d.termVersion = v, version
 	}
 }
 
@@ -232,7 +243,7 @@
 
 // noticeJob hands a changed job to the leader.
 func (c *Core) noticeJob(key string) {
-	if c.lead != nil && len(key) > len(keyActive) && key[:len(keyActive)] == keyActive {
+	if c.lead != nil && below(key, keyActive) {
 		c.lead.jobChanged(key[len(keyActive):])
 	}
 }
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -1,8 +1,8 @@
 package core
 
 import (
+	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"bitternwing/internal/call"
@@ -29,66 +29,106 @@
 // watchMachines looks for machines that are silent too long and stops what runs on
 // those that will be taken.
 func (l *leader) watchMachines() {
-	now := l.c.now.Steady
-	silent, apart, up := map[string]int{}, map[string]int{}, map[string]int{}
+	l.watchZones()
+	entitled := l.entitled()
+	if !entitled {
+		l.idleAt = l.c.now.Steady
+	}
 	for _, m := range l.fleet {
-		if m.up || m.seenUp {
-			up[m.zone]++
-			if now-m.lastHeard() > l.c.t.lease/3 {
-				silent[m.zone]++
-			}
-			if now-max(m.heard, m.reached) > l.c.t.lease/3 {
-				apart[m.zone]++
-			}
+		if entitled {
+			l.releaseUnheard(m)
 		}
-	}
-	var zones []string
-	for zone, n := range apart {
-		if n > 3 && n*4 > up[zone] {
-			zones = append(zones, zone)
+		if m.notice || m.faulty {
+			l.drain(m)
+		}
+		if entitled {
+			l.inspect(m)
 		}
 	}
-	sort.Strings(zones)
-	l.apart = zones
+}
+
+// releaseUnheard gives back a machine that is silent too long, or that answers don't reach.
+func (l *leader) releaseUnheard(m *machine) {
+	if (m.up || m.seenUp) && !m.releasing && l.c.now.Steady >= l.silentUntil(m) {
+		l.rentals.release(m, releaseSilent)
+	}
+	if l.deafened(m) {
+		l.rentals.release(m, releaseUnreached)
+	}
+}
+
+// zoneSilence counts a zone's machines that have reported at some time.
+type zoneSilence struct {
+	total   int
+	silent  int // not heard of lately, here or by another node
+	unheard int // not heard lately by this node itself
+}
+
+// manySilent tells whether it is rather the network or a change of leaders than the machines. In
+// the leader's own zone it is the network only where nearly all are out of its reach: what cuts
+// zones apart takes none out of reach there, so the rest is dead, hangs or is cut off from
+// everybody. There it counts what this node itself hears. Were reports that others pass on to
+// count, the first of them would turn all that have yet to find another node into single
+// silent machines, to be released at once.
+func (z *zoneSilence) manySilent(ownZone bool) bool {
+	if ownZone {
+		return z.unheard > fewMachines && z.unheard*4 > 3*z.total
+	}
+	return z.silent > fewMachines && z.silent*4 > z.total
+}
+
+// manyUnheard tells whether much of a zone is out of this node's reach, whoever keeps it.
+func (z *zoneSilence) manyUnheard() bool { return z.unheard > fewMachines && z.unheard*4 > z.total }
+
+// fewMachines of a zone that are silent at once are taken for single ones, whatever share they are.
+const fewMachines = 3
+
+// watchZones finds the zones much of which is silent or out of this node's reach.
+func (l *leader) watchZones() {
+	now := l.c.now.Steady
+	zones := l.zoneSilences()
+	l.apart = nil
 	clear(l.cutZones)
-	for zone, total := range up {
-		// If many of a zone are silent at once, it is rather the network or a change of
-		// leaders. In this node's own zone it is the network only where nearly all are out of
-		// its reach: what cuts zones apart takes none out of reach there, so the rest is dead,
-		// hangs or is cut off from everybody. There it counts what this node itself hears. Were
-		// reports that others pass on to count, the first of them would turn all that have yet to
-		// find another node into single silent machines, to be released at once.
-		many := silent[zone] > 3 && silent[zone]*4 > total
-		if zone == l.c.set.Zone {
-			many = apart[zone] > 3 && apart[zone]*4 > 3*total
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		z := zones[zone]
+		if z.manyUnheard() {
+			l.apart = append(l.apart, zone)
 		}
-		if many {
-			l.cutZones[zone] = l.c.zoneOut(zone)
-			if l.cutZones[zone] {
-				l.outAt[zone] = now
-			}
+		if !z.manySilent(zone == l.c.set.Zone) {
+			continue
+		}
+		l.cutZones[zone] = l.c.zoneOut(zone)
+		if l.cutZones[zone] {
+			l.outAt[zone] = now
 		}
 	}
-	entitled := l.entitled()
-	if !entitled {
-		l.idleAt = now
-	}
+}
+
+func (l *leader) zoneSilences() map[string]*zoneSilence {
+	zones := map[string]*zoneSilence{}
 	for _, m := range l.fleet {
-		if (m.up || m.seenUp) && !m.releasing && entitled && now >= l.silentUntil(m) {
-			l.rentals.release(m, releaseSilent)
+		if !m.up && !m.seenUp {
+			continue
 		}
-		if entitled && l.deafened(m) {
-			l.rentals.release(m, releaseUnreached)
+		z := zones[m.zone]
+		if z == nil {
+			z = &zoneSilence{}
+			zones[m.zone] = z
 		}
-		if m.notice || m.faulty {
-			l.drain(m)
+		z.total++
+		if l.quietSince(m.lastHeard()) {
+			z.silent++
 		}
-		if entitled {
-			l.inspect(m)
+		if l.quietSince(max(m.heard, m.reached)) {
+			z.unheard++
 		}
 	}
+	return zones
 }
 
+// quietSince tells whether a moment is a third of a lease ago.
+func (l *leader) quietSince(at time.Duration) bool { return l.c.now.Steady-at > l.c.t.lease/3 }
+
 // inspect asks a machine directly that has not reported here for a while: one that hangs,
 // is dead or out of reach does not answer; one that has yet to find the leader does, and
 // shows what it has.
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -240,79 +240,100 @@
 // all of it is written again from what is known now; if an unknown one was applied
 // after all, the versions no longer match and are read.
 func (w *writer) settle(b *batch, r Result) {
-	l, c := w.l, w.l.c
 	failed := map[string]bool{}
 	if r.Outcome == call.Conflict {
 		for _, k := range r.Txn.Failed {
 			failed[k] = true
 		}
 		if failed[keyTerm] {
-			c.elect.lose("the term moved on")
+			w.l.c.elect.lose("the term moved on")
 			return
 		}
 	}
-	ok := r.Outcome == call.OK
 	for _, ch := range b.chunks {
-		ch.inFlight = false
-		key := runKey(ch.job.id, ch.index)
-		switch {
-		case ok:
-			ch.version = r.Txn.Revision
-		case failed[key]:
-			l.mark(ch)
-			w.reread(ch)
-		default:
-			l.mark(ch)
-		}
-		if failed[keyActive+ch.job.id] {
-			w.rereadJob(ch.job)
-		}
+		w.settleChunk(ch, r, failed)
 	}
-	for _, p := range b.placed {
-		if ok && p.phase == uncommitted {
-			p.phase = committed
-			l.due = append(l.due, p.machine)
+	if r.Outcome == call.OK {
+		for _, p := range b.placed {
+			if p.phase == uncommitted {
+				p.phase = committed
+				w.l.due = append(w.l.due, p.machine)
+			}
 		}
 	}
 	for _, j := range b.jobs {
-		if l.jobs[j.id] != j {
-			continue // it was found to be over meanwhile
+		if w.l.jobs[j.id] == j { // else it was found to be over meanwhile
+			w.settleEnd(j, b, r, failed)
 		}
-		switch {
-		case ok:
-			c.keepFinal(j.id, finalValue{State: map[bool]string{true: wire.JobCancelled, false: wire.JobDone}[j.cancelled], Done: j.done})
-			for i, ch := range j.chunks {
-				if ch.version != 0 && !b.seen[runKey(j.id, i)] {
-					w.orphan(runKey(j.id, i), ch.version)
-				}
-			}
-			l.dropJob(j)
-			c.log(Info, "job ended", "job", j.id, "cancelled", j.cancelled)
-			c.log(Debug, "ended job", "class", j.spec.Class, "tasks", j.spec.Tasks, "after_s", (c.now.WallMS-j.at)/1000)
-		case failed[keyActive+j.id]:
-			// A cancel came first, or this very end was applied before, its outcome
-			// unknown. It is written again only once that is known: repeating it
-			// blindly would go on for good.
-			w.rereadJob(j)
-		default:
-			for i, ch := range j.chunks {
-				if failed[runKey(j.id, i)] {
-					w.reread(ch)
-				}
-			}
-			w.finish(j)
+	}
+	if r.Outcome == call.OK {
+		return
+	}
+	for _, o := range b.orphan {
+		if !failed[o.Key] {
+			w.orphans = append(w.orphans, o)
 		}
 	}
-	if !ok {
-		for _, o := range b.orphan {
-			if !failed[o.Key] {
-				w.orphans = append(w.orphans, o)
+	if r.Outcome == call.Invalid {
+		w.l.c.log(Error, "a transaction was malformed", "ops", len(b.txn.Then))
+	}
+}
+
+// settleChunk takes what became of a record.
+func (w *writer) settleChunk(ch *chunk, r Result, failed map[string]bool) {
+	ch.inFlight = false
+	key := runKey(ch.job.id, ch.index)
+	switch {
+	case r.Outcome == call.OK:
+		ch.version = r.Txn.Revision
+	case failed[key]:
+		w.l.mark(ch)
+		w.reread(ch)
+	default:
+		w.l.mark(ch)
+	}
+	if failed[keyActive+ch.job.id] {
+		w.rereadJob(ch.job)
+	}
+}
+
+// settleEnd takes what became of the end of a job.
+func (w *writer) settleEnd(j *job, b *batch, r Result, failed map[string]bool) {
+	switch {
+	case r.Outcome == call.OK:
+		w.ended(j, b)
+	case failed[keyActive+j.id]:
+		// A cancel came first, or this very end was applied before, its outcome
+		// unknown. It is written again only once that is known: repeating it
+		// blindly would go on for good.
+		w.rereadJob(j)
+	default:
+		for i, ch := range j.chunks {
+			if failed[runKey(j.id, i)] {
+				w.reread(ch)
 			}
 		}
-		if r.Outcome == call.Invalid {
-			c.log(Error, "a transaction was malformed", "ops", len(b.txn.Then))
+		w.finish(j)
+	}
+}
+
+// ended drops a job whose end is written, and sweeps the records that did not fit into that
+// transaction.
+func (w *writer) ended(j *job, b *batch) {
+	l, c := w.l, w.l.c
+	state := wire.JobDone
+	if j.cancelled {
+		state = wire.JobCancelled
+	}
+	c.keepFinal(j.id, finalValue{State: state, Done: j.done})
+	for i, ch := range j.chunks {
+		if ch.version != 0 && !b.seen[runKey(j.id, i)] {
+			w.orphan(runKey(j.id, i), ch.version)
 		}
 	}
+	l.dropJob(j)
+	c.log(Info, "job ended", "job", j.id, "cancelled", j.cancelled)
+	c.log(Debug, "ended job", "class", j.spec.Class, "tasks", j.spec.Tasks, "after_s", (c.now.WallMS-j.at)/1000)
 }
 
 // reread finds the version of a record whose last write had an unknown outcome.
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -95,43 +95,15 @@
 // or dropped. That does not hold for a report that the worker was asked for: it may come
 // while an answer with a start is still on its way to the worker.
 func (l *leader) evidence(m *machine, r *wire.Report, asked bool) {
-	now := l.c.now.Steady
 	if m.proof != 0 && r.Token >= m.proof {
 		m.proof = 0
 		l.wantRound()
 	}
-	settled := termOf(r.Token) == l.term
-	reported := make(map[string]bool, len(r.Tasks))
 	m.exits, m.strays = m.exits[:0], m.strays[:0]
+	reported := make(map[string]bool, len(r.Tasks))
 	for i := range r.Tasks {
-		t := &r.Tasks[i]
-		p := m.runs[t.Task]
-		if p == nil || p.attempt != t.Attempt || p.session != r.Session {
-			l.unexplained(m, t)
-			continue
-		}
-		if t.State == wire.TaskExited {
-			m.exits = append(m.exits, *t)
+		if t := &r.Tasks[i]; l.reportedTask(m, r.Session, t) {
 			reported[t.Task] = true
-			l.exited(p, t)
-			continue
-		}
-		reported[t.Task] = true
-		if p.phase < seen {
-			p.phase = seen
-		}
-		if p.state != t.State {
-			p.state = t.State
-			if t.State == wire.TaskRunning && p.ranAt == 0 {
-				p.ranAt = now
-				m.imageReady(p.job.spec.Image)
-				l.c.log(Debug, "task runs", "task", t.Task, "class", p.job.spec.Class, "machine", m.name, "warmth", p.warmth,
-					"placed_ms", (p.since - l.c.now.Steady + time.Duration(l.c.now.WallMS-p.job.at)*time.Millisecond).Milliseconds(),
-					"ran_ms", (now - p.since).Milliseconds())
-			}
-		}
-		if p.ranAt != 0 && (!p.job.proven || len(m.errors) > 0) {
-			l.ranWell(p, false)
 		}
 	}
 	for _, p := range m.sorted() {
@@ -140,24 +112,68 @@
 			// The worker killed and forgot all of its earlier session.
 			l.c.log(Debug, "task lost with its session", "task", p.name(), "attempt", p.attempt)
 			l.end(p)
-		case reported[p.name()] || p.session > r.Session || !settled:
-		case p.waits:
-		case p.direct != 0 && r.Token <= p.direct:
-			// Its direct start may take effect yet.
-			if p.answer == 0 || r.Seq > p.answer {
-				l.raise(m, p.direct)
-			}
-		case p.direct != 0:
-			l.c.log(Debug, "task absent", "task", p.name(), "attempt", p.attempt)
-			l.end(p)
-		case p.phase == seen,
-			p.phase == sent && (p.sentSeq == inherited || r.Seq > p.sentSeq && !asked):
-			l.c.log(Debug, "task absent", "task", p.name(), "attempt", p.attempt)
-			l.end(p)
+		case !reported[p.name()] && p.session == r.Session && termOf(r.Token) == l.term:
+			l.unreported(p, r, asked)
 		}
 	}
 }
 
+// reportedTask takes in what a report says of a task; false if no placement here explains it.
+func (l *leader) reportedTask(m *machine, session uint64, t *wire.TaskReport) bool {
+	p := m.runs[t.Task]
+	if p == nil || p.attempt != t.Attempt || p.session != session {
+		l.unexplained(m, t)
+		return false
+	}
+	if t.State == wire.TaskExited {
+		m.exits = append(m.exits, *t)
+		l.exited(p, t)
+		return true
+	}
+	p.phase = max(p.phase, seen)
+	if p.state != t.State {
+		p.state = t.State
+		if t.State == wire.TaskRunning && p.ranAt == 0 {
+			l.firstRuns(p)
+		}
+	}
+	if p.ranAt != 0 && (!p.job.proven || len(m.errors) > 0) {
+		l.ranWell(p, false)
+	}
+	return true
+}
+
+// firstRuns notes that a task is seen running for the first time.
+func (l *leader) firstRuns(p *placement) {
+	now := l.c.now
+	p.ranAt = now.Steady
+	p.machine.imageReady(p.job.spec.Image)
+	accepted := now.Steady - time.Duration(now.WallMS-p.job.at)*time.Millisecond
+	l.c.log(Debug, "task runs", "task", p.name(), "class", p.job.spec.Class, "machine", p.machine.name, "warmth", p.warmth,
+		"placed_ms", (p.since - accepted).Milliseconds(), "ran_ms", (now.Steady - p.since).Milliseconds())
+}
+
+// unreported draws from a report of this term's token, and of the placement's session, that it
+// lacks the placement.
+func (l *leader) unreported(p *placement, r *wire.Report, asked bool) {
+	switch {
+	case p.waits:
+		return
+	case p.direct != 0 && r.Token <= p.direct:
+		// Its direct start may take effect yet.
+		if p.answer == 0 || r.Seq > p.answer {
+			l.raise(p.machine, p.direct)
+		}
+		return
+	case p.direct != 0, p.phase == seen:
+	case p.phase == sent && (p.sentSeq == inherited || r.Seq > p.sentSeq && !asked):
+	default:
+		return
+	}
+	l.c.log(Debug, "task absent", "task", p.name(), "attempt", p.attempt)
+	l.end(p)
+}
+
 // unexplained handles a task in a report that no placement here explains.
 func (l *leader) unexplained(m *machine, t *wire.TaskReport) {
 	id, task, ok := wire.ParseTask(t.Task)
