--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -362,6 +362,7 @@
 	m.enter(r.Session)
 	m.up, m.seenUp, m.missing = true, true, 0
 	m.seq = r.Seq
+	l.rentals.takeBack(m)
 	m.notice = m.notice || r.NoticeS != nil
 	l.evidence(m, r, asked)
 }
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -40,12 +40,15 @@
 	exits     []wire.TaskReport     // exited tasks of the last report
 	strays    []wire.TaskReport     // tasks it holds that no record explains
 	releasing bool
-	ordering  bool                   // direct commands are on the way
-	current   uint64                 // the token used with it
-	direct    map[attemptName]uint64 // attempts started directly, and with which token
-	idleSince time.Duration
-	images    []image // most recently used last
-	full      time.Duration
+	// Why it is given back, and whether a request for that may have been carried out.
+	releaseWhy  releaseReason
+	releaseSent bool
+	ordering    bool                   // direct commands are on the way
+	current     uint64                 // the token used with it
+	direct      map[attemptName]uint64 // attempts started directly, and with which token
+	idleSince   time.Duration
+	images      []image // most recently used last
+	full        time.Duration
 
 	// Failure accounting, see faults.go.
 	errors  map[string]int // by job, since something last started and ran well here
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"bitternwing/internal/call"
@@ -119,18 +120,41 @@
 	if m.releasing {
 		return
 	}
-	m.releasing = true
+	m.releasing, m.releaseWhy = true, why
 	t.names = append(t.names, m.name)
 	t.l.c.log(Info, "releasing machine", "machine", m.name, "why", why, "tasks", len(m.runs))
 	t.l.wantRound()
 }
 
+// takeBack keeps a machine that was to be released as silent and is heard again, as long as no
+// request for it can have been carried out: while the cloud is out of reach its tasks may have gone
+// on all the time.
+func (t *rentals) takeBack(m *machine) {
+	if !m.releasing || m.releaseWhy != releaseSilent || m.releaseSent {
+		return
+	}
+	m.releasing = false
+	t.names = slices.DeleteFunc(t.names, func(name string) bool { return name == m.name })
+	t.l.c.log(Info, "release taken back", "machine", m.name)
+	t.l.wantRound()
+}
+
+// releaseMayBeDone notes for machines whether a request to release them may have been carried out.
+func (t *rentals) releaseMayBeDone(names []string, may bool) {
+	for _, name := range names {
+		if m := t.l.machines[name]; m != nil {
+			m.releaseSent = may
+		}
+	}
+}
+
 func (t *rentals) sendRelease() {
 	l, c := t.l, t.l.c
 	n := min(len(t.names), wire.MaxRelease)
 	names := append([]string(nil), t.names[:n]...)
 	t.names = append([]string(nil), t.names[n:]...)
 	t.relBusy = true
+	t.releaseMayBeDone(names, true)
 	id := l.call(func(r Result) {
 		t.relBusy = false
 		if r.Outcome == call.OK {
@@ -141,6 +165,9 @@
 			}
 			return
 		}
+		if r.Outcome == call.Refused {
+			t.releaseMayBeDone(names, false)
+		}
 		// Releasing again does no harm.
 		t.names = append(names, t.names...)
 		t.retryAt = c.now.Steady + c.t.beat
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -79,6 +79,7 @@
 	m.enter(r.Session)
 	m.up, m.seenUp, m.missing = true, true, 0
 	m.seq, m.heard = r.Seq, now
+	l.rentals.takeBack(m)
 	if r.NoticeS != nil && !m.notice {
 		m.notice = true
 		l.c.log(Info, "machine will be taken", "machine", m.name, "in_s", *r.NoticeS)
