--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -22,19 +22,25 @@
 // The outcomes.
 const (
 	Unknown  Outcome = iota // may have been carried out, now or later
-	Refused                 // certainly not carried out
+	Refused                 // certainly not carried out: the service does not serve this node
 	OK                      // carried out
 	Conflict                // a condition failed, nothing was carried out
 	Missing                 // what was asked for does not exist
 	Invalid                 // malformed, or a lease it names has ended
 	TooOld                  // a watch asked for changes no longer kept
 	TooLarge                // carried out, but the answer is larger than is read here
+	// Dropped is certainly not carried out, which tells nothing of the service: above its rate limit or
+	// this node's own, or its time was over before it was sent.
+	Dropped
 )
 
-var names = [...]string{"unknown", "refused", "ok", "conflict", "missing", "invalid", "too_old", "too_large"}
+var names = [...]string{"unknown", "refused", "ok", "conflict", "missing", "invalid", "too_old", "too_large", "dropped"}
 
 func (o Outcome) String() string { return names[o] }
 
+// NotDone tells whether a request was certainly not carried out and may be made again.
+func (o Outcome) NotDone() bool { return o == Refused || o == Dropped }
+
 // Client talks to one service.
 type Client struct {
 	http    *http.Client
@@ -44,7 +50,7 @@
 }
 
 // New makes a client for a service at an address. perSecond bounds the requests
-// sent; a request over it is refused here, at once. conns bounds the sockets.
+// sent; a request over it is dropped here, at once. conns bounds the sockets.
 func New(addr string, perSecond float64, conns int, maxBody int64) *Client {
 	dialer := &net.Dialer{Timeout: time.Second}
 	return &Client{
@@ -74,7 +80,7 @@
 // 409 and 404, whose bodies matter as well). body and out may be nil.
 func (c *Client) Do(ctx context.Context, method, path string, body, out any) Outcome {
 	if !c.limiter.Allow() {
-		return Refused
+		return Dropped
 	}
 	var reader io.Reader
 	if body != nil {
@@ -105,8 +111,8 @@
 	o := outcomeOf(resp.StatusCode)
 	if err != nil || int64(len(data)) > c.maxBody {
 		switch {
-		case o == Refused:
-			return Refused
+		case o.NotDone():
+			return o
 		case err == nil && o == OK:
 			return TooLarge
 		}
@@ -133,7 +139,9 @@
 		return Invalid
 	case http.StatusGone:
 		return TooOld
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusTooManyRequests:
+		return Dropped
+	case http.StatusServiceUnavailable:
 		return Refused
 	}
 	return Unknown
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -176,6 +176,9 @@
 }
 
 func (c *Core) sawState(o call.Outcome) {
+	if o == call.Dropped {
+		return // too much was asked for: that is no outage
+	}
 	down := o == call.Refused || o == call.Unknown
 	if !down {
 		c.stateOKAt = c.now.Steady
@@ -226,7 +229,7 @@
 		c.at(due)
 		return
 	}
-	if c.stateDown && c.now.Steady < c.probeAt {
+	if c.now.Steady < c.probeAt {
 		c.at(c.probeAt)
 		return
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -357,7 +357,7 @@
 		case call.Unknown:
 			// It may be carried out at any later time, or commands don't reach it.
 			l.doubt(m, o.token+1)
-		case call.Conflict, call.Refused, call.Invalid:
+		case call.Conflict, call.Refused, call.Dropped, call.Invalid:
 			l.notStarted(p)
 		}
 	}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -17,11 +17,12 @@
 // term, and on the version of each key that it changes: one that is applied late
 // changes nothing.
 type writer struct {
-	l        *leader
-	dirty    []*chunk
-	finishes []*job
-	orphans  []wire.Cond
-	inFlight int
+	l         *leader
+	dirty     []*chunk
+	finishes  []*job
+	orphans   []wire.Cond
+	inFlight  int
+	notBefore time.Duration // after a transaction above the service's rate
 
 	tokens   float64
 	tokensAt time.Duration
@@ -67,6 +68,10 @@
 func (w *writer) run() {
 	c := w.l.c
 	w.refill()
+	if c.now.Steady < w.notBefore {
+		c.at(w.notBefore)
+		return
+	}
 	for w.inFlight < 2 && !c.stateDown {
 		if need := w.least(); w.tokens < need {
 			w.wakeAt(need)
@@ -269,6 +274,10 @@
 	if r.Outcome == call.OK {
 		return
 	}
+	if r.Outcome == call.Dropped {
+		w.tokens += float64(len(b.txn.Then))
+		w.notBefore = w.l.c.now.Steady + w.l.c.t.retry
+	}
 	for _, o := range b.orphan {
 		if !failed[o.Key] {
 			w.orphans = append(w.orphans, o)
@@ -458,7 +467,7 @@
 	}
 	w.catalogOut = true
 	id := l.stateCall(func(r Result) {
-		if r.Outcome == call.Refused {
+		if r.Outcome.NotDone() {
 			w.catalogOut = false
 		}
 	})
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -165,7 +165,7 @@
 			}
 			return
 		}
-		if r.Outcome == call.Refused {
+		if r.Outcome.NotDone() {
 			t.releaseMayBeDone(names, false)
 		}
 		// Releasing again does no harm.
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -32,6 +32,7 @@
 //	state a lose           they are carried out, but the answers get lost
 //	state a hold           they get lost on the way, and come late: state a late
 //	state a slow           like hold, but for its transactions alone
+//	state a limit          they are above the service's rate
 //	state a nolist         the answers to its readings of many keys get lost
 //	state a serve          all is well again
 //	outage / outage over   the state service refuses all; leases start anew after
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -220,7 +220,7 @@
 	go func() {
 		ctx, cancel := context.WithDeadline(ctx, until)
 		defer cancel()
-		r := core.Result{ID: id, Sent: sent, Outcome: call.Refused}
+		r := core.Result{ID: id, Sent: sent, Outcome: call.Dropped}
 		if time.Now().Before(until) {
 			r.Outcome = call.Unknown
 			f(ctx, &r)
