A question that was never sent is not one without an answer

Found by reading: questions to silent machines above the node's own rate, or held up by a standstill, counted as unanswered and had machines released at five eighths of their time. Trace question_not_sent fails without it.

--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -147,6 +147,8 @@
 		m.inspecting = false
 		l.inspecting--
 		switch {
+		case r.Outcome == call.Dropped:
+			// It was not asked at all.
 		case r.Outcome != call.OK:
 			m.deaf++
 		case r.Report.Machine == m.name:
--- a/internal/core/trace_harness_test.go
+++ b/internal/core/trace_harness_test.go
@@ -346,7 +346,9 @@
 		return r, true
 	case core.WorkerInspect:
 		r := core.Result{ID: e.ID, Outcome: call.Unknown}
-		if w.answers[e.Addr] != nil {
+		if n.mode == "limit" {
+			r.Outcome = call.Dropped
+		} else if w.answers[e.Addr] != nil {
 			r.Outcome, r.Report = call.OK, *w.answers[e.Addr]
 		}
 		w.say(n, "inspects %s: %s", e.Addr, r.Outcome)
