Jobs that wait for others: accepted on evidence, ready on committed ends, cancelled together

A submission may name jobs that it needs. A waiting job is in no order of the leader: it holds nothing and asks for nothing. Ends carry their time of day. A job that needs a cancelled one gets a cancellation of its own, written by the leader or by the node that is asked, so that all that holds for cancellations holds for it. state.next is read and checked; sizes keep within the tighter limits.

Kept traces: final states have one more field ("at"); nothing else moved.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -32,6 +32,10 @@
 		{`lease_s = 10.0`, `lease_s = -1.0`, "params.workers.lease_s"},
 		{`write_rps = 60.0`, `write_rps = "many"`, "params.state.write_rps"},
 		{`txn_ops = 12`, `txn_ops = 1`, "params.state.txn_ops"},
+		{"txn_ops = 12\n", "txn_ops = 12\n[params.state.next]\nvalue_kb = 0.0\n", "params.state.next.value_kb"},
+		{"txn_ops = 12\n", "txn_ops = 12\n[params.state.next]\nwrite_rps = -1.0\n", "params.state.next.write_rps"},
+		{"txn_ops = 12\n", "txn_ops = 12\n[params.state.next]\nrps = \"few\"\n", "params.state.next.rps"},
+		{"txn_ops = 12\n", "txn_ops = 12\n[params.state.next]\ntxn_ops = 3\n", "params.state.next.txn_ops"},
 		{`gpus_max = 8.0`, `gpus_max = -8.0`, "params.teams[0]"},
 		{`memory_mb = 98.0`, ``, "params.limits.memory_mb"},
 	} {
@@ -46,6 +50,24 @@
 	}
 }
 
+// Each of the limits to come stands by itself, and the tighter of the two counts.
+func TestNextLimits(t *testing.T) {
+	for next, want := range map[string]StateLimits{
+		"":                      {RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 12},
+		"[params.state.next]\n": {RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 12},
+		"[params.state.next]\nvalue_kb=2.0\ntxn_ops=4\n":   {RPS: 150, WriteRPS: 60, ValueKB: 2, TxnOps: 4},
+		"[params.state.next]\nwrite_rps=42.0\nrps=900.0\n": {RPS: 150, WriteRPS: 42, ValueKB: 16, TxnOps: 12},
+	} {
+		s, err := Parse([]byte(strings.Replace(good(t), "txn_ops = 12\n", "txn_ops = 12\n"+next, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.Params.State.Next.Within(s.Params.State); got != want {
+			t.Errorf("%q gives %+v", next, got)
+		}
+	}
+}
+
 // One node and seven are as good as three.
 func TestNodes(t *testing.T) {
 	alone, sibling, _ := strings.Cut(good(t), "[[siblings]]")
--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -325,11 +325,11 @@
 // mostValue is how large a value is made, and mostValues how many such values a
 // transaction holds.
 func (c *Core) mostValue() int {
-	return min(int(c.set.Params.State.ValueKB*1024), wire.MaxBody/4) * 9 / 10
+	return min(c.limits.valueBytes(), wire.MaxBody/4) * 9 / 10
 }
 
 func (c *Core) mostValues() int {
-	return min(c.set.Params.State.TxnOps, wire.MaxBody*9/10/c.mostValue())
+	return min(c.limits.changes(), wire.MaxBody*9/10/c.mostValue())
 }
 
 func (k *caretaker) key(i int) string { return keyKept + k.c.set.Node + "/" + strconv.Itoa(i) }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -22,6 +22,8 @@
 	pending map[uint64]func(Result)
 
 	dir     *directory
+	deps    *dependencies
+	limits  *limits
 	users   *users
 	elect   *election
 	care    *caretaker
@@ -80,8 +82,8 @@
 	t.quiet = max(3*t.report/2, 3*t.beat)
 	// A node's polls use at most a sixth of its share of the requests, a watch
 	// at most a fifth.
-	t.batchGap = config.Seconds(6 * nodes / p.State.RPS / 3)
-	t.watchGap = config.Seconds(5 * nodes / p.State.RPS / 2)
+	t.batchGap = config.Seconds(6 * nodes / p.State.Next.Within(p.State).RPS / 3)
+	t.watchGap = config.Seconds(5 * nodes / p.State.Next.Within(p.State).RPS / 2)
 	return t
 }
 
@@ -94,6 +96,8 @@
 	c := &Core{set: s, op: op, incarnation: incarnation, t: timesOf(s, op),
 		pending: map[uint64]func(Result){}, lastReport: -1}
 	c.dir = newDirectory()
+	c.deps = newDependencies(c)
+	c.limits = newLimits(s.Params.State)
 	c.users = newUsers(c)
 	c.elect = newElection(c)
 	c.care = newCaretaker(c)
@@ -150,6 +154,7 @@
 	c.runDirectory()
 	c.runProbe()
 	c.runPeers()
+	c.deps.run()
 	c.elect.run()
 	c.care.run()
 	if c.lead != nil {
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -33,6 +33,8 @@
 type finalValue struct {
 	State string `json:"s"`
 	Done  int    `json:"n"`
+	// AtMS is the time of day of the end; 0 in ends that versions before dependencies wrote.
+	AtMS int64 `json:"at,omitempty"`
 }
 
 type leadValue struct {
@@ -156,6 +158,7 @@
 // keepFinal remembers a final state, up to a bound.
 func (c *Core) keepFinal(id string, f finalValue) {
 	d := c.dir
+	c.deps.noticeEnd(id, f)
 	if _, ok := d.finals[id]; ok {
 		return
 	}
@@ -234,17 +237,22 @@
 		return
 	}
 	if e.CancelledMS != 0 {
-		c.keepFinal(id, finalValue{State: wire.JobCancelled, Done: c.countsOf(id)[1]})
+		c.keepFinal(id, finalValue{State: wire.JobCancelled, Done: c.countsOf(id)[1], AtMS: c.now.WallMS})
 		c.cancels.over(id)
 	} else {
-		c.keepFinal(id, finalValue{State: wire.JobDone, Done: e.Job.Tasks})
+		c.keepFinal(id, finalValue{State: wire.JobDone, Done: e.Job.Tasks, AtMS: c.now.WallMS})
 	}
 }
 
-// noticeJob hands a changed job to the leader.
+// noticeJob hands a changed job to those who follow jobs.
 func (c *Core) noticeJob(key string) {
-	if c.lead != nil && below(key, keyActive) {
-		c.lead.jobChanged(key[len(keyActive):])
+	if !below(key, keyActive) {
+		return
+	}
+	id := key[len(keyActive):]
+	c.deps.noticeJob(id)
+	if c.lead != nil {
+		c.lead.jobChanged(id)
 	}
 }
 
@@ -287,6 +295,7 @@
 			d.catalog = l.catalog
 		}
 		d.loading, d.busy, d.ready = nil, false, true
+		c.deps.reload()
 		if c.lead != nil {
 			for id := range old {
 				if d.jobs[id] == nil {
--- a/internal/core/fulfillment.go
+++ b/internal/core/fulfillment.go
@@ -31,7 +31,7 @@
 	if !j.elastic() || j.spec.EstimateS <= 0 {
 		return j.minInstance()
 	}
-	age := float64(l.c.now.WallMS-j.at) / 1000
+	age := float64(l.c.now.WallMS-j.queuedAt) / 1000
 	left := 0.0
 	for _, o := range l.c.set.Params.Objectives {
 		if o.Kind != "finished" || o.Class != j.spec.Class {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/bits"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -19,10 +20,15 @@
 	id          string
 	spec        *wire.Job
 	at          int64  // time of day of its acceptance, in milliseconds
+	queuedAt    int64  // the same, or of the end of the last job that it needed: its waits count from here
+	waiting     bool   // for jobs that it needs: it is in no order and holds nothing
+	rank        int    // its priority, or the highest of the jobs that need it
+	latestEnd   int64  // time of day by which deadlines need it to be done
 	version     uint64 // of its key
 	cancelled   bool
 	cancelledAt time.Duration // on the steady clock
 	final       bool          // its last write is on the way
+	end         finalValue    // as it is written then
 
 	team   *config.Team
 	chunks map[int]*chunk
@@ -171,8 +177,8 @@
 }
 
 func (j *job) before(k *job) bool {
-	if j.at != k.at {
-		return j.at < k.at
+	if j.queuedAt != k.queuedAt {
+		return j.queuedAt < k.queuedAt
 	}
 	return j.id < k.id
 }
@@ -273,18 +279,26 @@
 	return n
 }
 
-// addJob takes a job up.
+// addJob takes a job up. One that needs others waits until they are done.
 func (l *leader) addJob(id string, e *entry) *job {
-	j := &job{id: id, spec: e.Job, at: e.AtMS, version: e.version, team: l.c.team(e.Job.Team),
-		chunks: map[int]*chunk{}, placed: map[int]*placement{}}
+	status := l.c.deps.graph.Of(id)
+	j := &job{id: id, spec: e.Job, at: e.AtMS, queuedAt: e.AtMS, version: e.version, team: l.c.team(e.Job.Team),
+		rank: status.Priority, latestEnd: status.LatestEndMS, chunks: map[int]*chunk{}, placed: map[int]*placement{}}
 	l.jobs[id] = j
-	i := sort.Search(len(l.order), func(i int) bool { return j.before(l.order[i]) })
-	l.order = append(l.order, nil)
-	copy(l.order[i+1:], l.order[i:])
-	l.order[i] = j
+	if len(e.Job.Needs) > 0 {
+		j.waiting = true
+	} else {
+		l.enqueue(j)
+	}
 	return j
 }
 
+// enqueue puts a job into the order of those that are to run.
+func (l *leader) enqueue(j *job) {
+	i := sort.Search(len(l.order), func(i int) bool { return j.before(l.order[i]) })
+	l.order = slices.Insert(l.order, i, j)
+}
+
 func (l *leader) dropJob(j *job) {
 	delete(l.jobs, j.id)
 	for i, k := range l.order {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -30,6 +30,7 @@
 	machines   map[string]*machine
 	fleet      []*machine               // by name
 	due        []*machine               // with starts that were just committed
+	evaluated  uint64                   // evaluations of the dependency graph that are taken in
 	released   map[string]time.Duration // names given back, so that late reports of them don't count
 	inspecting int
 	ordering   int                      // direct orders without an answer yet
@@ -82,6 +83,7 @@
 			return
 		}
 	}
+	l.followDependencies()
 	if now := l.c.now.Steady; now >= l.tendAt {
 		l.tendAt = now + l.c.t.eventGap
 		l.watchMachines()
@@ -133,8 +135,9 @@
 	}
 	l.runs = nil
 	l.loaded = true
-	for _, j := range append([]*job(nil), l.order...) {
-		l.jobChanged(j.id)
+	for _, id := range ids {
+		j := l.jobs[id]
+		l.jobChanged(id)
 		l.finishIfDone(j)
 	}
 	l.c.log(Info, "records read", "term", l.term, "jobs", len(l.jobs))
@@ -173,6 +176,10 @@
 		l.writes.orphan(key, it.Version)
 		return
 	}
+	if j.waiting {
+		// A job has a record only if an earlier leader found it ready.
+		l.admit(j)
+	}
 	var r record
 	if json.Unmarshal(it.Value, &r) != nil {
 		l.c.log(Error, "a run record can't be read", "key", key)
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -20,6 +20,7 @@
 	l         *leader
 	dirty     []*chunk
 	finishes  []*job
+	cancels   []*job // that need a cancelled job
 	orphans   []wire.Cond
 	inFlight  int
 	notBefore time.Duration // after a transaction above the service's rate
@@ -41,7 +42,9 @@
 }
 
 // rate leaves a part of the writes to submissions and cancels at all nodes.
-func (w *writer) rate() float64 { return 0.6 * w.l.c.set.Params.State.WriteRPS }
+func (w *writer) rate() float64 {
+	return 0.6 * w.l.c.limits.writesPerSecond(w.l.c.now.Steady)
+}
 
 func (l *leader) mark(ch *chunk) {
 	if !ch.dirty {
@@ -55,6 +58,13 @@
 
 func (w *writer) finish(j *job) { w.finishes = append(w.finishes, j) }
 
+// cancel has a job cancelled that needs a cancelled one.
+func (w *writer) cancel(j *job) {
+	if !slices.Contains(w.cancels, j) {
+		w.cancels = append(w.cancels, j)
+	}
+}
+
 func (w *writer) orphan(key string, version uint64) {
 	w.orphans = append(w.orphans, wire.Cond{Key: key, Version: version})
 }
@@ -88,6 +98,10 @@
 	w.writeCatalog()
 }
 
+// slowLeases is for how many of workers' leases writes keep to the rate that is to come, after one was
+// above the service's rate.
+const slowLeases = 6
+
 // endWrites is what the end of a job takes at least: its final state is put, its key deleted.
 const endWrites = 2
 
@@ -118,9 +132,16 @@
 	chunks []*chunk
 	placed []*placement
 	jobs   []*job
+	cancel []cancelledJob
 	orphan []wire.Cond
 }
 
+// cancelledJob is a job whose cancellation is in a batch, with its value.
+type cancelledJob struct {
+	job   *job
+	value json.RawMessage
+}
+
 func (b *batch) cond(key string, version uint64) {
 	if !b.seen[key] {
 		b.seen[key] = true
@@ -131,7 +152,7 @@
 // one sends one transaction; false if there is nothing to write.
 func (w *writer) one() bool {
 	l, c := w.l, w.l.c
-	ops := min(c.set.Params.State.TxnOps, int(w.tokens))
+	ops := min(c.limits.changes(), int(w.tokens))
 	b := &batch{seen: map[string]bool{}}
 	b.cond(keyTerm, l.version)
 
@@ -151,6 +172,8 @@
 	}
 	w.finishes = laterJobs
 
+	w.addCancels(b, ops)
+
 	// Then records of tasks, the most urgent work first: what starts waits for them.
 	slices.SortStableFunc(w.dirty, func(a, b *chunk) int { return priority(b.job) - priority(a.job) })
 	idleOps := int(w.tokens - w.reserve())
@@ -160,7 +183,7 @@
 			ch.dirty = false
 			continue
 		}
-		if ch.inFlight || ch.reading || len(b.txn.Then) >= ops || len(b.txn.If)+2 > 4*c.set.Params.State.TxnOps ||
+		if ch.inFlight || ch.reading || len(b.txn.Then) >= ops || len(b.txn.If)+2 > c.limits.conditions() ||
 			b.size > wire.MaxBody/2 || ch.job.idleTime() && len(b.txn.Then) >= idleOps {
 			laterChunks = append(laterChunks, ch)
 			continue
@@ -219,11 +242,11 @@
 		}
 	}
 	sort.Ints(indexes)
-	state := finalValue{State: wire.JobDone, Done: j.done}
+	j.end = finalValue{State: wire.JobDone, Done: j.done, AtMS: w.l.c.now.WallMS}
 	if j.cancelled {
-		state.State = wire.JobCancelled
+		j.end.State = wire.JobCancelled
 	}
-	value, err := json.Marshal(state)
+	value, err := json.Marshal(j.end)
 	if err != nil {
 		return false
 	}
@@ -231,7 +254,7 @@
 	b.txn.Then = append(b.txn.Then, wire.Op{Put: keyFinal + j.id, Value: value}, wire.Op{Delete: keyActive + j.id})
 	for _, i := range indexes {
 		key, version := runKey(j.id, i), j.chunks[i].version
-		if len(b.txn.Then) < ops && len(b.txn.If)+2 < 4*w.l.c.set.Params.State.TxnOps {
+		if len(b.txn.Then) < ops && len(b.txn.If)+2 < w.l.c.limits.conditions() {
 			b.cond(key, version)
 			b.txn.Then = append(b.txn.Then, wire.Op{Delete: key})
 		}
@@ -241,6 +264,44 @@
 	return true
 }
 
+// addCancels adds the cancellations of jobs that need a cancelled one.
+func (w *writer) addCancels(b *batch, ops int) {
+	l, c := w.l, w.l.c
+	n := 0
+	for ; n < len(w.cancels) && len(b.txn.Then) < ops; n++ {
+		j := w.cancels[n]
+		e := c.dir.jobs[j.id]
+		if l.jobs[j.id] != j || j.cancelled || e == nil {
+			continue
+		}
+		v := e.activeValue
+		v.CancelledMS = max(1, c.now.WallMS)
+		value, err := c.encodeActive(v)
+		if err != nil {
+			continue
+		}
+		key := keyActive + j.id
+		b.cond(key, e.version)
+		b.txn.Then = append(b.txn.Then, wire.Op{Put: key, Value: value})
+		b.size += len(value) + 128
+		b.cancel = append(b.cancel, cancelledJob{j, value})
+	}
+	w.cancels = append(w.cancels[:0], w.cancels[n:]...)
+}
+
+// settleCancel takes what became of the cancellation of a job that needs a cancelled one.
+func (w *writer) settleCancel(x cancelledJob, r Result, failed map[string]bool) {
+	switch {
+	case r.Outcome == call.OK:
+		w.l.c.learn(x.job.id, x.value, r.Txn.Revision)
+	case failed[keyActive+x.job.id]:
+		w.rereadJob(x.job) // another node was quicker
+	}
+	if w.l.jobs[x.job.id] == x.job && !x.job.cancelled {
+		w.cancel(x.job)
+	}
+}
+
 // settle takes a transaction's outcome. Unless it is known to have been applied,
 // all of it is written again from what is known now; if an unknown one was applied
 // after all, the versions no longer match and are read.
@@ -266,6 +327,9 @@
 			}
 		}
 	}
+	for _, x := range b.cancel {
+		w.settleCancel(x, r, failed)
+	}
 	for _, j := range b.jobs {
 		if w.l.jobs[j.id] == j { // else it was found to be over meanwhile
 			w.settleEnd(j, b, r, failed)
@@ -277,6 +341,7 @@
 	if r.Outcome == call.Dropped {
 		w.tokens += float64(len(b.txn.Then))
 		w.notBefore = w.l.c.now.Steady + w.l.c.t.retry
+		w.l.c.limits.slowDown(w.l.c.now.Steady, slowLeases*w.l.c.t.lease)
 	}
 	for _, o := range b.orphan {
 		if !failed[o.Key] {
@@ -330,11 +395,7 @@
 // transaction.
 func (w *writer) ended(j *job, b *batch) {
 	l, c := w.l, w.l.c
-	state := wire.JobDone
-	if j.cancelled {
-		state = wire.JobCancelled
-	}
-	c.keepFinal(j.id, finalValue{State: state, Done: j.done})
+	c.keepFinal(j.id, j.end)
 	for i, ch := range j.chunks {
 		if ch.version != 0 && !b.seen[runKey(j.id, i)] {
 			w.orphan(runKey(j.id, i), ch.version)
@@ -462,7 +523,7 @@
 		return
 	}
 	value, err := json.Marshal(c.catalog)
-	if err != nil || float64(len(value)) > 1024*c.set.Params.State.ValueKB {
+	if err != nil || len(value) > c.limits.valueBytes() {
 		return
 	}
 	w.catalogOut = true
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -149,7 +149,7 @@
 	now := l.c.now
 	p.ranAt = now.Steady
 	p.machine.imageReady(p.job.spec.Image)
-	accepted := now.Steady - time.Duration(now.WallMS-p.job.at)*time.Millisecond
+	accepted := now.Steady - time.Duration(now.WallMS-p.job.queuedAt)*time.Millisecond
 	l.c.log(Debug, "task runs", "task", p.name(), "class", p.job.spec.Class, "machine", p.machine.name, "warmth", p.warmth,
 		"placed_ms", (p.since - accepted).Milliseconds(), "ran_ms", (now.Steady - p.since).Milliseconds())
 }
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -54,7 +54,8 @@
 	tasks int
 }
 
-func priority(j *job) int { return wire.Priority(j.spec.Priority) }
+// priority gives a job's rank; jobs that need it lend it theirs.
+func priority(j *job) int { return j.rank }
 
 // budget tells whether the round may go on.
 func (r *round) budget() bool { return r.evaluations > 0 }
--- a/internal/core/search_test.go
+++ b/internal/core/search_test.go
@@ -147,8 +147,34 @@
 			}
 		}
 	}
+	randomPipelines(&b, seed, moments)
 	// The longest trouble begins at 88 s and lasts 45 s; ten leaders may follow each other.
 	add("calm 150")
 	add("end 270")
 	return b.String()
 }
+
+// randomPipelines makes up chains of jobs, each of which needs the one before it; of some a job is
+// cancelled. They draw from chance of their own, so that the rest of a day stays as it was.
+func randomPipelines(b *strings.Builder, seed uint64, moments []float64) {
+	r := rand.New(rand.NewPCG(seed, 3))
+	priorities := []string{"idle", "idle", "standard", "high"}
+	for chain := 0; chain < 1+r.IntN(3); chain++ {
+		begin := max(0.5, moments[r.IntN(len(moments))]-20*r.Float64())
+		last := ""
+		cancelled := r.IntN(2 * len(priorities))
+		for stage, priority := range priorities {
+			id := fmt.Sprintf("run-8%02d%03d", chain, stage)
+			needs := ""
+			if last != "" {
+				needs = " needs=" + last
+			}
+			fmt.Fprintf(b, "%.1f submit %s tasks=%d gpus=0 team=green spot run=%.1f priority=%s%s\n",
+				begin+0.3*float64(stage), id, 1+r.IntN(4), 1+10*r.Float64(), priority, needs)
+			if stage == cancelled {
+				fmt.Fprintf(b, "%.1f cancel %s\n", begin+2+30*r.Float64(), id)
+			}
+			last = id
+		}
+	}
+}
--- a/internal/core/trace_harness_test.go
+++ b/internal/core/trace_harness_test.go
@@ -105,6 +105,14 @@
 			j.Zone = v
 		case "type":
 			j.Types = []string{v}
+		case "needs":
+			j.Needs = strings.Split(v, ",")
+		case "deadline":
+			j.DeadlineS = &num
+		case "cpus":
+			j.CPUs = num
+		case "estimate":
+			j.EstimateS = num
 		case "spread":
 			j.Spread = true
 		case "one_zone":
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"bitternwing/internal/call"
 	"bitternwing/internal/core"
 	"bitternwing/internal/standin"
 	"bitternwing/internal/wire"
@@ -47,6 +49,7 @@
 //	cloud hides m1         the list lacks m1, until cloud shows m1
 //	cloud drops m1         m1 is gone without notice
 //	cloud has m9 [z2]      a machine nobody here asked for
+//	store KEY VALUE        a value as it was written before
 //	keys PREFIX            shows keys of the state service with their values
 //	healthy a
 //	answers a m1 addr=m1:1 session=...  what worker m1 answers when it is asked directly
@@ -134,6 +137,12 @@
 		w.step(n, core.Tick{})
 		w.settle()
 		return
+	case f[0] == "store":
+		value := json.RawMessage(strings.Join(f[2:], " "))
+		if _, o := w.store.Txn(wire.Txn{Then: []wire.Op{{Put: arg(1), Value: value}}}); o != call.OK {
+			w.t.Fatalf("not stored: %v", f)
+		}
+		return
 	case f[0] == "kill":
 		delete(w.nodes, arg(1))
 		for i, k := range w.names {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -25,10 +25,12 @@
 	submits    []*submission
 	submitting map[string]*submission
 	submitBusy bool
+
+	cancelling map[string][]func(found) // dependents whose cancellation is being written
 }
 
 func newUsers(c *Core) *users {
-	return &users{c: c, submitting: map[string]*submission{}}
+	return &users{c: c, submitting: map[string]*submission{}, cancelling: map[string][]func(found){}}
 }
 
 // lookup finds out what a job's state is.
@@ -36,6 +38,8 @@
 	id    string
 	entry *entry // what the cache says; nil: no such job
 	then  func(found)
+	// existence: all that is asked is whether the job was accepted; nothing of it is told.
+	existence bool
 }
 
 // found is a lookup's result.
@@ -90,27 +94,59 @@
 		s.reqs = append(s.reqs, in.Req)
 		return
 	}
-	admission := c.admissionOf(in.Job)
-	if admission == fits && c.dir.jobs[in.Job.ID] == nil {
-		value, err := json.Marshal(activeValue{Job: in.Job, AtMS: c.now.WallMS})
-		if err != nil || float64(len(value)) > c.set.Params.State.ValueKB*1024 {
-			u.done(in.Req, 400, errorBody{"body: is too large"})
-			return
-		}
-		s := &submission{job: in.Job, value: value, reqs: []uint64{in.Req}}
-		u.submitting[in.Job.ID] = s
-		u.submits = append(u.submits, s)
+	if c.dir.jobs[in.Job.ID] != nil {
+		u.repeated(in, refusal{})
+		return
+	}
+	switch admission := c.admissionOf(in.Job); {
+	case admission == never:
+		u.repeated(in, refusal{status: 422, why: "the job can never run here"})
+	case admission == undecided:
+		u.repeated(in, refusal{})
+	case len(in.Job.Needs) > c.limits.mostNeeds():
+		u.repeated(in, refusal{status: 400, why: wire.FieldNeeds + ": names too many jobs"})
+	case len(in.Job.Needs) > 0:
+		u.submitDependent(in)
+	default:
+		u.enqueue(in)
+	}
+}
+
+// enqueue has a submission committed.
+func (u *users) enqueue(in Submit) {
+	c := u.c
+	if s := u.submitting[in.Job.ID]; s != nil {
+		s.reqs = append(s.reqs, in.Req)
 		return
 	}
-	// A job that is known already gets its state, whatever today's check says.
+	value, err := json.Marshal(activeValue{Job: in.Job, AtMS: c.now.WallMS})
+	if err != nil || len(value) > c.limits.valueBytes() {
+		u.done(in.Req, 400, errorBody{"body: is too large"})
+		return
+	}
+	s := &submission{job: in.Job, value: value, reqs: []uint64{in.Req}}
+	u.submitting[in.Job.ID] = s
+	u.submits = append(u.submits, s)
+}
+
+// refusal is the answer to a submission that can't be taken; without a status nothing can be said.
+type refusal struct {
+	status int
+	why    string
+}
+
+// repeated answers a submission that is known, or that can't be taken. A job that is known already
+// gets its state, whatever today's check says.
+func (u *users) repeated(in Submit, refused refusal) {
+	c := u.c
 	u.find(in.Job.ID, func(f found) {
 		switch {
 		case f.failed:
 			u.unsure(in.Req)
 		case f.entry != nil || f.final != nil:
 			u.done(in.Req, 200, c.stateOf(in.Job.ID, f))
-		case admission == never:
-			u.done(in.Req, 422, errorBody{"the job can never run here"})
+		case refused.status != 0:
+			u.done(in.Req, refused.status, errorBody{refused.why})
 		default:
 			// Undecided, or gone from the cache while it was asked for.
 			u.unsure(in.Req)
@@ -162,7 +198,6 @@
 // tryCancel commits a cancellation by comparing and setting the job's key, which
 // is also what a done has to pass: one of the two wins.
 func (u *users) tryCancel(in Cancel, tries int) {
-	c := u.c
 	u.find(in.ID, func(f found) {
 		switch {
 		case f.failed || tries > 3:
@@ -174,39 +209,64 @@
 		case f.entry.CancelledMS != 0:
 			u.done(in.Req, 200, wire.JobState{ID: in.ID, State: wire.JobCancelled})
 		default:
-			v := f.entry.activeValue
-			v.CancelledMS = max(1, c.now.WallMS)
-			value, err := json.Marshal(v)
-			if err != nil {
-				u.unsure(in.Req)
-				return
-			}
-			id := c.stateCall(func(r Result) {
-				switch r.Outcome {
-				case call.OK:
-					c.learn(in.ID, value, r.Txn.Revision)
-					c.cancels.tell(in.ID, &entry{v, r.Txn.Revision}, func(everywhere bool) {
-						if !everywhere {
-							u.unsure(in.Req)
-							return
-						}
-						u.done(in.Req, 200, wire.JobState{ID: in.ID, State: wire.JobCancelled})
-					})
-				case call.Conflict:
+			u.commitCancel(in.ID, f.entry, func(r cancelResult) {
+				switch r {
+				case cancelTold:
+					u.done(in.Req, 200, wire.JobState{ID: in.ID, State: wire.JobCancelled})
+				case cancelChanged:
 					u.tryCancel(in, tries+1)
 				default:
 					u.unsure(in.Req)
 				}
 			})
-			key := keyActive + in.ID
-			c.send(StateTxn{ID: id, Txn: wire.Txn{
-				If:   []wire.Cond{{Key: key, Version: f.entry.version}},
-				Then: []wire.Op{{Put: key, Value: value}},
-			}})
 		}
 	})
 }
 
+// cancelResult is what became of the write of a cancellation.
+type cancelResult int
+
+const (
+	cancelUnsure  cancelResult = iota
+	cancelTold                 // written, and known to all nodes
+	cancelChanged              // the job's key has changed before
+)
+
+// commitCancel writes a job's cancellation, on the condition that its key is as it was seen, and has
+// all nodes know it.
+func (u *users) commitCancel(id string, e *entry, then func(cancelResult)) {
+	c := u.c
+	v := e.activeValue
+	v.CancelledMS = max(1, c.now.WallMS)
+	value, err := c.encodeActive(v)
+	if err != nil {
+		then(cancelUnsure)
+		return
+	}
+	request := c.stateCall(func(r Result) {
+		switch r.Outcome {
+		case call.OK:
+			c.learn(id, value, r.Txn.Revision)
+			c.cancels.tell(id, &entry{v, r.Txn.Revision}, func(everywhere bool) {
+				if everywhere {
+					then(cancelTold)
+				} else {
+					then(cancelUnsure)
+				}
+			})
+		case call.Conflict:
+			then(cancelChanged)
+		default:
+			then(cancelUnsure)
+		}
+	})
+	key := keyActive + id
+	c.send(StateTxn{ID: request, Txn: wire.Txn{
+		If:   []wire.Cond{{Key: key, Version: e.version}},
+		Then: []wire.Op{{Put: key, Value: value}},
+	}})
+}
+
 // find looks a job up. A cached cancellation stands without asking, once all nodes know it.
 func (u *users) find(id string, then func(found)) {
 	if !u.c.dir.ready {
@@ -218,6 +278,9 @@
 		u.cancelled(id, e, then)
 		return
 	}
+	if e != nil && len(e.Job.Needs) > 0 && !u.mayTell(id, e, then) {
+		return
+	}
 	u.checks = append(u.checks, &lookup{id: id, entry: e, then: then})
 }
 
@@ -249,7 +312,7 @@
 		c.at(u.checkAt)
 		return
 	}
-	most := 4 * c.set.Params.State.TxnOps
+	most := c.limits.conditions()
 	var conds []wire.Cond
 	n := 0
 	for ; n < len(u.checks) && len(conds)+2 <= most; n++ {
@@ -306,11 +369,21 @@
 					return
 				}
 				e := &entry{v, r.Item.Version}
+				if l.existence {
+					end(found{entry: e})
+					return
+				}
 				if v.CancelledMS != 0 {
 					c.learn(l.id, r.Item.Value, r.Item.Version)
 					u.cancelled(l.id, e, end)
 					return
 				}
+				if len(v.Job.Needs) > 0 {
+					c.learn(l.id, r.Item.Value, r.Item.Version)
+					if !u.mayTell(l.id, e, end) {
+						return
+					}
+				}
 				end(found{entry: e})
 			case call.Missing:
 				id := c.stateCall(func(r Result) {
@@ -343,7 +416,7 @@
 	}
 	var txn wire.Txn
 	n, size := 0, 0
-	for ; n < len(u.submits) && n < c.set.Params.State.TxnOps; n++ {
+	for ; n < len(u.submits) && n < c.limits.changes(); n++ {
 		s := u.submits[n]
 		size += len(s.value) + 256
 		if n > 0 && size > wire.MaxBody*3/4 {
--- a/internal/wire/user.go
+++ b/internal/wire/user.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -72,6 +73,8 @@
 	Checkpoint float64  `json:"stamp_s"`
 	SaveS      float64  `json:"stow_s"`
 	DeadlineS  *float64 `json:"cutoff_s,omitempty"`
+	// Needs are the jobs that have to be done before a task of this one starts.
+	Needs []string `json:"awaits,omitempty"`
 }
 
 // JobState is the answer to users about a job.
@@ -103,6 +106,17 @@
 	return job, n, true
 }
 
+// FieldNeeds is the protocol's word for the list of needed jobs, for messages to users.
+const FieldNeeds = "awaits"
+
+// maxNeedBytes bounds what one entry of the list of needed jobs takes in a stored job: the longest job
+// id with its quotes and a comma.
+const maxNeedBytes = len(`"run-01234567890123456789",`)
+
+// MaxNeeds bounds the list of needed jobs for a value size of the state service: the list takes at most
+// half of a value.
+func MaxNeeds(valueBytes int) int { return max(1, valueBytes/2/maxNeedBytes) }
+
 type fields struct {
 	raw map[string]json.RawMessage
 	err error
@@ -161,6 +175,29 @@
 	return &x
 }
 
+// ids reads a list of job ids without repeats. What is no job id stays in it: such a job was never
+// accepted, which is not for the form of the message to say. An empty list counts as absent.
+func (f *fields) ids(name string) []string {
+	v, ok := f.get(name)
+	if !ok {
+		return nil
+	}
+	var entries []*string
+	if json.Unmarshal(v, &entries) != nil || slices.Contains(entries, nil) {
+		f.fail(name, "must be a list of job ids or null")
+		return nil
+	}
+	var ids []string
+	seen := map[string]bool{}
+	for _, id := range entries {
+		if !seen[*id] {
+			seen[*id] = true
+			ids = append(ids, *id)
+		}
+	}
+	return ids
+}
+
 func (f *fields) must(name string) float64 {
 	if x := f.amount(name, true); x != nil {
 		return *x
@@ -214,6 +251,7 @@
 		Checkpoint: f.must("stamp_s"),
 		SaveS:      f.must("stow_s"),
 		DeadlineS:  f.amount("cutoff_s", false),
+		Needs:      f.ids(FieldNeeds),
 	}
 	tasks := f.must("parcels")
 	if tasks != math.Trunc(tasks) || tasks < 1 || tasks > MaxTasks {
--- a/internal/wire/user_test.go
+++ b/internal/wire/user_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"slices"
 	"strings"
 	"testing"
 )
@@ -34,6 +35,10 @@
 		{`"hall":null`, `"hall":7`},
 		{`"cutoff_s":900.0`, `"cutoff_s":"soon"`},
 		{`"bundle":"img-07"`, `"bundle":"` + strings.Repeat("x", 300) + `"`},
+		{`"new":[1]}`, `"awaits":"run-000398"}`},
+		{`"new":[1]}`, `"awaits":["run-000398",null]}`},
+		{`"new":[1]}`, `"awaits":[398]}`},
+		{`"new":[1]}`, `"awaits":{}}`},
 		{`"new":[1]}`, `"new":[1]`},
 		{`"new":[1]}`, `"new":[1]} x`},
 	} {
@@ -51,3 +56,22 @@
 		}
 	}
 }
+
+// A list of needed jobs may be absent, null or empty alike, and names each once. Whether a name is that
+// of an accepted job is not a matter of form.
+func TestParseNeeds(t *testing.T) {
+	for list, want := range map[string][]string{
+		`null`: nil,
+		`[]`:   nil,
+		`["run-000398","run-000405","run-000398"]`: {"run-000398", "run-000405"},
+		`["nobody",""]`: {"nobody", ""},
+	} {
+		j, err := ParseJob([]byte(strings.Replace(goodJob, `"new":[1]`, `"awaits":`+list, 1)))
+		if err != nil || !slices.Equal(j.Needs, want) {
+			t.Errorf("%s gives %+v, %v", list, j, err)
+		}
+	}
+	if n := MaxNeeds(2048); n*maxNeedBytes > 1024 || n < 32 {
+		t.Errorf("%d needed jobs for a value of 2 KiB", n)
+	}
+}
