Run records in a layout that the state service tells; smaller limits are met before they come

How many tasks a record holds was derived from value_kb. It is told by w/layout now: records of the second layout are found by their first task. The change is written once, conditional on the term, when every controller is known to read it (a new field of the status between nodes), and gives the term a form that the version in production can't read, so that it never leads again over records it would delete. Records of before stay and are overridden. Sizes keep within the tighter limits at all times; what is too large before the layout changes sheds what was not started. Reports that a node passes on are compressed then.

--- a/internal/core/cancellations.go
+++ b/internal/core/cancellations.go
@@ -258,6 +258,7 @@
 			p.heardAt = c.now.Steady
 			p.status = r.Peer
 			p.revision = max(p.revision, r.Peer.Revision)
+			p.layouts = max(p.layouts, r.Peer.Layouts)
 			for _, a := range as {
 				a.known[p] = true
 			}
--- a/internal/core/caretaker.go
+++ b/internal/core/caretaker.go
@@ -272,30 +272,23 @@
 // write passes the reports on, as many to a key as fit.
 func (k *caretaker) write() {
 	c := k.c
-	var ops []wire.Op
-	var shard []json.RawMessage
-	size := 0
-	flush := func() {
-		if value, err := json.Marshal(shard); err == nil {
-			ops = append(ops, wire.Op{Put: k.key(len(ops)), Value: value})
-		}
-		shard, size = nil, 0
-	}
-	most := c.mostValue()
+	reports := make([]json.RawMessage, 0, len(k.names))
 	for _, name := range k.names {
-		w := k.kept[name]
-		b, err := json.Marshal(w.report)
-		if err != nil || len(b) > most {
-			continue
-		}
-		if size+len(b) > most {
-			flush()
+		if b, err := json.Marshal(k.kept[name].report); err == nil {
+			reports = append(reports, b)
 		}
-		shard = append(shard, b)
-		size += len(b) + 1
 	}
-	if len(shard) > 0 {
-		flush()
+	packer := &relayPacker{most: withRoom(c.limits.largestValue())}
+	if c.layout().ByTask > 0 {
+		// All nodes are known to read the compressed form.
+		packer.most, packer.compressed = c.mostValue(), true
+	}
+	if tooLarge := packer.pack(reports); tooLarge > 0 {
+		c.log(Debug, "reports of workers are too large to be passed on", "machines", tooLarge)
+	}
+	var ops []wire.Op
+	for i, value := range packer.values {
+		ops = append(ops, wire.Op{Put: k.key(i), Value: value})
 	}
 	n := len(ops)
 	for i := n; i < k.shards; i++ {
@@ -306,11 +299,14 @@
 	k.shards = max(k.shards, n)
 	left, good := len(ops), true
 	for len(ops) > 0 {
-		part := ops[:min(len(ops), c.mostValues())]
+		part := ops[:min(len(ops), c.limits.changes(), wire.MaxBody*9/10/packer.most)]
 		ops = ops[len(part):]
 		k.writing = true
 		id := c.stateCall(func(r Result) {
 			good = good && r.Outcome == call.OK
+			if r.Outcome == call.Invalid {
+				c.limits.noticeRefused(wire.Txn{Then: part})
+			}
 			if left -= len(part); left == 0 {
 				k.writing = false
 				if good {
@@ -325,9 +321,12 @@
 // mostValue is how large a value is made, and mostValues how many such values a
 // transaction holds.
 func (c *Core) mostValue() int {
-	return min(c.limits.valueBytes(), wire.MaxBody/4) * 9 / 10
+	return withRoom(c.limits.valueBytes())
 }
 
+// withRoom gives what is used of a value's limit.
+func withRoom(valueBytes int) int { return min(valueBytes, wire.MaxBody/4) * 9 / 10 }
+
 func (c *Core) mostValues() int {
 	return min(c.limits.changes(), wire.MaxBody*9/10/c.mostValue())
 }
@@ -339,11 +338,7 @@
 	if c.lead == nil || value == nil || !strings.HasPrefix(key, keyKept) {
 		return
 	}
-	var reports []*wire.Report
-	if json.Unmarshal(value, &reports) != nil {
-		return
-	}
-	for _, r := range reports {
+	for _, r := range decodeRelayed(value) {
 		if r != nil && r.Machine != "" && termOf(r.Token) <= c.lead.term {
 			c.lead.relayed(r, false)
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -263,7 +263,7 @@
 
 // PeerStatus is what this node tells the others of itself.
 func (c *Core) PeerStatus() PeerStatus {
-	s := PeerStatus{StateDown: c.stateDown || !c.dir.ready, Term: c.dir.term.Term, ReportAge: -1}
+	s := PeerStatus{StateDown: c.stateDown || !c.dir.ready, Term: c.dir.term.Term, ReportAge: -1, Layouts: layoutByTask}
 	if c.dir.ready {
 		s.Revision = c.dir.revision
 	}
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bitternwing/internal/call"
+	"bitternwing/internal/record"
 	"bitternwing/internal/wire"
 )
 
@@ -18,6 +19,7 @@
 	keyLead    = "w/lead"    // who leads, on a lease
 	keyTerm    = "w/term"    // the term, counted up with each win
 	keyCatalog = "w/catalog" // the machine types
+	keyLayout  = "w/layout"  // the layout of the run records, if it is not the first one
 	keyFinal   = "f/"        // a job's final state, kept for good
 	keyRuns    = "r/"        // run records
 )
@@ -49,6 +51,31 @@
 	Node string `json:"node"`
 }
 
+// fencedTerm is a term as it is written once the second layout of the run records is in use. Version 1
+// can't read it, so that no node of that version, which would take the records for somebody's rubbish,
+// ever wins a term again.
+type fencedTerm struct {
+	Term uint64 `json:"term,string"`
+	Node string `json:"node"`
+}
+
+// encodeTerm gives a term as it is written under a layout.
+func encodeTerm(t termValue, layout record.Layout) (json.RawMessage, error) {
+	if layout.ByTask > 0 {
+		return json.Marshal(fencedTerm(t))
+	}
+	return json.Marshal(t)
+}
+
+// decodeTerm reads a term in either form.
+func decodeTerm(value json.RawMessage) (termValue, bool) {
+	if t, ok := decode[termValue](value); ok {
+		return t, true
+	}
+	t, ok := decode[fencedTerm](value)
+	return termValue(t), ok
+}
+
 // counts of a job: running, done.
 type counts [2]int
 
@@ -69,6 +96,8 @@
 	term        termValue
 	termVersion uint64
 	catalog     []wire.MachineType
+	layout      record.Layout // the zero value: the first one
+	layoutAt    uint64        // version of its key
 	countShards map[string]map[string]counts
 	images      map[string]map[string][]string // by key, by machine
 	silent      map[string]int64               // time of day when these machines were last heard
@@ -105,6 +134,10 @@
 		if types, ok := decode[[]wire.MachineType](value); ok {
 			d.catalog = types
 		}
+	case key == keyLayout:
+		if layout, ok := decode[record.Layout](value); ok {
+			d.layout, d.layoutAt = layout, version
+		}
 	case key == keySilent:
 		d.silent, d.silentText = nil, ""
 		if since, ok := decode[map[string]int64](value); ok {
@@ -150,7 +183,7 @@
 }
 
 func (d *directory) applyTerm(value json.RawMessage, version uint64) {
-	if v, ok := decode[termValue](value); ok && version > d.termVersion {
+	if v, ok := decodeTerm(value); ok && version > d.termVersion {
 		d.term, d.termVersion = v, version
 	}
 }
@@ -294,6 +327,9 @@
 		if l.catalog != nil {
 			d.catalog = l.catalog
 		}
+		if l.layoutAt > d.layoutAt {
+			d.layout, d.layoutAt = l.layout, l.layoutAt
+		}
 		d.loading, d.busy, d.ready = nil, false, true
 		c.deps.reload()
 		if c.lead != nil {
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -206,7 +206,7 @@
 		}
 		term := c.dir.term.Term + 1
 		lead, err1 := json.Marshal(leadValue{c.set.Node, c.incarnation, g.Lease, term})
-		tv, err2 := json.Marshal(termValue{term, c.set.Node})
+		tv, err2 := encodeTerm(termValue{term, c.set.Node}, c.layout())
 		if err1 != nil || err2 != nil {
 			fail()
 			return
@@ -223,7 +223,7 @@
 			fail()
 		})
 		c.send(StateTxn{ID: id, Txn: wire.Txn{
-			If:   []wire.Cond{{Key: keyLead}, {Key: keyTerm, Version: c.dir.termVersion}},
+			If:   []wire.Cond{{Key: keyLead}, {Key: keyTerm, Version: c.dir.termVersion}, {Key: keyLayout, Version: c.dir.layoutAt}},
 			Then: []wire.Op{{Put: keyLead, Value: lead, Lease: g.Lease}, {Put: keyTerm, Value: tv}},
 		}})
 	})
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -89,6 +89,9 @@
 	Unsettled []string
 	// Revision is how far it has read the changes of jobs; 0: not yet.
 	Revision uint64
+	// Layouts is the newest layout of run records that its version knows; 0 in version 1, which does
+	// not say.
+	Layouts uint32
 }
 
 func (Tick) input()    {}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -4,14 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
-	"math/bits"
+	"maps"
 	"slices"
 	"sort"
 	"strconv"
-	"strings"
 	"time"
 
 	"bitternwing/internal/config"
+	"bitternwing/internal/record"
 	"bitternwing/internal/wire"
 )
 
@@ -32,10 +32,12 @@
 
 	team   *config.Team
 	chunks map[int]*chunk
-	placed map[int]*placement // by task
-	halted int                // of these, told to stop
-	done   int
-	cursor int // no task below this is both undone and unplaced
+	// superseded are the job's records of a layout that is not written any more, with their versions.
+	superseded map[string]uint64
+	placed     map[int]*placement // by task
+	halted     int                // of these, told to stop
+	done       int
+	cursor     int // no task below this is both undone and unplaced
 
 	// Failure accounting, see faults.go.
 	proven  bool // a task of it ran well somewhere
@@ -48,10 +50,10 @@
 // attempt is ever used twice.
 type chunk struct {
 	job      *job
-	index    int
+	index    int // the range begins at this many times the tasks of a record
 	next     uint64
-	done     []uint64 // bits
-	version  uint64   // of its key; 0: not written yet
+	done     record.Bits
+	version  uint64 // of its key; 0: not written yet
 	dirty    bool
 	inFlight bool
 	reading  bool
@@ -109,16 +111,19 @@
 
 func (p *placement) name() string { return wire.TaskName(p.job.id, p.task) }
 
-func (l *leader) chunkSize() int {
-	// A placement takes at most about an eighth of a KiB in a record.
-	return max(8, int(8*l.c.set.Params.State.ValueKB))
+// chunkSize is how many tasks a run record holds.
+func (l *leader) chunkSize() int { return l.layout.Tasks() }
+
+// runKey is the key of a chunk's record.
+func (l *leader) runKey(ch *chunk) string {
+	return keyRuns + l.layout.Key(ch.job.id, ch.index).String()
 }
 
 func (l *leader) chunkOf(j *job, task int) *chunk {
 	i := task / l.chunkSize()
 	ch := j.chunks[i]
 	if ch == nil {
-		ch = &chunk{job: j, index: i, done: make([]uint64, (l.chunkSize()+63)/64)}
+		ch = &chunk{job: j, index: i, done: record.NewBits(l.chunkSize())}
 		j.chunks[i] = ch
 	}
 	return ch
@@ -126,11 +131,7 @@
 
 func (l *leader) isDone(j *job, task int) bool {
 	ch := j.chunks[task/l.chunkSize()]
-	if ch == nil {
-		return false
-	}
-	b := task % l.chunkSize()
-	return ch.done[b/64]&(1<<(b%64)) != 0
+	return ch != nil && ch.done.Has(task%l.chunkSize())
 }
 
 func (l *leader) setDone(j *job, task int) {
@@ -138,20 +139,34 @@
 		return
 	}
 	ch := l.chunkOf(j, task)
-	b := task % l.chunkSize()
-	ch.done[b/64] |= 1 << (b % 64)
+	ch.done.Set(task % l.chunkSize())
 	j.done++
 	l.mark(ch)
 }
 
+// recordKeys gives the keys of all records of a job, with their versions.
+func (l *leader) recordKeys(j *job) []wire.Cond {
+	var keys []wire.Cond
+	for _, i := range slices.Sorted(maps.Keys(j.chunks)) {
+		if ch := j.chunks[i]; ch.version != 0 {
+			keys = append(keys, wire.Cond{Key: l.runKey(ch), Version: ch.version})
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(j.superseded)) {
+		keys = append(keys, wire.Cond{Key: key, Version: j.superseded[key]})
+	}
+	return keys
+}
+
 // nextTask gives the lowest task from a number on that is neither done nor
 // placed; -1 if there is none.
 func (l *leader) nextTask(j *job, from int) int {
 	for t := max(from, j.cursor); t < j.spec.Tasks; t++ {
-		if j.placed[t] == nil && !l.isDone(j, t) {
+		open := j.placed[t] == nil && !l.isDone(j, t)
+		if open && !l.crowded(j, t) {
 			return t
 		}
-		if t == j.cursor {
+		if t == j.cursor && !open {
 			j.cursor++
 		}
 	}
@@ -183,100 +198,30 @@
 	return j.id < k.id
 }
 
-// record is a chunk as it is written.
-type record struct {
-	Next   uint64               `json:"n"`
-	Done   string               `json:"d,omitempty"` // ranges, "0-4,7"
-	Placed map[string]recordRun `json:"p,omitempty"`
-}
-
-// recordRun is attempt, machine, session, as a list for brevity.
-type recordRun struct {
-	Attempt uint64
-	Machine string
-	Session uint64
-}
-
-func (r recordRun) MarshalJSON() ([]byte, error) {
-	return json.Marshal([]any{r.Attempt, r.Machine, r.Session})
-}
-
-func (r *recordRun) UnmarshalJSON(b []byte) error {
-	return json.Unmarshal(b, &[]any{&r.Attempt, &r.Machine, &r.Session})
-}
-
-func runKey(job string, index int) string { return keyRuns + job + "/" + strconv.Itoa(index) }
-
 // encode gives a chunk's record and the placements in it.
 func (l *leader) encode(ch *chunk) (json.RawMessage, []*placement) {
-	r := record{Next: ch.next, Done: rangesOf(ch.done)}
-	var ps []*placement
-	lo := ch.index * l.chunkSize()
-	for t := lo; t < min(lo+l.chunkSize(), ch.job.spec.Tasks); t++ {
-		if p := ch.job.placed[t]; p != nil {
-			ps = append(ps, p)
-		}
+	r := record.Record{Next: ch.next, Done: ch.done, Placed: map[int]record.Run{}}
+	ps := l.placedIn(ch)
+	for _, p := range ps {
+		r.Placed[p.task] = record.Run{Attempt: p.attempt, Machine: p.machine.name, Session: p.session}
 	}
-	if len(ps) > 0 {
-		r.Placed = make(map[string]recordRun, len(ps))
-		for _, p := range ps {
-			r.Placed[strconv.Itoa(p.task)] = recordRun{p.attempt, p.machine.name, p.session}
-		}
-	}
-	b, err := json.Marshal(r)
+	b, err := r.Encode()
 	if err != nil {
 		panic(fmt.Sprintf("a run record can't be encoded: %v", err)) // only plain values are in it
 	}
 	return b, ps
 }
 
-func rangesOf(words []uint64) string {
-	var b strings.Builder
-	start := -1
-	n := len(words) * 64
-	for i := 0; i <= n; i++ {
-		set := i < n && words[i/64]&(1<<(i%64)) != 0
-		switch {
-		case set && start < 0:
-			start = i
-		case !set && start >= 0:
-			if b.Len() > 0 {
-				b.WriteByte(',')
-			}
-			b.WriteString(strconv.Itoa(start))
-			if i-1 > start {
-				b.WriteByte('-')
-				b.WriteString(strconv.Itoa(i - 1))
-			}
-			start = -1
-		}
-	}
-	return b.String()
-}
-
-func readRanges(s string, words []uint64) int {
-	if s == "" {
-		return 0
-	}
-	for _, part := range strings.Split(s, ",") {
-		a, b, found := strings.Cut(part, "-")
-		if !found {
-			b = a
-		}
-		x, err1 := strconv.Atoi(a)
-		y, err2 := strconv.Atoi(b)
-		if err1 != nil || err2 != nil {
-			continue
-		}
-		for i := max(0, x); i <= y && i < len(words)*64; i++ {
-			words[i/64] |= 1 << (i % 64)
+// placedIn gives the placements of a chunk's tasks, in order.
+func (l *leader) placedIn(ch *chunk) []*placement {
+	var ps []*placement
+	first := ch.index * l.chunkSize()
+	for t := first; t < min(first+l.chunkSize(), ch.job.spec.Tasks); t++ {
+		if p := ch.job.placed[t]; p != nil {
+			ps = append(ps, p)
 		}
 	}
-	n := 0
-	for _, w := range words {
-		n += bits.OnesCount64(w)
-	}
-	return n
+	return ps
 }
 
 // addJob takes a job up. One that needs others waits until they are done.
--- /dev/null
+++ b/internal/core/layout.go
@@ -0,0 +1,173 @@
+package core
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/record"
+	"bitternwing/internal/wire"
+)
+
+// This file changes the layout of the run records, once, when the settings announce smaller values.
+//
+// Version 1 finds a record by an index, whose meaning follows from its settings; it would take records
+// of the second layout for those of other tasks, or delete them. So the change waits until every
+// controller is known to run a version that can read both. One that is out of reach is not known to; one
+// that has said so once stays so, for versions are not taken back (docs/operating.md). The decision is
+// held by the state service, conditional on the term, and nobody goes back on it. With it the term
+// changes its form, so that no node of version 1 can win another one.
+//
+// Until then records are written as before, and may turn out too large: see shed and crowded.
+
+// layoutByTask is the second layout, as nodes tell each other that they know it.
+const layoutByTask = 2
+
+// layoutChange is the state of the change.
+type layoutChange struct {
+	wanted bool // nothing else is written until it is settled
+	busy   bool
+	notNow time.Duration // not before
+}
+
+// layout gives the layout that the state service says is in use.
+func (c *Core) layout() record.Layout {
+	if c.dir.layoutAt != 0 {
+		return c.dir.layout
+	}
+	return record.Layout{ByIndex: record.TasksFor(c.limits.present.ValueKB)}
+}
+
+// allKnowLayout tells whether all other nodes have said that they know the second layout.
+func (c *Core) allKnowLayout() bool {
+	return !slices.ContainsFunc(c.peers, func(p *peer) bool { return p.layouts < layoutByTask })
+}
+
+// changeLayout writes the decision once it may be taken and no record is on its way. A record written
+// late, after the change, would else tell of tasks what newer ones don't.
+func (l *leader) changeLayout() {
+	c, x := l.c, &l.change
+	if l.layout.ByTask > 0 || !c.limits.valuesShrink() || !c.allKnowLayout() || c.stateDown || !c.elect.inTime() {
+		x.wanted = x.busy
+		return
+	}
+	x.wanted = true
+	if x.busy || l.writes.inFlight > 0 {
+		return
+	}
+	if c.now.Steady < x.notNow {
+		c.at(x.notNow)
+		return
+	}
+	next := record.Layout{ByIndex: l.layout.ByIndex, ByTask: record.TasksFor(c.limits.next.ValueKB)}
+	layout, err1 := json.Marshal(next)
+	term, err2 := encodeTerm(termValue{l.term, c.set.Node}, next)
+	if err1 != nil || err2 != nil {
+		return
+	}
+	x.busy = true
+	id := l.stateCall(func(r Result) {
+		x.busy = false
+		switch r.Outcome {
+		case call.OK:
+			l.layoutChanged(next, r.Txn.Revision)
+		case call.Conflict:
+			// It was applied before, its outcome unknown, or the term has moved on. The next leader
+			// finds out.
+			c.elect.lose("the layout of records may have changed")
+		default:
+			x.notNow = c.now.Steady + c.t.retry
+			c.at(x.notNow)
+		}
+	})
+	c.send(StateTxn{ID: id, Txn: wire.Txn{
+		If:   []wire.Cond{{Key: keyTerm, Version: l.version}, {Key: keyLayout}},
+		Then: []wire.Op{{Put: keyLayout, Value: layout}, {Put: keyTerm, Value: term}},
+	}})
+}
+
+// layoutChanged goes on in the second layout. What was written stays where it is, and is overridden
+// where something changes.
+func (l *leader) layoutChanged(next record.Layout, version uint64) {
+	c, old := l.c, l.layout
+	l.version, l.layout = version, next
+	l.change.wanted = false
+	if version > c.dir.termVersion {
+		c.dir.term, c.dir.termVersion = termValue{l.term, c.set.Node}, version
+	}
+	if version > c.dir.layoutAt {
+		c.dir.layout, c.dir.layoutAt = next, version
+	}
+	l.writes.dirty = nil
+	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
+		l.relayout(l.jobs[id], old)
+	}
+	c.log(Info, "layout of run records changed", "by_index", next.ByIndex, "by_task", next.ByTask)
+}
+
+// relayout spreads a job's chunks over those of the new layout. What the old records don't tell yet is
+// written anew.
+func (l *leader) relayout(j *job, old record.Layout) {
+	chunks := j.chunks
+	j.chunks = map[int]*chunk{}
+	for _, index := range slices.Sorted(maps.Keys(chunks)) {
+		ch := chunks[index]
+		if ch.version != 0 {
+			j.supersede(keyRuns+old.Key(j.id, index).String(), ch.version)
+		}
+		stale := !ch.clean() || ch.reading
+		ch.dirty = false
+		first := index * old.ByIndex
+		for task := first; task < min(first+old.ByIndex, j.spec.Tasks); task++ {
+			part := l.chunkOf(j, task)
+			part.next = max(part.next, ch.next)
+			if ch.done.Has(task - first) {
+				part.done.Set(task % l.chunkSize())
+			}
+			if stale {
+				l.mark(part)
+			}
+		}
+	}
+}
+
+// supersede takes note of a record of a layout that is not written any more: it goes with the job's end.
+func (j *job) supersede(key string, version uint64) {
+	if j.superseded == nil {
+		j.superseded = map[string]uint64{}
+	}
+	j.superseded[key] = version
+}
+
+// mostRecord is how large a record may be.
+func (l *leader) mostRecord() int {
+	if l.layout.ByTask > 0 {
+		return l.c.limits.valueBytes()
+	}
+	return l.c.limits.largestValue()
+}
+
+// shed takes back what was placed and not written, in a record of the first layout that is too large by
+// now. The rest of it gets smaller as its tasks end, and is written then.
+func (l *leader) shed(ch *chunk) {
+	for _, p := range l.placedIn(ch) {
+		if p.phase == uncommitted {
+			l.end(p)
+		}
+	}
+}
+
+// placementBytes is what a placement takes of a record, with room to spare.
+const placementBytes = 64
+
+// crowded tells whether the record of a task had better take no further placement: the limits have
+// fallen before the layout could change.
+func (l *leader) crowded(j *job, task int) bool {
+	if l.layout.ByTask > 0 || !l.c.limits.fallen {
+		return false
+	}
+	ch := j.chunks[task/l.chunkSize()]
+	return ch != nil && len(l.placedIn(ch)) >= l.c.limits.valueBytes()/placementBytes
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -1,13 +1,14 @@
 package core
 
 import (
-	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
-	"strconv"
 	"strings"
 	"time"
 
 	"bitternwing/internal/call"
+	"bitternwing/internal/record"
 	"bitternwing/internal/wire"
 )
 
@@ -28,8 +29,10 @@
 	jobs       map[string]*job
 	order      []*job // by acceptance
 	machines   map[string]*machine
-	fleet      []*machine               // by name
-	due        []*machine               // with starts that were just committed
+	fleet      []*machine    // by name
+	due        []*machine    // with starts that were just committed
+	layout     record.Layout // of the run records
+	change     layoutChange
 	evaluated  uint64                   // evaluations of the dependency graph that are taken in
 	released   map[string]time.Duration // names given back, so that late reports of them don't count
 	inspecting int
@@ -92,6 +95,7 @@
 	}
 	l.c.at(l.tendAt)
 	l.round()
+	l.changeLayout()
 	l.writes.run()
 	l.orders()
 	l.rentals.run()
@@ -117,6 +121,7 @@
 	if !l.runsAll || l.c.dir.revision < l.version {
 		return
 	}
+	l.layout = l.c.layout()
 	ids := make([]string, 0, len(l.c.dir.jobs))
 	for id := range l.c.dir.jobs {
 		ids = append(ids, id)
@@ -125,14 +130,7 @@
 	for _, id := range ids {
 		l.addJob(id, l.c.dir.jobs[id])
 	}
-	keys := make([]string, 0, len(l.runs))
-	for k := range l.runs {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	for _, k := range keys {
-		l.takeRecord(k, l.runs[k])
-	}
+	l.takeRecords(l.runs)
 	l.runs = nil
 	l.loaded = true
 	for _, id := range ids {
@@ -166,47 +164,69 @@
 	l.c.send(StateList{ID: id, Prefix: keyRuns, After: after})
 }
 
-// takeRecord takes a run record of earlier terms. Each placement in it may be
-// running, or its start still on the way, until its machine tells.
-func (l *leader) takeRecord(key string, it wire.Item) {
-	id, num, ok := strings.Cut(strings.TrimPrefix(key, keyRuns), "/")
-	index, err := strconv.Atoi(num)
-	j := l.jobs[id]
-	if !ok || err != nil || j == nil {
-		l.writes.orphan(key, it.Version)
-		return
+// takeRecords takes the run records of earlier terms.
+func (l *leader) takeRecords(items map[string]wire.Item) {
+	found := map[string][]record.Stored{}
+	for _, name := range slices.Sorted(maps.Keys(items)) {
+		it := items[name]
+		key, ok := record.ParseKey(strings.TrimPrefix(name, keyRuns))
+		if !ok {
+			l.c.log(Error, "a run record of another version", "key", name)
+			continue
+		}
+		if l.jobs[key.Job] == nil {
+			l.writes.orphan(name, it.Version)
+			continue
+		}
+		r, err := record.Decode(it.Value, l.layout.TasksOf(key))
+		if err != nil {
+			l.c.log(Error, "a run record can't be read", "key", name, "error", err.Error())
+			continue
+		}
+		found[key.Job] = append(found[key.Job], record.Stored{Key: key, Version: it.Version, Record: r})
 	}
+	for _, id := range slices.Sorted(maps.Keys(found)) {
+		l.takeParts(l.jobs[id], found[id])
+	}
+}
+
+// takeParts takes what a job's records tell. Each placement in them may be running, or its start still
+// on the way, until its machine tells.
+func (l *leader) takeParts(j *job, found []record.Stored) {
 	if j.waiting {
 		// A job has a record only if an earlier leader found it ready.
 		l.admit(j)
 	}
-	var r record
-	if json.Unmarshal(it.Value, &r) != nil {
-		l.c.log(Error, "a run record can't be read", "key", key)
-		return
-	}
-	ch := l.chunkOf(j, index*l.chunkSize())
-	ch.version, ch.next = it.Version, r.Next
-	j.done += readRanges(r.Done, ch.done)
-	tasks := make([]int, 0, len(r.Placed))
-	for t := range r.Placed {
-		if n, err := strconv.Atoi(t); err == nil && n >= 0 && n < j.spec.Tasks {
-			tasks = append(tasks, n)
+	for _, s := range found {
+		if l.layout.ByTask > 0 && !s.Key.ByTask {
+			j.supersede(keyRuns+s.Key.String(), s.Version)
 		}
 	}
-	sort.Ints(tasks)
-	for _, t := range tasks {
-		run := r.Placed[strconv.Itoa(t)]
-		m := l.machine(run.Machine)
-		m.seenUp = true
-		p := &placement{job: j, task: t, attempt: run.Attempt, machine: m, session: run.Session,
-			phase: sent, sentSeq: inherited, since: l.c.now.Steady}
-		j.placed[t] = p
-		m.add(p)
-		m.touch(j.spec.Image, j.spec.ImageGB)
+	parts := l.layout.Assemble(found)
+	for _, index := range slices.Sorted(maps.Keys(parts)) {
+		part := parts[index]
+		ch := l.chunkOf(j, index*l.chunkSize())
+		ch.version, ch.next, ch.done = part.Version, part.Next, part.Done
+		j.done += part.Done.Count()
+		for _, task := range slices.Sorted(maps.Keys(part.Placed)) {
+			if task < j.spec.Tasks {
+				l.inherit(j, task, part.Placed[task])
+			}
+		}
 	}
 }
 
+// inherit takes a placement of an earlier term.
+func (l *leader) inherit(j *job, task int, run record.Run) {
+	m := l.machine(run.Machine)
+	m.seenUp = true
+	p := &placement{job: j, task: task, attempt: run.Attempt, machine: m, session: run.Session,
+		phase: sent, sentSeq: inherited, since: l.c.now.Steady}
+	j.placed[task] = p
+	m.add(p)
+	m.touch(j.spec.Image, j.spec.ImageGB)
+}
+
 // jobChanged takes a change of a job's key from the watch.
 func (l *leader) jobChanged(id string) {
 	if !l.loaded {
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -14,6 +14,7 @@
 	present config.State
 	next    config.StateLimits
 	slowEnd time.Duration // until then writes keep to the rate that is to come
+	fallen  bool          // a value above the limit that is to come was refused
 }
 
 func newLimits(s config.State) *limits { return &limits{present: s, next: s.Next.Within(s)} }
@@ -27,8 +28,24 @@
 // conditions is the most conditions in a transaction.
 func (l *limits) conditions() int { return 4 * l.next.TxnOps }
 
-// requestsPerSecond is the rate of requests that all nodes share.
-func (l *limits) requestsPerSecond() float64 { return l.next.RPS }
+// largestValue is the largest value that the state service may take as yet, for what does not fit into
+// less before the layout of the records has changed.
+func (l *limits) largestValue() int {
+	if l.fallen {
+		return l.valueBytes()
+	}
+	return int(1024 * l.present.ValueKB)
+}
+
+// noticeRefused learns from a transaction that was refused as malformed.
+func (l *limits) noticeRefused(txn wire.Txn) {
+	for _, op := range txn.Then {
+		l.fallen = l.fallen || len(op.Value) > l.valueBytes()
+	}
+}
+
+// valuesShrink tells whether values will have to be smaller than they may be now.
+func (l *limits) valuesShrink() bool { return l.next.ValueKB < l.present.ValueKB }
 
 // writesPerSecond is the rate of changes that all nodes share.
 func (l *limits) writesPerSecond(now time.Duration) float64 {
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -16,11 +16,15 @@
 //
 //	zones a=z1 b=z1 c=z2     where nodes are; first line
 //	seed 7                   of all that is left to chance
+//	next value_kb=1 ...      limits to come, in the settings
+//	old                      all nodes are of the version before the second layout of records
 //	machines z1 z1 z2-spot   up at the start
 //	AT submit run-000001 kind=service tasks=2 gpus=4 team=green run=20 faulty
 //	AT cancel run-000001     AT cancel_at_end run-000001
 //	AT refuse NODE FOR       the state service refuses it; NODE may be "leader"
 //	AT cut NODE state,peers,workers,users FOR
+//	AT upgrade NODE FOR      the same as kill, and back with the new version
+//	AT limits                the limits to come are there
 //	AT kill NODE|all FOR     AT freeze NODE FOR
 //	AT outage FOR            AT slow UPTO FOR      AT cloud FOR
 //	AT late_writes SHARE FOR AT late_reports SHARE FOR   AT late_orders SHARE FOR
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -15,6 +15,7 @@
 	status  PeerStatus
 
 	revision uint64 // it has said that it knows all changes of jobs up to here
+	layouts  uint32 // the newest layout of run records that it has said it knows
 }
 
 func (c *Core) runPeers() {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
-	"sort"
 	"strconv"
 	"time"
 
@@ -82,6 +82,9 @@
 		c.at(w.notBefore)
 		return
 	}
+	if w.l.change.wanted {
+		return
+	}
 	for w.inFlight < 2 && !c.stateDown {
 		if need := w.least(); w.tokens < need {
 			w.wakeAt(need)
@@ -188,7 +191,9 @@
 			laterChunks = append(laterChunks, ch)
 			continue
 		}
-		w.addChunk(b, ch)
+		if !w.addChunk(b, ch) {
+			laterChunks = append(laterChunks, ch)
+		}
 	}
 	w.dirty = laterChunks
 
@@ -212,9 +217,16 @@
 	return true
 }
 
-func (w *writer) addChunk(b *batch, ch *chunk) {
+// addChunk adds a record; false if it is too large to be written now.
+func (w *writer) addChunk(b *batch, ch *chunk) bool {
 	value, placed := w.l.encode(ch)
-	key := runKey(ch.job.id, ch.index)
+	if len(value) > w.l.mostRecord() {
+		w.l.shed(ch)
+		if value, placed = w.l.encode(ch); len(value) > w.l.mostRecord() {
+			return false
+		}
+	}
+	key := w.l.runKey(ch)
 	b.cond(key, ch.version)
 	for _, p := range placed {
 		if p.phase == uncommitted {
@@ -227,21 +239,18 @@
 	b.size += len(value) + 128
 	b.chunks = append(b.chunks, ch)
 	ch.dirty, ch.inFlight = false, true
+	return true
 }
 
 // addFinish adds a job's end: its final state is put, its other keys go. Records
 // that don't fit any more are left to be swept as orphans.
 func (w *writer) addFinish(b *batch, j *job, ops int) bool {
-	indexes := make([]int, 0, len(j.chunks))
-	for i, ch := range j.chunks {
+	for _, ch := range j.chunks {
 		if ch.inFlight || ch.reading {
 			return false
 		}
-		if ch.version != 0 {
-			indexes = append(indexes, i)
-		}
 	}
-	sort.Ints(indexes)
+	records := w.l.recordKeys(j)
 	j.end = finalValue{State: wire.JobDone, Done: j.done, AtMS: w.l.c.now.WallMS}
 	if j.cancelled {
 		j.end.State = wire.JobCancelled
@@ -252,14 +261,13 @@
 	}
 	b.cond(keyActive+j.id, j.version)
 	b.txn.Then = append(b.txn.Then, wire.Op{Put: keyFinal + j.id, Value: value}, wire.Op{Delete: keyActive + j.id})
-	for _, i := range indexes {
-		key, version := runKey(j.id, i), j.chunks[i].version
+	for _, r := range records {
 		if len(b.txn.Then) < ops && len(b.txn.If)+2 < w.l.c.limits.conditions() {
-			b.cond(key, version)
-			b.txn.Then = append(b.txn.Then, wire.Op{Delete: key})
+			b.cond(r.Key, r.Version)
+			b.txn.Then = append(b.txn.Then, wire.Op{Delete: r.Key})
 		}
 	}
-	b.size += 256 * (2 + len(indexes))
+	b.size += 256 * (2 + len(records))
 	b.jobs = append(b.jobs, j)
 	return true
 }
@@ -349,6 +357,7 @@
 		}
 	}
 	if r.Outcome == call.Invalid {
+		w.l.c.limits.noticeRefused(b.txn)
 		w.l.c.log(Error, "a transaction was malformed", "ops", len(b.txn.Then))
 	}
 }
@@ -356,7 +365,7 @@
 // settleChunk takes what became of a record.
 func (w *writer) settleChunk(ch *chunk, r Result, failed map[string]bool) {
 	ch.inFlight = false
-	key := runKey(ch.job.id, ch.index)
+	key := w.l.runKey(ch)
 	switch {
 	case r.Outcome == call.OK:
 		ch.version = r.Txn.Revision
@@ -382,11 +391,12 @@
 		// blindly would go on for good.
 		w.rereadJob(j)
 	default:
-		for i, ch := range j.chunks {
-			if failed[runKey(j.id, i)] {
+		for _, ch := range j.chunks {
+			if failed[w.l.runKey(ch)] {
 				w.reread(ch)
 			}
 		}
+		maps.DeleteFunc(j.superseded, func(key string, _ uint64) bool { return failed[key] })
 		w.finish(j)
 	}
 }
@@ -396,9 +406,9 @@
 func (w *writer) ended(j *job, b *batch) {
 	l, c := w.l, w.l.c
 	c.keepFinal(j.id, j.end)
-	for i, ch := range j.chunks {
-		if ch.version != 0 && !b.seen[runKey(j.id, i)] {
-			w.orphan(runKey(j.id, i), ch.version)
+	for _, r := range l.recordKeys(j) {
+		if !b.seen[r.Key] {
+			w.orphan(r.Key, r.Version)
 		}
 	}
 	l.dropJob(j)
@@ -422,7 +432,7 @@
 			ch.version = 0
 		}
 	})
-	w.l.c.send(StateGet{ID: id, Key: runKey(ch.job.id, ch.index)})
+	w.l.c.send(StateGet{ID: id, Key: w.l.runKey(ch)})
 }
 
 // rereadJob finds out what became of a job's key without waiting for the watch.
@@ -439,10 +449,8 @@
 		case call.Missing:
 			// Its end, whose outcome was unknown, was applied.
 			if j.final && l.jobs[j.id] == j {
-				for i, ch := range j.chunks {
-					if ch.version != 0 {
-						w.orphan(runKey(j.id, i), ch.version)
-					}
+				for _, r := range l.recordKeys(j) {
+					w.orphan(r.Key, r.Version)
 				}
 				l.dropJob(j)
 			}
@@ -455,6 +463,9 @@
 	c.send(StateGet{ID: id, Key: keyActive + j.id})
 }
 
+// countBytes is what the counts of a job take at most, beside its id.
+const countBytes = len(`"":[100000,100000],`)
+
 // counts writes how many tasks run and are done, for display at other nodes, at
 // most every report interval and only with writes to spare.
 func (w *writer) counts() {
@@ -470,14 +481,14 @@
 		return
 	}
 	w.countsAt = c.now.Steady
-	shards := map[string]map[string]counts{}
+	shards, sizes := map[string]map[string]counts{}, map[string]int{}
 	for _, j := range l.order {
 		if n := j.counts(); n != (counts{}) {
 			k := countShard(j.id)
 			if shards[k] == nil {
 				shards[k] = map[string]counts{}
 			}
-			if len(shards[k]) < c.mostValue()/40 {
+			if sizes[k] += len(j.id) + countBytes; sizes[k] < c.mostValue() {
 				shards[k][j.id] = n
 			}
 		}
@@ -528,7 +539,7 @@
 	}
 	w.catalogOut = true
 	id := l.stateCall(func(r Result) {
-		if r.Outcome.NotDone() {
+		if r.Outcome != call.OK {
 			w.catalogOut = false
 		}
 	})
--- a/internal/core/script_test.go
+++ b/internal/core/script_test.go
@@ -35,6 +35,22 @@
 		case "seed":
 			seed, _ = strconv.ParseUint(f[1], 10, 64)
 			continue
+		case "old":
+			begin()
+			for _, n := range s.nodes {
+				n.old = true
+				s.kill(n)
+				s.start(n)
+			}
+			continue
+		case "next":
+			begin()
+			s.set.State.Next = nextLimits(t, f[1:])
+			for _, n := range s.nodes {
+				s.kill(n)
+				s.start(n)
+			}
+			continue
 		case "machines":
 			begin()
 			for i, z := range f[1:] {
@@ -161,8 +177,12 @@
 					}
 				}
 			}
-		case "kill":
+		case "limits":
+			next := s.set.State.Next
+			s.store.SetLimits(int(1024**next.ValueKB), *next.TxnOps)
+		case "kill", "upgrade":
 			for _, n := range nodes() {
+				n.old = n.old && f[0] == "kill"
 				s.kill(n)
 				life := n.life
 				s.at(until(2), func() {
--- a/internal/core/search_test.go
+++ b/internal/core/search_test.go
@@ -46,6 +46,13 @@
 	at := func(t float64) string { return fmt.Sprintf("%.1f", t) }
 	add("zones %s", pick("a=z1 b=z1 c=z1", "a=z1 b=z1 c=z2", "a=z1 b=z2 c=z2"))
 	add("seed %d", seed)
+	upgrade := rand.New(rand.NewPCG(seed, 4))
+	add("next value_kb=1 txn_ops=4 write_rps=42")
+	if upgraded := upgrade.IntN(2) == 0; upgraded {
+		add("old")
+		randomUpgrade(&b, upgrade)
+	}
+	add("%.1f limits", 10+100*upgrade.Float64())
 	add("machines z1 z1 z2 z2%s", pick("", " z1-spot", " z2-spot"))
 	var moments []float64
 	for i, n := 0, 2+r.IntN(3); i < n; i++ {
@@ -154,6 +161,19 @@
 	return b.String()
 }
 
+// randomUpgrade has the nodes come back with the new version, one after the other; on some days one of
+// them late.
+func randomUpgrade(b *strings.Builder, r *rand.Rand) {
+	at := 5 + 40*r.Float64()
+	for _, node := range []string{"a", "b", "c"} {
+		fmt.Fprintf(b, "%.1f upgrade %s %.1f\n", at, node, 0.2+4*r.Float64())
+		at += 1 + 10*r.Float64()
+		if r.IntN(4) == 0 {
+			at += 30
+		}
+	}
+}
+
 // randomPipelines makes up chains of jobs, each of which needs the one before it; of some a job is
 // cancelled. They draw from chance of their own, so that the rest of a day stays as it was.
 func randomPipelines(b *strings.Builder, seed uint64, moments []float64) {
@@ -170,7 +190,7 @@
 				needs = " needs=" + last
 			}
 			fmt.Fprintf(b, "%.1f submit %s tasks=%d gpus=0 team=green spot run=%.1f priority=%s%s\n",
-				begin+0.3*float64(stage), id, 1+r.IntN(4), 1+10*r.Float64(), priority, needs)
+				begin+0.3*float64(stage), id, 1+r.IntN(30), 1+10*r.Float64(), priority, needs)
 			if stage == cancelled {
 				fmt.Fprintf(b, "%.1f cancel %s\n", begin+2+30*r.Float64(), id)
 			}
--- a/internal/core/sim_node_test.go
+++ b/internal/core/sim_node_test.go
@@ -22,6 +22,7 @@
 	req                                           uint64
 	waiting                                       map[uint64]func(core.Answer)
 	led                                           bool
+	old                                           bool // of the version before the second layout
 }
 
 type simWatch struct {
@@ -64,6 +65,9 @@
 func (s *sim) start(n *simNode) {
 	set := &config.Settings{Node: n.name, Zone: n.zone, Operator: config.DefaultOperator(), Params: s.set}
 	set.Operator.SpareShare = 0
+	if n.old {
+		set.Params.State.Next = nil
+	}
 	for _, p := range []string{"a", "b", "c"} {
 		if p != n.name {
 			set.Peers = append(set.Peers, config.Peer{Node: p, Zone: s.zones[p], Addr: "127.0.0.1:1"})
@@ -264,7 +268,11 @@
 				m.req++
 				s.step(m, core.Heard{Req: m.req, Cancellations: e.Cancellations})
 			}
-			return core.Result{Outcome: call.OK, Peer: m.core.PeerStatus()}, true
+			status := m.core.PeerStatus()
+			if m.old {
+				status.Layouts = 0
+			}
+			return core.Result{Outcome: call.OK, Peer: status}, true
 		})
 	}
 }
--- a/internal/core/trace_harness_test.go
+++ b/internal/core/trace_harness_test.go
@@ -33,6 +33,7 @@
 	hidden  string                  // a machine that lists lack
 	answers map[string]*wire.Report // of workers that are asked directly, by address
 	orders  string                  // what becomes of direct orders; "": carried out
+	next    *config.NextLimits      // in the settings of nodes that start after
 
 	cloudDown, cloudNone bool
 	machines             map[string]*wire.Machine
@@ -41,6 +42,7 @@
 
 type node struct {
 	name    string
+	old     bool // of the version before the second layout
 	core    *core.Core
 	mode    string // of its requests to the state service
 	held    []core.StateTxn
@@ -68,6 +70,7 @@
 		State:      config.State{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 12},
 		Cloud:      config.Cloud{RPS: 2, ListLagS: 5},
 		Limits:     config.Limits{CPUShare: 0.06, MemoryMB: 98, MaxConnections: 600}}
+	s.Params.State.Next = w.next
 	s.Operator.SpareShare = w.spare
 	if w.budget > 0 {
 		s.Operator.RoundBudget = w.budget
@@ -373,7 +376,11 @@
 			}
 			w.step(p, core.Heard{Req: w.req, Cancellations: e.Cancellations})
 		}
-		return core.Result{ID: e.ID, Outcome: call.OK, Peer: p.core.PeerStatus()}, true
+		status := p.core.PeerStatus()
+		if p.old {
+			status.Layouts = 0
+		}
+		return core.Result{ID: e.ID, Outcome: call.OK, Peer: status}, true
 	}
 	return core.Result{}, false
 }
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bitternwing/internal/call"
+	"bitternwing/internal/config"
 	"bitternwing/internal/core"
 	"bitternwing/internal/standin"
 	"bitternwing/internal/wire"
@@ -25,6 +26,10 @@
 // difference is reviewed like code.
 //
 //	node a                 node a starts (again)
+//	node a old             the same, of the version before the second layout of records, for what
+//	                       it says of itself and knows of the settings
+//	next value_kb=2 ...    limits to come, in the settings of nodes that start from here on
+//	limits fall            they come
 //	kill a                 node a ends
 //	+2s                    time passes
 //	submit a run-000001 kind=service tasks=2 gpus=4 team=red ...
@@ -126,8 +131,12 @@
 		w.pass(d)
 		return
 	case f[0] == "node":
-		n := &node{name: arg(1), mode: "serve"}
-		n.core = core.New(w.settings(n.name), fmt.Sprint(n.name, w.now))
+		n := &node{name: arg(1), mode: "serve", old: len(f) > 2}
+		set := w.settings(n.name)
+		if n.old {
+			set.Params.State.Next = nil
+		}
+		n.core = core.New(set, fmt.Sprint(n.name, w.now))
 		w.nodes[n.name] = n
 		w.names = w.names[:0]
 		for k := range w.nodes {
@@ -137,6 +146,12 @@
 		w.step(n, core.Tick{})
 		w.settle()
 		return
+	case f[0] == "next":
+		w.next = nextLimits(w.t, f[1:])
+		return
+	case f[0] == "limits":
+		w.store.SetLimits(int(1024**w.next.ValueKB), *w.next.TxnOps)
+		return
 	case f[0] == "store":
 		value := json.RawMessage(strings.Join(f[2:], " "))
 		if _, o := w.store.Txn(wire.Txn{Then: []wire.Op{{Put: arg(1), Value: value}}}); o != call.OK {
@@ -241,3 +256,27 @@
 	}
 	w.settle()
 }
+
+// nextLimits reads the limits to come.
+func nextLimits(t testing.TB, f []string) *config.NextLimits {
+	next := &config.NextLimits{}
+	for _, kv := range f {
+		k, v, _ := strings.Cut(kv, "=")
+		num, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			t.Fatalf("not a number: %s", kv)
+		}
+		switch k {
+		case "value_kb":
+			next.ValueKB = &num
+		case "write_rps":
+			next.WriteRPS = &num
+		case "txn_ops":
+			ops := int(num)
+			next.TxnOps = &ops
+		default:
+			t.Fatalf("unknown: %s", kv)
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/internal/record/bits.go
@@ -0,0 +1,74 @@
+package record
+
+import (
+	"math/bits"
+	"strconv"
+	"strings"
+)
+
+const wordBits = 64
+
+// Bits is a set of small numbers.
+type Bits []uint64
+
+// NewBits makes an empty set of numbers below a bound.
+func NewBits(bound int) Bits { return make(Bits, (bound+wordBits-1)/wordBits) }
+
+// Has tells whether a number is in the set.
+func (b Bits) Has(i int) bool { return i/wordBits < len(b) && b[i/wordBits]&(1<<(i%wordBits)) != 0 }
+
+// Set puts a number into the set.
+func (b Bits) Set(i int) { b[i/wordBits] |= 1 << (i % wordBits) }
+
+// Count gives how many numbers are in the set.
+func (b Bits) Count() int {
+	n := 0
+	for _, w := range b {
+		n += bits.OnesCount64(w)
+	}
+	return n
+}
+
+// String gives the ranges of a set, "0-4,7".
+func (b Bits) String() string {
+	var text strings.Builder
+	for i := 0; i < len(b)*wordBits; i++ {
+		if !b.Has(i) {
+			continue
+		}
+		first := i
+		for b.Has(i + 1) {
+			i++
+		}
+		if text.Len() > 0 {
+			text.WriteByte(',')
+		}
+		text.WriteString(strconv.Itoa(first))
+		if i > first {
+			text.WriteByte('-')
+			text.WriteString(strconv.Itoa(i))
+		}
+	}
+	return text.String()
+}
+
+// read puts the numbers of ranges into the set. What is no range, or beyond the bound, is left out.
+func (b Bits) read(ranges string) {
+	if ranges == "" {
+		return
+	}
+	for _, part := range strings.Split(ranges, ",") {
+		low, high, found := strings.Cut(part, "-")
+		if !found {
+			high = low
+		}
+		first, err1 := strconv.Atoi(low)
+		last, err2 := strconv.Atoi(high)
+		if err1 != nil || err2 != nil {
+			continue
+		}
+		for i := max(0, first); i <= last && i < len(b)*wordBits; i++ {
+			b.Set(i)
+		}
+	}
+}
--- /dev/null
+++ b/internal/record/layout.go
@@ -0,0 +1,93 @@
+package record
+
+// Layout says how many tasks a record holds.
+type Layout struct {
+	ByIndex int `json:"by_index"`          // of a record of the first layout
+	ByTask  int `json:"by_task,omitempty"` // of one of the second; 0 while the first is in use
+}
+
+// tasksPerKB is how many tasks a record holds for each KiB of a value: a placement takes at most about
+// an eighth of it.
+const tasksPerKB = 8
+
+// TasksFor gives how many tasks a record holds that keeps within a value size. Version 1 does the same
+// with the value size of its settings.
+func TasksFor(valueKB float64) int { return max(tasksPerKB, int(tasksPerKB*valueKB)) }
+
+// Tasks gives how many tasks a record holds that is written now.
+func (l Layout) Tasks() int {
+	if l.ByTask > 0 {
+		return l.ByTask
+	}
+	return l.ByIndex
+}
+
+// Key gives the key of the record that holds a job's tasks from index times Tasks on.
+func (l Layout) Key(job string, index int) Key {
+	if l.ByTask > 0 {
+		return Key{Job: job, ByTask: true, Ordinal: index * l.ByTask}
+	}
+	return Key{Job: job, Ordinal: index}
+}
+
+// Stored is a record as it was found, with the version of its key.
+type Stored struct {
+	Key     Key
+	Version uint64
+	Record  Record
+}
+
+// TasksOf gives how many tasks the record of a key holds.
+func (l Layout) TasksOf(k Key) int {
+	if k.ByTask {
+		return l.ByTask
+	}
+	return l.ByIndex
+}
+
+// Part is what is known of the tasks of one record of the layout in use. Version is that of its key; 0 if
+// it is not written yet, and all that is known comes from records of the first layout.
+type Part struct {
+	Record
+	Version uint64
+}
+
+// Assemble gives the parts of a job, by index, from all its records.
+func (l Layout) Assemble(found []Stored) map[int]Part {
+	parts := map[int]Part{}
+	for _, s := range found {
+		if !s.Key.ByTask && l.ByTask > 0 {
+			l.split(s, parts)
+		}
+	}
+	for _, s := range found {
+		switch {
+		case s.Key.ByTask && l.ByTask > 0:
+			parts[s.Key.Ordinal/l.ByTask] = Part{Record: s.Record, Version: s.Version}
+		case !s.Key.ByTask && l.ByTask == 0:
+			parts[s.Key.Ordinal] = Part{Record: s.Record, Version: s.Version}
+		}
+	}
+	return parts
+}
+
+// split spreads a record of the first layout over parts of the second. Its highest attempt counts for all
+// of them.
+func (l Layout) split(s Stored, parts map[int]Part) {
+	first := s.Key.Ordinal * l.ByIndex
+	for task := first; task < first+l.ByIndex; task++ {
+		index := task / l.ByTask
+		part, known := parts[index]
+		if !known {
+			part.Record = Record{Done: NewBits(l.ByTask), Placed: map[int]Run{}}
+		}
+		part.Next = max(part.Next, s.Record.Next)
+		if s.Record.Done.Has(task - first) {
+			part.Done.Set(task - index*l.ByTask)
+		}
+		if run, placed := s.Record.Placed[task]; placed {
+			part.Placed[task] = run
+		}
+		parts[index] = part
+	}
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -20,6 +20,8 @@
 	log      []change
 	leases   map[uint64]*lease
 	next     uint64
+
+	valueBytes, changes int // limits of a transaction; 0: none
 }
 
 type change struct {
@@ -54,6 +56,23 @@
 	}
 }
 
+// SetLimits has the store refuse larger values, and more changes in a transaction, as malformed. What
+// is stored stays readable.
+func (s *Store) SetLimits(valueBytes, changes int) { s.valueBytes, s.changes = valueBytes, changes }
+
+// beyondLimits tells whether a transaction is refused for its size.
+func (s *Store) beyondLimits(t wire.Txn) bool {
+	if s.changes > 0 && (len(t.Then) > s.changes || len(t.If) > 4*s.changes) {
+		return true
+	}
+	for _, op := range t.Then {
+		if s.valueBytes > 0 && len(op.Value) > s.valueBytes {
+			return true
+		}
+	}
+	return false
+}
+
 // Refresh gives every lease its full time again, as after an outage.
 func (s *Store) Refresh(now time.Duration) {
 	s.now = now
@@ -104,6 +123,9 @@
 
 // Txn runs a transaction.
 func (s *Store) Txn(t wire.Txn) (wire.TxnAnswer, call.Outcome) {
+	if s.beyondLimits(t) {
+		return wire.TxnAnswer{}, call.Invalid
+	}
 	for _, op := range t.Then {
 		if op.Lease != 0 && s.leases[op.Lease] == nil {
 			return wire.TxnAnswer{}, call.Invalid
