--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -223,7 +223,7 @@
 			fail()
 		})
 		c.send(StateTxn{ID: id, Txn: wire.Txn{
-			If:   []wire.Cond{{Key: keyLead}, {Key: keyTerm, Version: c.dir.termVersion}, {Key: keyLayout, Version: c.dir.layoutAt}},
+			If:   []wire.Cond{{Key: keyLead}, {Key: keyTerm, Version: c.dir.termVersion}},
 			Then: []wire.Op{{Put: keyLead, Value: lead, Lease: g.Lease}, {Put: keyTerm, Value: tv}},
 		}})
 	})
--- a/internal/core/fulfillment.go
+++ b/internal/core/fulfillment.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"bitternwing/internal/config"
+	"bitternwing/internal/dependency"
 	"bitternwing/internal/wire"
 )
 
@@ -23,11 +24,27 @@
 	return j.array() && !j.cancelled && j.maxInstance() > j.minInstance()
 }
 
+// hasDeadline tells whether a pipeline's deadline depends on a job.
+func (j *job) hasDeadline() bool { return j.latestEnd != dependency.Never }
+
+// latestStart is the time of day at which a job has to start at the latest for the deadlines that depend
+// on it, as far as its owner's estimate tells.
+func (j *job) latestStart() int64 {
+	if !j.hasDeadline() {
+		return j.latestEnd
+	}
+	return j.latestEnd - milliseconds(j.spec.EstimateS)
+}
+
 // pace is how many instances an array needs at work now to be done within its class's
 // aim, as far as its owner's estimate tells: all that is unfinished, over the number of
 // times that a task fits into what is left of the time. The closest aim that can still
-// be met counts; without one the pace is the minimum.
+// be met counts; without one the pace is the minimum. A job on which a pipeline's deadline depends has no
+// time to give away to those after it: its pace is all of it.
 func (l *leader) pace(j *job) int {
+	if j.elastic() && j.hasDeadline() {
+		return j.maxInstance()
+	}
 	if !j.elastic() || j.spec.EstimateS <= 0 {
 		return j.minInstance()
 	}
@@ -101,7 +118,7 @@
 }
 
 // allocateForDeadlines gives free room to arrays that would miss their class's aim without it, the
-// oldest first: an exception to the order of fulfillment. Equal shares let all arrays
+// least slack first and then the oldest: an exception to the order of fulfillment. Equal shares let all arrays
 // that compete end at about the same, late time; one after the other, most are in time.
 // It takes from nobody.
 func (r *round) allocateForDeadlines(jobs []*job) {
@@ -112,7 +129,13 @@
 			late = append(late, j)
 		}
 	}
-	sort.SliceStable(late, func(a, b int) bool { return r.guaranteed[late[a].id] && !r.guaranteed[late[b].id] })
+	sort.SliceStable(late, func(a, b int) bool {
+		x, y := late[a], late[b]
+		if g, h := r.guaranteed[x.id], r.guaranteed[y.id]; g != h {
+			return g
+		}
+		return x.latestStart() < y.latestStart()
+	})
 	for _, j := range late {
 		from := 0
 		for n := l.pace(j) - j.instances(); n > 0 && r.budget() && r.use.allows(j, 1); n-- {
--- a/internal/core/layout.go
+++ b/internal/core/layout.go
@@ -18,7 +18,8 @@
 // controller is known to run a version that can read both. One that is out of reach is not known to; one
 // that has said so once stays so, for versions are not taken back (docs/operating.md). The decision is
 // held by the state service, conditional on the term, and nobody goes back on it. With it the term
-// changes its form, so that no node of version 1 can win another one.
+// is written anew, in a form in which no node of version 1 can win another one; and whoever stood for the
+// next term without knowing of the change, or has a write of before on its way, fails by its version.
 //
 // Until then records are written as before, and may turn out too large: see shed and crowded.
 
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -224,6 +224,9 @@
 		if p, q := priority(x), priority(y); p != q {
 			return p > q
 		}
+		if s, t := x.latestStart(), y.latestStart(); s != t {
+			return s < t
+		}
 		return x.before(y)
 	}
 	sort.SliceStable(lacking, func(a, b int) bool { return before(lacking[a], lacking[b]) })
--- a/internal/dependency/graph.go
+++ b/internal/dependency/graph.go
@@ -49,7 +49,8 @@
 	ReadyMS int64
 	// Priority is the highest of its own and of all jobs that need it.
 	Priority int
-	// LatestEndMS is when it has to be done at the latest for every deadline that depends on it.
+	// LatestEndMS is when it has to be done at the latest for every deadline of its own or of a job that
+	// needs it; Never for a job that is not part of a pipeline.
 	LatestEndMS int64
 }
 
@@ -170,8 +171,13 @@
 	return g.order
 }
 
+// ownStatus is the status of a job by itself. Its own deadline counts only if it needs others.
 func ownStatus(j Job) Status {
-	return Status{ReadyMS: j.AcceptedMS, Priority: j.Priority, LatestEndMS: j.DeadlineMS}
+	s := Status{ReadyMS: j.AcceptedMS, Priority: j.Priority, LatestEndMS: Never}
+	if len(j.Needs) > 0 {
+		s.LatestEndMS = j.DeadlineMS
+	}
+	return s
 }
 
 // evaluate brings the status of all jobs that need others, or are needed, up to date.
