--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -209,35 +210,62 @@
 
 func (s *Settings) check() error {
 	if s.Node == "" {
-		return fmt.Errorf("host_name: is missing")
+		return errors.New("host_name: is missing")
 	}
-	addrs := []struct{ field, addr string }{
-		{"bind", s.Listen}, {"internal_addr", s.PeerListen},
-		{"outside.cloud", s.Services.Cloud}, {"outside.state", s.Services.State},
+	for _, step := range []func() error{s.checkNames, s.checkAddresses, s.Params.checkPositive, s.Params.checkLimits, s.Params.checkTeams} {
+		if err := step(); err != nil {
+			return err
+		}
 	}
+	return nil
+}
+
+// checkNames checks that the nodes have names, each its own.
+func (s *Settings) checkNames() error {
 	seen := map[string]bool{s.Node: true}
 	for i, p := range s.Peers {
-		addrs = append(addrs, struct{ field, addr string }{fmt.Sprintf("siblings[%d].address", i), p.Addr})
 		if p.Node == "" || seen[p.Node] {
 			return fmt.Errorf("siblings[%d].host_name: is missing or used twice", i)
 		}
 		seen[p.Node] = true
 	}
+	return nil
+}
+
+// servicesTable is the table of the addresses of other services, of which two may be the same.
+const servicesTable = "outside."
+
+// checkAddresses checks that all addresses are there and that no two nodes share one.
+func (s *Settings) checkAddresses() error {
+	addresses := []struct{ field, value string }{
+		{"bind", s.Listen}, {"internal_addr", s.PeerListen},
+		{servicesTable + "cloud", s.Services.Cloud}, {servicesTable + "state", s.Services.State},
+	}
+	for i, p := range s.Peers {
+		addresses = append(addresses, struct{ field, value string }{fmt.Sprintf("siblings[%d].address", i), p.Addr})
+	}
 	used := map[string]string{}
-	for _, a := range addrs {
-		if other := used[a.addr]; other != "" && !strings.HasPrefix(a.field, "outside.") && a.addr != "" {
-			return fmt.Errorf("%s: %q is %s already", a.field, a.addr, other)
-		}
-		used[a.addr] = a.field
-		if a.addr == "" {
+	for _, a := range addresses {
+		if a.value == "" {
 			return fmt.Errorf("%s: is missing", a.field)
 		}
-		if _, port, err := net.SplitHostPort(a.addr); err != nil || port == "" {
-			return fmt.Errorf("%s: %q is no address of the form host:port", a.field, a.addr)
+		if other := used[a.value]; other != "" && !strings.HasPrefix(a.field, servicesTable) {
+			return fmt.Errorf("%s: %q is %s already", a.field, a.value, other)
+		}
+		used[a.value] = a.field
+		if _, port, err := net.SplitHostPort(a.value); err != nil || port == "" {
+			return fmt.Errorf("%s: %q is no address of the form host:port", a.field, a.value)
 		}
 	}
-	p := &s.Params
-	positive := []positiveField{
+	return nil
+}
+
+// largestSetting bounds the settings that must be above 0.
+const largestSetting = 1e9
+
+// checkPositive checks the settings that must be above 0.
+func (p *Params) checkPositive() error {
+	fields := []positiveField{
 		{"params.workers.report_s", p.Workers.ReportS},
 		{"params.workers.lease_s", p.Workers.LeaseS},
 		{"params.workers.cancel_s", p.Workers.CancelS},
@@ -251,12 +279,16 @@
 		{"params.limits.memory_mb", p.Limits.MemoryMB},
 		{"params.limits.max_connections", float64(p.Limits.MaxConnections)},
 	}
-	positive = append(positive, p.State.Next.positiveFields()...)
-	for _, f := range positive {
-		if !(f.v > 0) || f.v > 1e9 {
+	for _, f := range append(fields, p.State.Next.positiveFields()...) {
+		if !(f.v > 0) || f.v > largestSetting {
 			return fmt.Errorf("%s: must be above 0, is %v", f.field, f.v)
 		}
 	}
+	return nil
+}
+
+// checkLimits checks what is bounded otherwise.
+func (p *Params) checkLimits() error {
 	if p.State.TxnOps < leastTxnOps {
 		return fmt.Errorf("params.state.txn_ops: must be at least %d, is %d", leastTxnOps, p.State.TxnOps)
 	}
@@ -266,6 +298,11 @@
 	if p.ClockOffMS < 0 {
 		return fmt.Errorf("params.clock_error_ms: must not be negative, is %v", p.ClockOffMS)
 	}
+	return nil
+}
+
+// checkTeams checks the teams' names and amounts.
+func (p *Params) checkTeams() error {
 	teams := map[string]bool{}
 	for i, t := range p.Teams {
 		if t.Name == "" || teams[t.Name] {
--- a/internal/core/script_test.go
+++ b/internal/core/script_test.go
@@ -35,21 +35,9 @@
 		case "seed":
 			seed, _ = strconv.ParseUint(f[1], 10, 64)
 			continue
-		case "old":
+		case "old", "next":
 			begin()
-			for _, n := range s.nodes {
-				n.old = true
-				s.kill(n)
-				s.start(n)
-			}
-			continue
-		case "next":
-			begin()
-			s.set.State.Next = nextLimits(t, f[1:])
-			for _, n := range s.nodes {
-				s.kill(n)
-				s.start(n)
-			}
+			s.prepare(f)
 			continue
 		case "machines":
 			begin()
@@ -75,6 +63,18 @@
 	return s, s.verdict()
 }
 
+// prepare begins the day with nodes of the old version, or with limits to come in the settings.
+func (s *sim) prepare(f []string) {
+	if f[0] == "next" {
+		s.set.State.Next = nextLimits(s.t, f[1:])
+	}
+	for _, n := range s.nodes {
+		n.old = n.old || f[0] == "old"
+		s.kill(n)
+		s.start(n)
+	}
+}
+
 func parseSeconds(t testing.TB, text string) time.Duration {
 	x, err := strconv.ParseFloat(text, 64)
 	if err != nil {
--- a/internal/core/trace_harness_test.go
+++ b/internal/core/trace_harness_test.go
@@ -81,52 +81,42 @@
 var catalog = wire.Catalog{Types: []wire.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 512, CacheGB: 300,
 	FetchGBPerS: 4, Price: 16, SpotPrice: 5, BootS: 40, Zones: []string{"z1", "z2"}}}}
 
+// jobWords set a field of a job to the value of a word in a trace; number is the value as a number.
+var jobWords = map[string]func(j *wire.Job, value string, number float64){
+	"tasks":    func(j *wire.Job, _ string, number float64) { j.Tasks = int(number) },
+	"gpus":     func(j *wire.Job, _ string, number float64) { j.GPUs = number },
+	"cpus":     func(j *wire.Job, _ string, number float64) { j.CPUs = number },
+	"team":     func(j *wire.Job, value string, _ float64) { j.Team = value },
+	"class":    func(j *wire.Job, value string, _ float64) { j.Class = value },
+	"image":    func(j *wire.Job, value string, _ float64) { j.Image = value },
+	"priority": func(j *wire.Job, value string, _ float64) { j.Priority = value },
+	"zone":     func(j *wire.Job, value string, _ float64) { j.Zone = value },
+	"type":     func(j *wire.Job, value string, _ float64) { j.Types = []string{value} },
+	"needs":    func(j *wire.Job, value string, _ float64) { j.Needs = strings.Split(value, ",") },
+	"deadline": func(j *wire.Job, _ string, number float64) { j.DeadlineS = &number },
+	"estimate": func(j *wire.Job, _ string, number float64) { j.EstimateS = number },
+	"spread":   func(j *wire.Job, _ string, _ float64) { j.Spread = true },
+	"one_zone": func(j *wire.Job, _ string, _ float64) { j.OneZone = true },
+	"spot":     func(j *wire.Job, _ string, _ float64) { j.Spot = true },
+	"save":     func(j *wire.Job, _ string, number float64) { j.Checkpoint, j.SaveS = 10, number },
+	"kind": func(j *wire.Job, value string, _ float64) {
+		if value == "service" {
+			j.Kind, j.EstimateS = wire.KindService, 0
+		}
+	},
+}
+
 func (w *traceHarness) job(f []string) *wire.Job {
 	j := &wire.Job{ID: f[0], Class: "c", Team: "red", Kind: wire.KindArray, Priority: "standard", Tasks: 1,
 		CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 10, EstimateS: 60}
-	for _, kv := range f[1:] {
-		k, v, _ := strings.Cut(kv, "=")
-		num, _ := strconv.ParseFloat(v, 64)
-		switch k {
-		case "kind":
-			if v == "service" {
-				j.Kind, j.EstimateS = wire.KindService, 0
-			}
-		case "tasks":
-			j.Tasks = int(num)
-		case "gpus":
-			j.GPUs = num
-		case "team":
-			j.Team = v
-		case "class":
-			j.Class = v
-		case "image":
-			j.Image = v
-		case "priority":
-			j.Priority = v
-		case "zone":
-			j.Zone = v
-		case "type":
-			j.Types = []string{v}
-		case "needs":
-			j.Needs = strings.Split(v, ",")
-		case "deadline":
-			j.DeadlineS = &num
-		case "cpus":
-			j.CPUs = num
-		case "estimate":
-			j.EstimateS = num
-		case "spread":
-			j.Spread = true
-		case "one_zone":
-			j.OneZone = true
-		case "spot":
-			j.Spot = true
-		case "save":
-			j.Checkpoint, j.SaveS = 10, num
-		default:
-			w.t.Fatalf("unknown: %s", kv)
+	for _, word := range f[1:] {
+		name, value, _ := strings.Cut(word, "=")
+		set := jobWords[name]
+		if set == nil {
+			w.t.Fatalf("unknown: %s", word)
 		}
+		number, _ := strconv.ParseFloat(value, 64)
+		set(j, value, number)
 	}
 	return j
 }
--- a/internal/wire/user.go
+++ b/internal/wire/user.go
@@ -198,6 +198,42 @@
 	return ids
 }
 
+// taskCount reads a number of tasks.
+func (f *fields) taskCount(name string) int {
+	n := f.must(name)
+	if n != math.Trunc(n) || n < 1 || n > MaxTasks {
+		f.fail(name, fmt.Sprintf("must be a whole number from 1 to %d", MaxTasks))
+	}
+	return int(n)
+}
+
+// machineTypes reads the allowed machine types; nil for any.
+func (f *fields) machineTypes(name string) []string {
+	v, ok := f.get(name)
+	if !ok {
+		return nil
+	}
+	var entries []*string
+	if json.Unmarshal(v, &entries) != nil {
+		f.fail(name, "must be a list of names or null")
+	}
+	if len(entries) > maxTypes {
+		f.fail(name, fmt.Sprintf("must have at most %d names", maxTypes))
+	}
+	if len(entries) == 0 {
+		f.fail(name, "must name a machine type or be null")
+	}
+	types := make([]string, 0, len(entries))
+	for _, t := range entries {
+		if t == nil || *t == "" || len(*t) > maxName {
+			f.fail(name, "must be a list of names or null")
+			break
+		}
+		types = append(types, *t)
+	}
+	return types
+}
+
 func (f *fields) must(name string) float64 {
 	if x := f.amount(name, true); x != nil {
 		return *x
@@ -252,43 +288,25 @@
 		SaveS:      f.must("stow_s"),
 		DeadlineS:  f.amount("cutoff_s", false),
 		Needs:      f.ids(FieldNeeds),
-	}
-	tasks := f.must("parcels")
-	if tasks != math.Trunc(tasks) || tasks < 1 || tasks > MaxTasks {
-		f.fail("parcels", fmt.Sprintf("must be a whole number from 1 to %d", MaxTasks))
-	}
-	j.Tasks = int(tasks)
-	if v, ok := f.get("rigs"); ok {
-		var types []*string
-		if json.Unmarshal(v, &types) != nil {
-			f.fail("rigs", "must be a list of names or null")
-		}
-		if len(types) > maxTypes {
-			f.fail("rigs", fmt.Sprintf("must have at most %d names", maxTypes))
-		}
-		j.Types = make([]string, 0, len(types))
-		for _, t := range types {
-			if t == nil || *t == "" || len(*t) > maxName {
-				f.fail("rigs", "must be a list of names or null")
-				break
-			}
-			j.Types = append(j.Types, *t)
-		}
-		if len(types) == 0 {
-			f.fail("rigs", "must name a machine type or be null")
-		}
+		Tasks:      f.taskCount("parcels"),
+		Types:      f.machineTypes("rigs"),
 	}
 	if f.err != nil {
 		return nil, f.err
 	}
+	return j, j.checkValues()
+}
+
+// checkValues checks the fields that have a few values or a form of their own.
+func (j *Job) checkValues() error {
 	switch {
 	case !ValidJobID(j.ID):
-		return nil, errors.New("ref: is not a job id")
+		return errors.New("ref: is not a job id")
 	case j.Kind != KindArray && j.Kind != KindService:
-		return nil, errors.New("shape: is unknown")
+		return errors.New("shape: is unknown")
 	}
 	if _, ok := priorities[j.Priority]; !ok {
-		return nil, errors.New("urgency: is unknown")
+		return errors.New("urgency: is unknown")
 	}
-	return j, nil
+	return nil
 }
