--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -137,9 +137,9 @@
 // Seconds turns a number of seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// Beat is how often nodes look at what may fail, and how long a call may take: a tenth
+// HeartbeatInterval is how often nodes look at what may fail, and how long a call may take: a tenth
 // of the workers' lease.
-func Beat(w Workers) time.Duration { return Seconds(w.LeaseS / 10) }
+func HeartbeatInterval(w Workers) time.Duration { return Seconds(w.LeaseS / 10) }
 
 // Load reads and checks the platform's file.
 func Load(path string) (*Settings, error) {
--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -57,7 +57,7 @@
 func (l *leader) budget() int {
 	rate := l.c.evaluationsPerSecond()
 	rs := &l.rounds
-	rs.evaluations = min(rate*l.c.t.beat.Seconds(), rs.evaluations+rate*(l.c.now.Steady-rs.lastAt).Seconds())
+	rs.evaluations = min(rate*l.c.t.heartbeat.Seconds(), rs.evaluations+rate*(l.c.now.Steady-rs.lastAt).Seconds())
 	rs.evaluations = max(rs.evaluations, -rate*l.c.t.round.Seconds()) // no debt outlasts the next regular round
 	return max(32, int(rs.evaluations))
 }
--- a/internal/core/cancellations.go
+++ b/internal/core/cancellations.go
@@ -9,7 +9,7 @@
 	"bitternwing/internal/wire"
 )
 
-// broadcast makes cancellations known to all nodes before users are told of them.
+// cancellationReplicator makes cancellations known to all nodes before users are told of them.
 //
 // Any node may be keeping workers' leases: as the leader, for it, or with the state service
 // out of reach and for as long as that lasts. What such a node does not know to be cancelled
@@ -23,17 +23,17 @@
 // forgotten what it knew. It keeps no leases before it has read the jobs, which is later than
 // the write of whatever its earlier process had said that it knows; but for those of its own
 // zone while that is cut off, where nothing is left of a job whose user was told.
-type broadcast struct {
+type cancellationReplicator struct {
 	c    *Core
-	open []*announcement // in the order in which they came
+	open []*pendingCancellation // in the order in which they came
 }
 
-// announcement is a cancellation that not all other nodes are known to know.
-type announcement struct {
+// pendingCancellation is a cancellation that not all other nodes are known to know.
+type pendingCancellation struct {
 	item    Cancellation
 	since   time.Duration // when the first of those came who wait
 	known   map[*peer]bool
-	waiting []func(everywhere bool)
+	waiting []func(acknowledged bool)
 }
 
 // Cancellation is a cancelled job's key as it stands in the state service.
@@ -43,44 +43,44 @@
 	Version uint64
 }
 
-// mostAnnounced bounds the cancellations in a message to another node, in bytes.
-const mostAnnounced = 32 << 10
+// maxCancellationBytes bounds the cancellations in a message to another node, in bytes.
+const maxCancellationBytes = 32 << 10
 
-// mostOpen bounds the announcements that are remembered. Beyond it the oldest goes: its
+// maxPendingCancellations bounds the pending cancellations that are remembered. Beyond it the oldest goes: its
 // users have had their 503, and asking again begins anew.
-func (c *Core) mostOpen() int { return 4 * c.op.MaxPendingRequests }
+func (c *Core) maxPendingCancellations() int { return 4 * c.op.MaxPendingRequests }
 
-// tell hands over whether users may be told of a job's cancellation: at once where that is
+// confirm hands over whether users may be told of a job's cancellation: at once where that is
 // known, else with the other nodes' answers.
-func (b *broadcast) tell(id string, e *entry, then func(everywhere bool)) {
-	if b.everywhere(e.version, nil) && b.settled(id) {
+func (b *cancellationReplicator) confirm(id string, e *entry, then func(acknowledged bool)) {
+	if b.acknowledged(e.version, nil) && b.settled(id) {
 		then(true)
 		return
 	}
-	i := slices.IndexFunc(b.open, func(a *announcement) bool { return a.item.Job == id })
+	i := slices.IndexFunc(b.open, func(a *pendingCancellation) bool { return a.item.Job == id })
 	if i < 0 {
 		value, err := json.Marshal(e.activeValue)
 		if err != nil {
 			then(false)
 			return
 		}
-		if len(b.open) >= b.c.mostOpen() {
+		if len(b.open) >= b.c.maxPendingCancellations() {
 			b.end(b.open[0], false)
 			b.open = slices.Delete(b.open, 0, 1)
 		}
 		i = len(b.open)
-		b.open = append(b.open, &announcement{item: Cancellation{Job: id, Value: value, Version: e.version}, known: map[*peer]bool{}})
+		b.open = append(b.open, &pendingCancellation{item: Cancellation{Job: id, Value: value, Version: e.version}, known: map[*peer]bool{}})
 	}
 	a := b.open[i]
 	if len(a.waiting) == 0 {
 		a.since = b.c.now.Steady
 	}
 	a.waiting = append(a.waiting, then)
-	b.look()
+	b.settlePending()
 }
 
-// everywhere tells whether all other nodes know a cancellation of this version.
-func (b *broadcast) everywhere(version uint64, a *announcement) bool {
+// acknowledged tells whether all other nodes know a cancellation of this version.
+func (b *cancellationReplicator) acknowledged(version uint64, a *pendingCancellation) bool {
 	for _, p := range b.c.peers {
 		if p.revision < version && (a == nil || !a.known[p]) {
 			return false
@@ -91,7 +91,7 @@
 
 // settled tells whether all who lead say that a cancelled job is settled. Without a leader nobody
 // can say.
-func (b *broadcast) settled(id string) bool {
+func (b *cancellationReplicator) settled(id string) bool {
 	c := b.c
 	if l := c.lead; l != nil && (!l.loaded || l.jobs[id] != nil && l.unsettled(l.jobs[id])) {
 		return false
@@ -135,7 +135,7 @@
 	var ids []string
 	if !l.loaded {
 		for id, e := range l.c.dir.jobs {
-			if e.CancelledMS != 0 && len(ids) < l.c.mostOpen() {
+			if e.CancelledMS != 0 && len(ids) < l.c.maxPendingCancellations() {
 				ids = append(ids, id)
 			}
 		}
@@ -143,7 +143,7 @@
 		return ids
 	}
 	for _, j := range l.order {
-		if j.cancelled && len(ids) < l.c.mostOpen() && l.unsettled(j) {
+		if j.cancelled && len(ids) < l.c.maxPendingCancellations() && l.unsettled(j) {
 			ids = append(ids, j.id)
 		}
 	}
@@ -152,28 +152,28 @@
 
 // patience is how long a user waits until a leader's stops have settled a job. They take a
 // message to the machine and back.
-func (b *broadcast) patience() time.Duration { return b.c.t.beat / 2 }
+func (b *cancellationReplicator) patience() time.Duration { return b.c.t.heartbeat / 2 }
 
 // stopping tells whether users wait for a leader to say that a job is settled.
-func (b *broadcast) stopping(p *peer) bool {
-	return p.status.Leads && slices.ContainsFunc(b.open, func(a *announcement) bool { return len(a.waiting) > 0 })
+func (b *cancellationReplicator) stopping(p *peer) bool {
+	return p.status.Leads && slices.ContainsFunc(b.open, func(a *pendingCancellation) bool { return len(a.waiting) > 0 })
 }
 
-func (b *broadcast) end(a *announcement, everywhere bool) {
+func (b *cancellationReplicator) end(a *pendingCancellation, acknowledged bool) {
 	waiting := a.waiting
 	a.waiting = nil
 	for _, then := range waiting {
-		then(everywhere)
+		then(acknowledged)
 	}
 }
 
-// look answers who waits: with yes where all nodes know and no task can start, with no where
+// settlePending answers who waits: with yes where all nodes know and no task can start, with no where
 // one of those that don't know can't be reached, or a start is not settled in time.
-func (b *broadcast) look() {
+func (b *cancellationReplicator) settlePending() {
 	keep := b.open[:0]
 	for _, a := range b.open {
 		switch {
-		case !b.everywhere(a.item.Version, a):
+		case !b.acknowledged(a.item.Version, a):
 		case b.settled(a.item.Job):
 			b.end(a, true)
 			continue
@@ -195,16 +195,16 @@
 	b.open = keep
 }
 
-// missing gives the announcements that a node is not known to know, as many as a message
+// unacknowledgedBy gives the pending cancellations that a node is not known to know, as many as a message
 // holds.
-func (b *broadcast) missing(p *peer) []*announcement {
-	var as []*announcement
+func (b *cancellationReplicator) unacknowledgedBy(p *peer) []*pendingCancellation {
+	var as []*pendingCancellation
 	size := 0
 	for _, a := range b.open {
 		if p.revision >= a.item.Version || a.known[p] {
 			continue
 		}
-		if size += len(a.item.Value) + 64; size > mostAnnounced && len(as) > 0 {
+		if size += len(a.item.Value) + 64; size > maxCancellationBytes && len(as) > 0 {
 			break
 		}
 		as = append(as, a)
@@ -212,8 +212,8 @@
 	return as
 }
 
-// over drops what need not be announced any more: its job's end has been written.
-func (b *broadcast) over(id string) {
+// over drops what need not be replicated any more: its job's end has been written.
+func (b *cancellationReplicator) over(id string) {
 	for i, a := range b.open {
 		if a.item.Job == id {
 			b.open = slices.Delete(b.open, i, i+1)
@@ -223,9 +223,9 @@
 	}
 }
 
-// heard takes in cancellations that another node announced. They act at once, whoever
+// receiveCancellations takes in cancellations that another node sent. They act at once, whoever
 // serves this node.
-func (c *Core) heard(items []Cancellation) {
+func (c *Core) receiveCancellations(items []Cancellation) {
 	for _, it := range items {
 		c.learn(it.Job, it.Value, it.Version)
 	}
@@ -242,9 +242,9 @@
 	c.noticeJob(keyActive + id)
 }
 
-// askPeer asks another node for its status and announces what it may not know.
+// askPeer asks another node for its status and sends the cancellations that it may not know.
 func (c *Core) askPeer(p *peer) {
-	as := c.cancels.missing(p)
+	as := c.cancels.unacknowledgedBy(p)
 	p.asking = true
 	p.askedAt = c.now.Steady
 	id := c.call(func(r Result) {
@@ -263,7 +263,7 @@
 				a.known[p] = true
 			}
 		}
-		c.cancels.look()
+		c.cancels.settlePending()
 	})
 	ask := PeerAsk{ID: id, Node: p.node}
 	for _, a := range as {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,8 +26,8 @@
 	limits  *limits
 	users   *users
 	elect   *election
-	care    *caretaker
-	cancels *broadcast
+	relay   *leaseRelay
+	cancels *cancellationReplicator
 	lead    *leader // nil unless this node holds a term
 	peers   []*peer
 
@@ -48,7 +48,7 @@
 // times are the durations derived from the settings, each a ratio of one of them.
 type times struct {
 	report    time.Duration // workers' report interval
-	beat      time.Duration // how often what may fail is looked at, and how long a call may take
+	heartbeat time.Duration // how often what may fail is looked at, and how long a call may take
 	lease     time.Duration // workers' lease
 	cancel    time.Duration // time for a cancelled job's tasks to be gone
 	leaderTTL time.Duration // life of the leader's lease
@@ -75,11 +75,11 @@
 	t.leaderTTL = time.Duration(float64(t.lease) * op.LeaderTTLLeases)
 	// What has to be noticed and made good within workers' leases goes by these, however
 	// seldom workers report.
-	t.beat = config.Beat(p.Workers)
-	t.probe = t.beat
-	t.retry = t.beat / 4
+	t.heartbeat = config.HeartbeatInterval(p.Workers)
+	t.probe = t.heartbeat
+	t.retry = t.heartbeat / 4
 	t.eventGap = t.round / 40
-	t.quiet = max(3*t.report/2, 3*t.beat)
+	t.quiet = max(3*t.report/2, 3*t.heartbeat)
 	// A node's polls use at most a sixth of its share of the requests, a watch
 	// at most a fifth.
 	t.batchGap = config.Seconds(6 * nodes / p.State.Next.Within(p.State).RPS / 3)
@@ -100,8 +100,8 @@
 	c.limits = newLimits(s.Params.State)
 	c.users = newUsers(c)
 	c.elect = newElection(c)
-	c.care = newCaretaker(c)
-	c.cancels = &broadcast{c: c}
+	c.relay = newLeaseRelay(c)
+	c.cancels = &cancellationReplicator{c: c}
 	for _, p := range s.Peers {
 		c.peers = append(c.peers, &peer{node: p.Node, zone: p.Zone})
 	}
@@ -124,8 +124,8 @@
 		c.users.cancel(in)
 	case Checkin:
 		c.checkin(in)
-	case Heard:
-		c.heard(in.Cancellations)
+	case CancellationsReceived:
+		c.receiveCancellations(in.Cancellations)
 		c.answer(in.Req, 200, nil)
 	case Result:
 		if f := c.pending[in.ID]; f != nil {
@@ -156,12 +156,12 @@
 	c.runPeers()
 	c.deps.run()
 	c.elect.run()
-	c.care.run()
+	c.relay.run()
 	if c.lead != nil {
 		c.lead.run()
 	}
 	c.users.run()
-	c.cancels.look()
+	c.cancels.settlePending()
 }
 
 // call registers what happens with a call's result and gives the call's ID.
@@ -255,7 +255,7 @@
 	if !c.stateDown {
 		return true
 	}
-	if c.now.Steady-c.stateOKAt < c.t.beat {
+	if c.now.Steady-c.stateOKAt < c.t.heartbeat {
 		return true
 	}
 	return c.allRefused()
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -90,18 +90,18 @@
 	ready    bool
 	revision uint64
 
-	jobs        map[string]*entry
-	lead        leadValue
-	leadVersion uint64
-	term        termValue
-	termVersion uint64
-	catalog     []wire.MachineType
-	layout      record.Layout // the zero value: the first one
-	layoutAt    uint64        // version of its key
-	countShards map[string]map[string]counts
-	images      map[string]map[string][]string // by key, by machine
-	silent      map[string]int64               // time of day when these machines were last heard
-	silentText  string                         // the same, as written
+	jobs             map[string]*entry
+	lead             leadValue
+	leadVersion      uint64
+	term             termValue
+	termVersion      uint64
+	catalog          []wire.MachineType
+	layout           record.Layout // the zero value: the first one
+	layoutAt         uint64        // version of its key
+	countShards      map[string]map[string]counts
+	images           map[string]map[string][]string // by key, by machine
+	unreachableSince map[string]int64               // time of day when these machines were last heard
+	unreachableText  string                         // the same, as written
 
 	// finals are final states seen here; they never change, so they need no
 	// confirmation. The oldest makes way.
@@ -138,10 +138,10 @@
 		if layout, ok := decode[record.Layout](value); ok {
 			d.layout, d.layoutAt = layout, version
 		}
-	case key == keySilent:
-		d.silent, d.silentText = nil, ""
+	case key == keyUnreachable:
+		d.unreachableSince, d.unreachableText = nil, ""
 		if since, ok := decode[map[string]int64](value); ok {
-			d.silent, d.silentText = since, string(value)
+			d.unreachableSince, d.unreachableText = since, string(value)
 		}
 	case strings.HasPrefix(key, keyImages):
 		d.images[key], _ = decode[map[string][]string](value)
@@ -255,7 +255,7 @@
 		}
 		c.dir.apply(key, value, e.Version)
 		c.noticeJob(key)
-		c.noticeKept(key, value)
+		c.noticeRelayed(key, value)
 	}
 	c.dir.revision = max(c.dir.revision, ch.Revision)
 }
@@ -323,7 +323,7 @@
 			d.term, d.termVersion = l.term, l.termVersion
 		}
 		d.countShards, d.images, d.revision = l.countShards, l.images, l.revision
-		d.silent, d.silentText = l.silent, l.silentText
+		d.unreachableSince, d.unreachableText = l.unreachableSince, l.unreachableText
 		if l.catalog != nil {
 			d.catalog = l.catalog
 		}
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -32,7 +32,7 @@
 // drift is what the steady clock may be off, doubled for safety.
 const drift = 0.001
 
-func (e *election) life() time.Duration {
+func (e *election) leaseDuration() time.Duration {
 	return time.Duration(float64(e.c.t.leaderTTL) * (1 - drift))
 }
 
@@ -60,14 +60,14 @@
 	if e.vacantAt == 0 {
 		e.vacantAt = c.now.Steady
 	}
-	if due := max(e.notNow, e.vacantAt+e.handicap()); c.now.Steady < due {
+	if due := max(e.notNow, e.vacantAt+e.electionDelay()); c.now.Steady < due {
 		c.at(due)
 		return
 	}
 	if c.stateDown {
 		return
 	}
-	e.stand()
+	e.campaign()
 }
 
 func (e *election) revoke(lease uint64, then func()) {
@@ -79,11 +79,11 @@
 	e.c.send(StateRevoke{ID: id, Lease: lease})
 }
 
-// handicap makes a node wait a little where another would lead better.
-func (e *election) handicap() time.Duration {
-	wait := e.c.t.beat / 4 * time.Duration(min(2, max(0, e.detour(e.c.set.Node)-1)))
+// electionDelay makes a node wait a little where another would lead better.
+func (e *election) electionDelay() time.Duration {
+	wait := e.c.t.heartbeat / 4 * time.Duration(min(2, max(0, e.detour(e.c.set.Node)-1)))
 	if e.exposed(e.c.set.Node) || e.beforeGap(e.c.set.Node, 0) && e.other(func(node string) bool { return !e.beforeGap(node, 0) }) {
-		wait += e.c.t.beat / 2
+		wait += e.c.t.heartbeat / 2
 	}
 	return wait
 }
@@ -178,16 +178,16 @@
 	}
 	for _, p := range c.peers {
 		// After a cut the nodes are heard again one after the other.
-		if c.fresh(p) && c.now.Steady-p.backAt < 3*c.t.beat {
+		if c.fresh(p) && c.now.Steady-p.backAt < 3*c.t.heartbeat {
 			return false
 		}
 	}
 	return e.other(func(node string) bool { return !worse(node) })
 }
 
-// stand runs for the next term: a lease, then the lead and the term in one
+// campaign runs for the next term: a lease, then the lead and the term in one
 // transaction.
-func (e *election) stand() {
+func (e *election) campaign() {
 	c := e.c
 	e.busy = true
 	fail := func() {
@@ -235,7 +235,7 @@
 	e.lease = grant.Lease
 	// The lease's time began when the service made it, which was no earlier than
 	// the request was sent.
-	e.deadline = grant.Sent + e.life()
+	e.deadline = grant.Sent + e.leaseDuration()
 	e.extendAt = c.now.Steady
 	e.extend = false
 	c.log(Info, "leading", "term", term)
@@ -251,7 +251,7 @@
 func (e *election) keep() {
 	c := e.c
 	if c.dir.term.Term > c.lead.term {
-		e.lose("a newer term is known")
+		e.stepDown("a newer term is known")
 		return
 	}
 	why := ""
@@ -264,7 +264,7 @@
 	}
 	if why != "" {
 		lease := e.lease
-		e.lose(why)
+		e.stepDown(why)
 		e.notNow = c.now.Steady + c.t.lease
 		e.revoke(lease, nil)
 		return
@@ -285,10 +285,10 @@
 		e.extend = false
 		switch r.Outcome {
 		case call.OK:
-			e.deadline = max(e.deadline, r.Sent+e.life())
+			e.deadline = max(e.deadline, r.Sent+e.leaseDuration())
 			e.extendAt = r.Sent + c.t.leaderTTL/4
 		case call.Missing:
-			e.lose("the lease ended")
+			e.stepDown("the lease ended")
 		default:
 			e.extendAt = c.now.Steady + c.t.leaderTTL/12
 		}
@@ -305,7 +305,7 @@
 	return false
 }
 
-func (e *election) lose(why string) {
+func (e *election) stepDown(why string) {
 	c := e.c
 	if c.lead == nil {
 		return
--- a/internal/core/faults.go
+++ b/internal/core/faults.go
@@ -16,7 +16,7 @@
 // ranWell clears a machine and a job of suspicion: a task was done, or has been
 // running for a while.
 func (l *leader) ranWell(p *placement, done bool) {
-	if !done && l.c.now.Steady-p.ranAt < 3*l.c.t.beat {
+	if !done && l.c.now.Steady-p.ranAt < 3*l.c.t.heartbeat {
 		return
 	}
 	j := p.job
@@ -64,7 +64,7 @@
 	if !j.proven && len(j.failed) >= 2 {
 		// Suspect: it may be the job. Double the pause up to three of the workers'
 		// leases, and take back what it says of machines.
-		pause := l.c.t.beat << min(len(j.failed)-1, 6)
+		pause := l.c.t.heartbeat << min(len(j.failed)-1, 6)
 		j.waitFor = max(j.waitFor, now+min(pause, 3*l.c.t.lease))
 		for name := range j.failed {
 			if x := l.machines[name]; x != nil && !x.faulty {
--- a/internal/core/images.go
+++ b/internal/core/images.go
@@ -45,7 +45,7 @@
 		}
 		txn.Then = append(txn.Then, wire.Op{Put: k, Value: value})
 		if len(txn.Then) >= c.mostValues() {
-			h.at = c.now.Steady - c.t.lease/2 + c.t.beat // the rest goes next
+			h.at = c.now.Steady - c.t.lease/2 + c.t.heartbeat // the rest goes next
 			break
 		}
 	}
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -52,9 +52,9 @@
 	Report *wire.Report
 }
 
-// Heard are cancellations that another node announces. The answer says that they are known
+// CancellationsReceived are cancellations that another node sends. The answer says that they are known
 // here from now on.
-type Heard struct {
+type CancellationsReceived struct {
 	Req           uint64
 	Cancellations []Cancellation
 }
@@ -94,13 +94,13 @@
 	Layouts uint32
 }
 
-func (Tick) input()    {}
-func (Submit) input()  {}
-func (Poll) input()    {}
-func (Cancel) input()  {}
-func (Checkin) input() {}
-func (Heard) input()   {}
-func (Result) input()  {}
+func (Tick) input()                  {}
+func (Submit) input()                {}
+func (Poll) input()                  {}
+func (Cancel) input()                {}
+func (Checkin) input()               {}
+func (CancellationsReceived) input() {}
+func (Result) input()                {}
 
 // Effect is something to do.
 type Effect interface{ effect() }
--- a/internal/core/layout.go
+++ b/internal/core/layout.go
@@ -77,7 +77,7 @@
 		case call.Conflict:
 			// It was applied before, its outcome unknown, or the term has moved on. The next leader
 			// finds out.
-			c.elect.lose("the layout of records may have changed")
+			c.elect.stepDown("the layout of records may have changed")
 		default:
 			x.notNow = c.now.Steady + c.t.retry
 			c.at(x.notNow)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -42,12 +42,12 @@
 	apart      []string                 // zones much of which can not be reached, whoever keeps it
 	cutZones   map[string]bool          // zones much of which is silent; true: none of their nodes answers either
 
-	tendAt  time.Duration // when the fleet and the cancelled jobs are looked through next
-	writes  writer
-	rentals rentals
-	rounds  rounds
-	images  imageHints
-	silence silence
+	tendAt      time.Duration // when the fleet and the cancelled jobs are looked through next
+	writes      writer
+	rentals     rentals
+	rounds      rounds
+	images      imageHints
+	unreachable unreachableHints
 }
 
 func newLeader(c *Core, term, version uint64) *leader {
@@ -57,7 +57,7 @@
 	l.writes.init(l)
 	l.rentals.init(l)
 	l.rounds.at = c.now.Steady
-	l.silence = silence{l: l, at: c.now.Steady + c.t.beat, last: c.dir.silentText}
+	l.unreachable = unreachableHints{l: l, at: c.now.Steady + c.t.heartbeat, last: c.dir.unreachableText}
 	l.images = imageHints{l: l, at: c.now.Steady, last: map[string]string{}}
 	return l
 }
@@ -100,7 +100,7 @@
 	l.orders()
 	l.rentals.run()
 	l.images.run()
-	l.silence.run()
+	l.unreachable.run()
 }
 
 // entitled tells whether this leader may act for the controllers: in time, or in
@@ -383,7 +383,7 @@
 			p.answer = r.Report.Seq
 		case call.Unknown:
 			// It may be carried out at any later time, or commands don't reach it.
-			l.doubt(m, o.token+1)
+			l.requireToken(m, o.token+1)
 		case call.Conflict, call.Refused, call.Dropped, call.Invalid:
 			l.notStarted(p)
 		}
--- a/internal/core/caretaker.go
+++ b/internal/core/lease_relay.go
@@ -11,16 +11,16 @@
 	"bitternwing/internal/wire"
 )
 
-// caretaker keeps workers alive that can't reach the leader although it leads, as
+// leaseRelay keeps workers alive that can't reach the leader although it leads, as
 // when two zones can't reach each other. It answers their reports with the leader's
 // token and passes the reports on through the state service, where the leader takes
 // them as evidence like any other. It starts nothing. The one thing it orders by
 // itself is to stop tasks of cancelled jobs, which is right whoever leads.
-type caretaker struct {
+type leaseRelay struct {
 	c       *Core
 	term    uint64
-	kept    map[string]*keptWorker
-	names   []string                 // of kept, in the order in which they came
+	workers map[string]*relayedWorker
+	names   []string                 // of workers, in the order in which they came
 	asked   map[string]time.Duration // workers sent to the leader, and when
 	leadOK  time.Duration            // when the lead key was last seen to be current
 	asking  bool
@@ -31,20 +31,20 @@
 	foreign bool // a worker of another zone came while this zone seemed cut off
 }
 
-type keptWorker struct {
+type relayedWorker struct {
 	report    *wire.Report
-	since, at time.Duration // first and last kept
+	since, at time.Duration // when its lease was first and last renewed here
 	proven    bool          // it can't reach the leader
 }
 
-const keyKept = "w/k/"
+const keyRelayed = "w/k/"
 
-func newCaretaker(c *Core) *caretaker {
-	return &caretaker{c: c, kept: map[string]*keptWorker{}, asked: map[string]time.Duration{}}
+func newLeaseRelay(c *Core) *leaseRelay {
+	return &leaseRelay{c: c, workers: map[string]*relayedWorker{}, asked: map[string]time.Duration{}}
 }
 
 // leader gives the other node that leads, as far as this node knows.
-func (k *caretaker) leader() *peer {
+func (k *leaseRelay) leader() *peer {
 	c := k.c
 	if c.lead != nil || c.dir.leadVersion == 0 || c.dir.lead.Node == c.set.Node || c.stateDown {
 		return nil
@@ -59,34 +59,34 @@
 
 // vacant tells whether nobody leads, between two terms: the state service serves this node and
 // shows no leader, or an earlier process of this very node.
-func (k *caretaker) vacant() bool {
+func (k *leaseRelay) vacant() bool {
 	d := k.c.dir
 	return d.ready && (d.leadVersion == 0 || d.lead.Node == k.c.set.Node)
 }
 
 // cutOff tells whether the leader leads but can't be reached from here.
-func (k *caretaker) cutOff() bool {
+func (k *leaseRelay) cutOff() bool {
 	p := k.leader()
 	return p != nil && p.askedAt != 0 && !p.reached
 }
 
 // apart tells whether the leader says that workers of a zone can't reach it: they need
 // not try, which would cost them much of their lease.
-func (k *caretaker) apart(zone string) bool {
+func (k *leaseRelay) apart(zone string) bool {
 	p := k.leader()
 	return p != nil && k.c.fresh(p) && p.status.Leads && slices.Contains(p.status.ZonesApart, zone)
 }
 
 // current tells whether the leader's term was seen to be current just now, in the
 // state service or by the leader's own word.
-func (k *caretaker) current(p *peer) bool {
+func (k *leaseRelay) current(p *peer) bool {
 	c := k.c
-	return k.leadOK != 0 && c.now.Steady-k.leadOK < 2*c.t.beat ||
+	return k.leadOK != 0 && c.now.Steady-k.leadOK < 2*c.t.heartbeat ||
 		c.fresh(p) && p.status.Leads && p.status.Term == c.dir.lead.Term
 }
 
 // checkin answers a worker in the leader's place; false if that is not due.
-func (k *caretaker) checkin(in Checkin) bool {
+func (k *leaseRelay) checkin(in Checkin) bool {
 	c, r := k.c, in.Report
 	now := c.now.Steady
 	if len(r.Tasks) == 0 {
@@ -94,12 +94,12 @@
 		return false
 	}
 	if c.stateDown {
-		return k.blind(in)
+		return k.renewWithoutState(in)
 	}
 	if k.vacant() {
 		// Sent on to the next node, it might wait for one that is down, and lose its lease
 		// before it has found the next leader. The answer repeats its own token, as that of
-		// blind does, and is safe for the same reasons.
+		// renewWithoutState does, and is safe for the same reasons.
 		c.answer(in.Req, 200, wire.ReportAnswer{Token: r.Token, Commands: c.cancelledStops(r)})
 		return true
 	}
@@ -108,7 +108,7 @@
 	if p == nil || termOf(r.Token) > term {
 		return false
 	}
-	w := k.kept[r.Machine]
+	w := k.workers[r.Machine]
 	switch {
 	case w == nil && !k.current(p):
 		return false
@@ -136,24 +136,24 @@
 // adopt begins to keep a worker. It may reach the leader from where it is: its lease is renewed
 // once, for it has lost time already; then it is sent there, and kept if it comes back. One whose
 // zone is cut off as this node's is needs no proof.
-func (k *caretaker) adopt(r *wire.Report) *keptWorker {
+func (k *leaseRelay) adopt(r *wire.Report) *relayedWorker {
 	c := k.c
 	now := c.now.Steady
 	at, was := k.asked[r.Machine]
-	w := &keptWorker{report: r, since: now}
+	w := &relayedWorker{report: r, since: now}
 	w.proven = was && now-at < c.t.lease || k.cutOff() && r.Zone == c.set.Zone || k.apart(r.Zone)
-	k.kept[r.Machine] = w
+	k.workers[r.Machine] = w
 	k.names = append(k.names, r.Machine)
 	// With its next report it is sent to the leader, which must have heard of it by
 	// then: else it counts as silent there while it is on its way.
-	k.writeAt = min(k.writeAt, now+c.t.beat/2)
+	k.writeAt = min(k.writeAt, now+c.t.heartbeat/2)
 	c.log(Debug, "keeping worker for the leader", "machine", r.Machine, "leader", c.dir.lead.Node)
 	return w
 }
 
 // mayTryLeader tells whether a kept worker had better look for the leader: it has not yet, or the
 // leader is there for others, and it tries again now and then.
-func (k *caretaker) mayTryLeader(w *keptWorker, zone string) bool {
+func (k *leaseRelay) mayTryLeader(w *relayedWorker, zone string) bool {
 	if k.apart(zone) {
 		return false
 	}
@@ -163,7 +163,7 @@
 // mostAsked bounds the workers that are remembered as sent to the leader.
 const mostAsked = 10_000
 
-func (k *caretaker) sendToLeader(machine string) {
+func (k *leaseRelay) sendToLeader(machine string) {
 	k.drop(machine)
 	if len(k.asked) > mostAsked {
 		clear(k.asked)
@@ -188,7 +188,7 @@
 	return cmds
 }
 
-// blind keeps a worker alive while this node can't reach the state service and so
+// renewWithoutState keeps a worker alive while this node can't reach the state service and so
 // can't know who leads: with the whole zone cut off, or with every node refused and
 // none left that leads. The answer repeats the worker's own token, so it overrules
 // nobody, and it starts nothing. It is safe whoever leads, since a placement never
@@ -198,8 +198,8 @@
 //
 // It may go on for as long as the trouble lasts. In a zone that is cut off nothing is left of jobs
 // whose users were told of a cancellation; elsewhere only a node that knew the jobs before does
-// this, which lacks no such cancellation (broadcast).
-func (k *caretaker) blind(in Checkin) bool {
+// this, which lacks no such cancellation (cancellationReplicator).
+func (k *leaseRelay) renewWithoutState(in Checkin) bool {
 	c, r := k.c, in.Report
 	cut := c.zoneCut()
 	if cut && r.Zone != c.set.Zone {
@@ -215,16 +215,16 @@
 
 // run keeps the knowledge of the leader's term fresh while it is needed, and writes
 // the reports of kept workers.
-func (k *caretaker) run() {
+func (k *leaseRelay) run() {
 	c := k.c
 	now := c.now.Steady
 	k.foreign = k.foreign && c.stateDown
-	if (len(k.kept) > 0 || k.cutOff()) && !k.asking {
+	if (len(k.workers) > 0 || k.cutOff()) && !k.asking {
 		if now < k.askAt {
 			c.at(k.askAt)
 		} else {
 			k.asking = true
-			k.askAt = now + c.t.beat/2
+			k.askAt = now + c.t.heartbeat/2
 			id := c.stateCall(func(r Result) {
 				k.asking = false
 				if r.Outcome == call.OK {
@@ -235,16 +235,16 @@
 		}
 	}
 	if k.leader() == nil || k.term != 0 && c.dir.lead.Term != k.term {
-		clear(k.kept)
+		clear(k.workers)
 		clear(k.asked)
 		k.names = k.names[:0]
 	}
 	for _, name := range append([]string(nil), k.names...) {
-		if now-k.kept[name].at > c.t.lease {
+		if now-k.workers[name].at > c.t.lease {
 			k.drop(name)
 		}
 	}
-	if k.term != 0 && len(k.kept) == 0 {
+	if k.term != 0 && len(k.workers) == 0 {
 		c.log(Info, "no longer keeping workers")
 		k.term = 0
 	}
@@ -255,12 +255,12 @@
 		c.at(k.writeAt)
 		return
 	}
-	k.writeAt = now + 2*c.t.beat
+	k.writeAt = now + 2*c.t.heartbeat
 	k.write()
 }
 
-func (k *caretaker) drop(name string) {
-	delete(k.kept, name)
+func (k *leaseRelay) drop(name string) {
+	delete(k.workers, name)
 	for i, n := range k.names {
 		if n == name {
 			k.names = append(k.names[:i], k.names[i+1:]...)
@@ -270,11 +270,11 @@
 }
 
 // write passes the reports on, as many to a key as fit.
-func (k *caretaker) write() {
+func (k *leaseRelay) write() {
 	c := k.c
 	reports := make([]json.RawMessage, 0, len(k.names))
 	for _, name := range k.names {
-		if b, err := json.Marshal(k.kept[name].report); err == nil {
+		if b, err := json.Marshal(k.workers[name].report); err == nil {
 			reports = append(reports, b)
 		}
 	}
@@ -331,11 +331,11 @@
 	return min(c.limits.changes(), wire.MaxBody*9/10/c.mostValue())
 }
 
-func (k *caretaker) key(i int) string { return keyKept + k.c.set.Node + "/" + strconv.Itoa(i) }
+func (k *leaseRelay) key(i int) string { return keyRelayed + k.c.set.Node + "/" + strconv.Itoa(i) }
 
-// noticeKept hands reports that another node passed on to the leader.
-func (c *Core) noticeKept(key string, value json.RawMessage) {
-	if c.lead == nil || value == nil || !strings.HasPrefix(key, keyKept) {
+// noticeRelayed hands reports that another node passed on to the leader.
+func (c *Core) noticeRelayed(key string, value json.RawMessage) {
+	if c.lead == nil || value == nil || !strings.HasPrefix(key, keyRelayed) {
 		return
 	}
 	for _, r := range decodeRelayed(value) {
@@ -352,7 +352,7 @@
 	if !l.loaded || m == nil || m.up && (r.Session < m.session || r.Session == m.session && r.Seq <= m.seq) {
 		return
 	}
-	m.kept = l.c.now.Steady
+	m.relayedAt = l.c.now.Steady
 	m.describe(r.Type, r.Zone, r.Addr, r.Spot)
 	m.enter(r.Session)
 	m.up, m.seenUp, m.missing = true, true, 0
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -8,22 +8,22 @@
 	"bitternwing/internal/call"
 )
 
-// doubt makes a machine show a token before it gets work: answers and commands may not
+// requireToken makes a machine show a token before it gets work: answers and commands may not
 // reach it although its reports come. A worker that is reached shows the token at once,
 // or with its next report; one that does not for half a lease is given back.
-func (l *leader) doubt(m *machine, token uint64) {
+func (l *leader) requireToken(m *machine, token uint64) {
 	m.current = max(m.current, token)
-	if m.proof == 0 {
-		m.doubtedAt = l.c.now.Steady
+	if m.requiredToken == 0 {
+		m.tokenRequiredSince = l.c.now.Steady
 	}
-	m.proof = max(m.proof, token)
+	m.requiredToken = max(m.requiredToken, token)
 }
 
-// deafened tells whether a machine's reports have come for half a lease without showing
+// answersLost tells whether a machine's reports have come for half a lease without showing
 // that answers reach it.
-func (l *leader) deafened(m *machine) bool {
+func (l *leader) answersLost(m *machine) bool {
 	now := l.c.now.Steady
-	return m.proof != 0 && now-m.heard < l.c.t.quiet && now-max(m.doubtedAt, l.idleAt) > l.c.t.lease/2
+	return m.requiredToken != 0 && now-m.heard < l.c.t.quiet && now-max(m.tokenRequiredSince, l.idleAt) > l.c.t.lease/2
 }
 
 // watchMachines looks for machines that are silent too long and stops what runs on
@@ -52,7 +52,7 @@
 	if (m.up || m.seenUp) && !m.releasing && l.c.now.Steady >= l.silentUntil(m) {
 		l.rentals.release(m, releaseSilent)
 	}
-	if l.deafened(m) {
+	if l.answersLost(m) {
 		l.rentals.release(m, releaseUnreached)
 	}
 }
@@ -135,10 +135,10 @@
 func (l *leader) inspect(m *machine) {
 	now := l.c.now.Steady
 	if m.lastHeard() > m.inspectedAt {
-		m.deaf = 0
+		m.unansweredInspections = 0
 	}
 	if !m.up && !m.seenUp || m.releasing || m.inspecting || m.addr == "" || l.inspecting >= l.c.mostInspections() ||
-		now-max(m.heard, m.reached) < l.c.t.lease/4 || now-m.inspectedAt < l.c.t.beat {
+		now-max(m.heard, m.reached) < l.c.t.lease/4 || now-m.inspectedAt < l.c.t.heartbeat {
 		return
 	}
 	m.inspecting, m.inspectedAt = true, now
@@ -150,7 +150,7 @@
 		case r.Outcome == call.Dropped:
 			// It was not asked at all.
 		case r.Outcome != call.OK:
-			m.deaf++
+			m.unansweredInspections++
 		case r.Report.Machine == m.name:
 			m.reached = l.c.now.Steady
 			l.relayed(&r.Report, true)
@@ -174,20 +174,20 @@
 	case out:
 		// Its own nodes keep its workers alive; dead machines show in the cloud's list.
 		due = m.lastHeard() + time.Duration(float64(lease)*l.c.op.CutLeases)
-	case many, m.zone != l.c.set.Zone && slices.Contains(l.apart, m.zone), !m.up && m.deaf < 2:
+	case many, m.zone != l.c.set.Zone && slices.Contains(l.apart, m.zone), !m.up && m.unansweredInspections < 2:
 		// Much of a zone is silent, or out of this node's reach and kept by others: its workers
 		// may be on their way to a node that keeps them, the last few as well. Or a worker has yet to find
 		// this leader. By then its tasks are gone with its lease, or it was heard of: who
-		// keeps it tells within half a beat.
+		// keeps it tells within half a heartbeat interval.
 		due = m.lastHeard() + lease*11/10
-	case m.deaf >= 2 && (m.kept == 0 || l.c.now.Steady-m.kept > 2*lease):
+	case m.unansweredInspections >= 2 && (m.relayedAt == 0 || l.c.now.Steady-m.relayedAt > 2*lease):
 		due = m.lastHeard() + limit*5/8
 	}
 	// Workers have to find their way back first: those of a zone that was cut off, and all
 	// after a time in which this leader could not answer.
 	due = max(due, l.idleAt+limit)
 	if !m.up {
-		// What the last leader told of it may be a beat old, and it has to find this one.
+		// What the last leader told of it may be a heartbeat interval old, and it has to find this one.
 		due = max(due, l.since+lease/2)
 	}
 	if at, was := l.outAt[m.zone]; was {
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -22,24 +22,24 @@
 	missing  int  // complete lists in a row that lack it
 	seenUp   bool // it has reported at some time, in this term or an earlier one
 
-	up      bool // it has reported in this term
-	session uint64
-	seq     uint64
-	heard   time.Duration
-	kept    time.Duration // when another node last passed a report of it on
-	notice  bool
-
-	inspecting  bool
-	inspectedAt time.Duration // when it was last asked directly
-	reached     time.Duration // when it last answered that
-	deaf        int           // questions in a row without an answer, since it was last heard
-
-	runs      map[string]*placement // by task name
-	list      []*placement          // the same, by job and task
-	host      *host                 // in the present round
-	exits     []wire.TaskReport     // exited tasks of the last report
-	strays    []wire.TaskReport     // tasks it holds that no record explains
-	releasing bool
+	up        bool // it has reported in this term
+	session   uint64
+	seq       uint64
+	heard     time.Duration
+	relayedAt time.Duration // when another node last passed a report of it on
+	notice    bool
+
+	inspecting            bool
+	inspectedAt           time.Duration // when it was last asked directly
+	reached               time.Duration // when it last answered that
+	unansweredInspections int           // questions in a row without an answer, since it was last heard
+
+	runs          map[string]*placement // by task name
+	list          []*placement          // the same, by job and task
+	host          *host                 // in the present round
+	exits         []wire.TaskReport     // exited tasks of the last report
+	orphanedTasks []wire.TaskReport     // tasks it holds that no record explains
+	releasing     bool
 	// Why it is given back, and whether a request for that may have been carried out.
 	releaseWhy  releaseReason
 	releaseSent bool
@@ -55,9 +55,9 @@
 	erredAt time.Duration  // when something last failed
 	faulty  bool
 
-	// Whether answers reach it, see doubt.
-	proof     uint64        // the token it has to show; 0: there is no doubt
-	doubtedAt time.Duration // since when its reports come and don't show it
+	// Whether answers reach it, see requireToken.
+	requiredToken      uint64        // the token it has to show; 0: none
+	tokenRequiredSince time.Duration // since when its reports come and don't show it
 }
 
 type attemptName struct {
@@ -122,8 +122,8 @@
 	}
 }
 
-// gone drops a machine: there is evidence that it and all on it are no more.
-func (l *leader) gone(m *machine, why string) {
+// removeMachine drops a machine: there is evidence that it and all on it are no more.
+func (l *leader) removeMachine(m *machine, why string) {
 	for _, p := range m.sorted() {
 		l.end(p)
 	}
@@ -172,7 +172,7 @@
 }
 
 // lastHeard is when a report of a machine last came, here or by another node.
-func (m *machine) lastHeard() time.Duration { return max(m.heard, m.kept) }
+func (m *machine) lastHeard() time.Duration { return max(m.heard, m.relayedAt) }
 
 // imageReady notes that a machine has an image.
 func (m *machine) imageReady(name string) {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -20,14 +20,14 @@
 
 func (c *Core) runPeers() {
 	for _, p := range c.peers {
-		due := p.askedAt + c.t.beat
+		due := p.askedAt + c.t.heartbeat
 		if p.reached && c.cancels.stopping(p) {
-			due = p.askedAt + c.t.beat/8
+			due = p.askedAt + c.t.heartbeat/8
 		}
 		if p.asking {
 			continue
 		}
-		mayWait := !p.reached || len(c.cancels.missing(p)) == 0
+		mayWait := !p.reached || len(c.cancels.unacknowledgedBy(p)) == 0
 		if p.askedAt != 0 && c.now.Steady < due && mayWait {
 			c.at(due)
 			continue
@@ -38,7 +38,7 @@
 
 // fresh tells whether a peer was heard within the last few questions.
 func (c *Core) fresh(p *peer) bool {
-	return p.reached && p.heardAt != 0 && c.now.Steady-p.heardAt < 3*c.t.beat
+	return p.reached && p.heardAt != 0 && c.now.Steady-p.heardAt < 3*c.t.heartbeat
 }
 
 // allRefused tells whether every other node says that the state service refuses
--- a/internal/core/provisioning.go
+++ b/internal/core/provisioning.go
@@ -296,7 +296,7 @@
 	var idle []*machine
 	for _, h := range p.r.hosts {
 		m := h.m
-		if len(m.list) == 0 && len(m.strays) == 0 && !m.releasing &&
+		if len(m.list) == 0 && len(m.orphanedTasks) == 0 && !m.releasing &&
 			now >= m.idleSince+config.Seconds(m.mt.BootS*l.c.op.IdleBoots) {
 			idle = append(idle, m)
 		}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -320,7 +320,7 @@
 			failed[k] = true
 		}
 		if failed[keyTerm] {
-			w.l.c.elect.lose("the term moved on")
+			w.l.c.elect.stepDown("the term moved on")
 			return
 		}
 	}
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -160,7 +160,7 @@
 		if r.Outcome == call.OK {
 			for _, name := range names {
 				if m := l.machines[name]; m != nil {
-					l.gone(m, "released")
+					l.removeMachine(m, "released")
 				}
 			}
 			return
@@ -170,7 +170,7 @@
 		}
 		// Releasing again does no harm.
 		t.names = append(names, t.names...)
-		t.retryAt = c.now.Steady + c.t.beat
+		t.retryAt = c.now.Steady + c.t.heartbeat
 		c.at(t.retryAt)
 	})
 	c.send(CloudRelease{ID: id, Names: names})
@@ -206,7 +206,7 @@
 			t.drop(q)
 			c.log(Error, "rental was malformed", "type", q.kind, "zone", q.zone)
 		default:
-			q.at = now + c.t.beat
+			q.at = now + c.t.heartbeat
 			c.at(q.at)
 		}
 	})
@@ -273,7 +273,7 @@
 	}
 	if e.State == wire.MachineFailed {
 		if m := l.machines[e.Name]; m != nil {
-			l.gone(m, "failed")
+			l.removeMachine(m, "failed")
 		} else {
 			l.released[e.Name] = now
 		}
@@ -315,7 +315,7 @@
 		}
 		m.missing++
 		if m.missing >= 2 {
-			l.gone(m, "no longer listed")
+			l.removeMachine(m, "no longer listed")
 		}
 	}
 	if len(l.released) > 1000 {
@@ -368,7 +368,7 @@
 	}
 	awaited, up := 0, 0
 	for _, m := range l.fleet {
-		if m.seenUp && (m.up || m.deaf < 2) {
+		if m.seenUp && (m.up || m.unansweredInspections < 2) {
 			awaited++
 			if m.up {
 				up++
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -12,7 +12,7 @@
 	c.lastReport = c.now.Steady
 	l := c.lead
 	if l == nil {
-		if c.care.checkin(in) {
+		if c.relay.checkin(in) {
 			return
 		}
 		to := ""
@@ -27,7 +27,7 @@
 	// A worker that knows a newer term would drop what this node says; a node
 	// past its deadline is not entitled to say anything.
 	if termOf(r.Token) > l.term || !l.entitled() {
-		if len(r.Tasks) > 0 && c.stateDown && c.care.blind(in) {
+		if len(r.Tasks) > 0 && c.stateDown && c.relay.renewWithoutState(in) {
 			return
 		}
 		c.answer(in.Req, 421, wire.Redirect{})
@@ -64,16 +64,16 @@
 	switch {
 	case !m.up && !m.listed && !m.rented && termOf(r.Token) < l.term:
 		// Nobody here knows it: its report may be a late copy, of a machine long gone.
-		l.doubt(m, firstToken(l.term))
+		l.requireToken(m, firstToken(l.term))
 	case m.up && r.Session > m.session:
 		l.c.log(Info, "machine in a new session", "machine", m.name, "tasks", len(m.runs))
 		if now-m.heard < l.c.t.lease/2 {
 			// Its lease ran out although its reports came and were answered.
-			l.doubt(m, l.token(m)+1)
+			l.requireToken(m, l.token(m)+1)
 		}
 	}
 	if now-m.heard > l.c.t.quiet {
-		m.doubtedAt = now
+		m.tokenRequiredSince = now
 	}
 	m.describe(r.Type, r.Zone, r.Addr, r.Spot)
 	m.enter(r.Session)
@@ -96,11 +96,11 @@
 // or dropped. That does not hold for a report that the worker was asked for: it may come
 // while an answer with a start is still on its way to the worker.
 func (l *leader) evidence(m *machine, r *wire.Report, asked bool) {
-	if m.proof != 0 && r.Token >= m.proof {
-		m.proof = 0
+	if m.requiredToken != 0 && r.Token >= m.requiredToken {
+		m.requiredToken = 0
 		l.wantRound()
 	}
-	m.exits, m.strays = m.exits[:0], m.strays[:0]
+	m.exits, m.orphanedTasks = m.exits[:0], m.orphanedTasks[:0]
 	reported := make(map[string]bool, len(r.Tasks))
 	for i := range r.Tasks {
 		if t := &r.Tasks[i]; l.reportedTask(m, r.Session, t) {
@@ -183,7 +183,7 @@
 	}
 	j := l.jobs[id]
 	if t.State != wire.TaskExited {
-		m.strays = append(m.strays, *t)
+		m.orphanedTasks = append(m.orphanedTasks, *t)
 		return
 	}
 	m.exits = append(m.exits, *t)
@@ -214,9 +214,9 @@
 	case wire.WhyError:
 		l.erred(p)
 	case wire.WhyNoRoom:
-		p.machine.full = l.c.now.Steady + l.c.t.beat*2
+		p.machine.full = l.c.now.Steady + l.c.t.heartbeat*2
 	case wire.WhyBusy, wire.WhyUnknown:
-		j.waitFor = max(j.waitFor, l.c.now.Steady+l.c.t.beat*2)
+		j.waitFor = max(j.waitFor, l.c.now.Steady+l.c.t.heartbeat*2)
 	}
 	l.end(p)
 }
@@ -239,7 +239,7 @@
 		}
 	}
 	zero := 0.0
-	for _, t := range m.strays {
+	for _, t := range m.orphanedTasks {
 		// No record explains it, and it has no right to run.
 		cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
 	}
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -63,7 +63,7 @@
 // usable tells whether a machine may be given tasks: heard of lately, and not on
 // its way out.
 func (l *leader) usable(m *machine) bool {
-	return m.up && m.mt != nil && !m.releasing && !m.notice && !m.faulty && m.proof == 0 &&
+	return m.up && m.mt != nil && !m.releasing && !m.notice && !m.faulty && m.requiredToken == 0 &&
 		l.c.now.Steady-m.heard < l.c.t.quiet && l.c.now.Steady >= m.full
 }
 
@@ -73,7 +73,7 @@
 	for _, p := range m.runs {
 		free.take(p.job.spec)
 	}
-	for _, t := range m.strays {
+	for _, t := range m.orphanedTasks {
 		if id, _, ok := wire.ParseTask(t.Task); ok && l.jobs[id] != nil {
 			free.take(l.jobs[id].spec)
 		} else {
@@ -106,7 +106,7 @@
 	l.c.at(l.rounds.at)
 	if l.c.catalog == nil || !l.c.elect.inTime() || l.c.stateDown {
 		l.rounds.lastAt = now
-		l.rounds.at = now + l.c.t.beat
+		l.rounds.at = now + l.c.t.heartbeat
 		l.c.at(l.rounds.at)
 		return
 	}
@@ -144,7 +144,7 @@
 		// Out of budget: go on from where this round stopped, once what it took beyond
 		// its budget is made good.
 		debt := config.Seconds(-l.rounds.evaluations / l.c.evaluationsPerSecond())
-		l.rounds.pause = min(max(l.c.t.beat/2, debt), l.c.t.round)
+		l.rounds.pause = min(max(l.c.t.heartbeat/2, debt), l.c.t.round)
 		l.rounds.at = now + l.rounds.pause
 		l.c.at(l.rounds.at)
 	}
--- a/internal/core/sim_node_test.go
+++ b/internal/core/sim_node_test.go
@@ -266,7 +266,7 @@
 			}
 			if len(e.Cancellations) > 0 {
 				m.req++
-				s.step(m, core.Heard{Req: m.req, Cancellations: e.Cancellations})
+				s.step(m, core.CancellationsReceived{Req: m.req, Cancellations: e.Cancellations})
 			}
 			status := m.core.PeerStatus()
 			if m.old {
--- a/internal/core/trace_harness_test.go
+++ b/internal/core/trace_harness_test.go
@@ -364,7 +364,7 @@
 			for _, it := range e.Cancellations {
 				w.say(p, "hears that %s is cancelled", it.Job)
 			}
-			w.step(p, core.Heard{Req: w.req, Cancellations: e.Cancellations})
+			w.step(p, core.CancellationsReceived{Req: w.req, Cancellations: e.Cancellations})
 		}
 		status := p.core.PeerStatus()
 		if p.old {
--- a/internal/core/silence.go
+++ b/internal/core/unreachable_hints.go
@@ -8,20 +8,20 @@
 	"bitternwing/internal/wire"
 )
 
-// silence tells the next leader, where much of a zone is silent, since when its machines
+// unreachableHints tell the next leader, where much of a zone is silent, since when its machines
 // have been, in the state service: else each change of leaders would begin their time anew, although their tasks
 // were long gone with their leases. It is a hint and no evidence: being wrong, it has a
 // machine released sooner, and only the cloud's word ends what is on it.
-const keySilent = "w/s"
+const keyUnreachable = "w/s"
 
-type silence struct {
+type unreachableHints struct {
 	l    *leader
 	at   time.Duration
 	busy bool
 	last string // as written; "": none
 }
 
-func (s *silence) run() {
+func (s *unreachableHints) run() {
 	l, c := s.l, s.l.c
 	if s.busy || c.stateDown || !l.entitled() || len(l.cutZones) == 0 && s.last == "" {
 		return
@@ -30,7 +30,7 @@
 		c.at(s.at)
 		return
 	}
-	s.at = c.now.Steady + c.t.beat
+	s.at = c.now.Steady + c.t.heartbeat
 	since, size := map[string]int64{}, 0
 	for _, m := range l.fleet {
 		quiet := c.now.Steady - m.lastHeard()
@@ -46,9 +46,9 @@
 	if err != nil {
 		return
 	}
-	op, text := wire.Op{Put: keySilent, Value: value}, string(value)
+	op, text := wire.Op{Put: keyUnreachable, Value: value}, string(value)
 	if len(since) == 0 {
-		op, text = wire.Op{Delete: keySilent}, ""
+		op, text = wire.Op{Delete: keyUnreachable}, ""
 	}
 	if text == s.last {
 		return
@@ -68,7 +68,7 @@
 // the last one told.
 func (l *leader) heardBefore(name string) time.Duration {
 	now := l.c.now
-	at, told := l.c.dir.silent[name]
+	at, told := l.c.dir.unreachableSince[name]
 	if !told {
 		return now.Steady
 	}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -247,8 +247,8 @@
 		switch r.Outcome {
 		case call.OK:
 			c.learn(id, value, r.Txn.Revision)
-			c.cancels.tell(id, &entry{v, r.Txn.Revision}, func(everywhere bool) {
-				if everywhere {
+			c.cancels.confirm(id, &entry{v, r.Txn.Revision}, func(acknowledged bool) {
+				if acknowledged {
 					then(cancelTold)
 				} else {
 					then(cancelUnsure)
@@ -286,12 +286,12 @@
 
 // cancelled hands over a cancelled job once users may be told of it.
 func (u *users) cancelled(id string, e *entry, then func(found)) {
-	u.c.cancels.tell(id, e, func(everywhere bool) {
+	u.c.cancels.confirm(id, e, func(acknowledged bool) {
 		if f, over := u.c.dir.finals[id]; over {
 			then(found{final: &f})
 			return
 		}
-		then(found{entry: e, failed: !everywhere})
+		then(found{entry: e, failed: !acknowledged})
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,7 +67,7 @@
 		inputs:  make(chan arrival, 4*set.Operator.MaxPendingRequests),
 		waiting: map[uint64]chan core.Answer{},
 		// The leader needs more than the others; all of them never need all.
-		state: state.New(set.Services.State, p.State.RPS*math.Min(1, 2/nodes), max(4, p.Limits.MaxConnections/40),
+		state: state.New(set.Services.State, p.State.Next.Within(p.State).RPS*math.Min(1, 2/nodes), max(4, p.Limits.MaxConnections/40),
 			int64(p.Limits.MemoryMB*(1<<20)/32)),
 		cloud: cloud.New(set.Services.Cloud, p.Cloud.RPS, 4),
 		// One connection a worker; the core bounds how many are in use at once.
@@ -75,7 +75,7 @@
 		peers:   map[string]*peer.Client{},
 		// Workers wait four seconds at the most, users two for a poll, and a leader's lease
 		// is twice as long.
-		patient: config.Beat(p.Workers),
+		patient: config.HeartbeatInterval(p.Workers),
 	}
 	for _, s := range set.Peers {
 		c, err := peer.NewClient(set.Node, s.Addr, n.patient)
@@ -165,9 +165,9 @@
 // Healthy tells whether this node can take requests.
 func (n *Node) Healthy() bool { return n.healthy.Load() }
 
-// heard hands the core what another node announces; false if it did not take it in.
+// heard hands the core the cancellations that another node sends; false if it did not take it in.
 func (n *Node) heard(ctx context.Context, items []core.Cancellation) bool {
-	_, ok := n.Ask(ctx, func(req uint64) core.Input { return core.Heard{Req: req, Cancellations: items} })
+	_, ok := n.Ask(ctx, func(req uint64) core.Input { return core.CancellationsReceived{Req: req, Cancellations: items} })
 	return ok
 }
 
