--- a/internal/core/layout.go
+++ b/internal/core/layout.go
@@ -38,7 +38,7 @@
 	if c.dir.layoutAt != 0 {
 		return c.dir.layout
 	}
-	return record.Layout{ByIndex: record.TasksFor(c.limits.present.ValueKB)}
+	return record.Layout{ByIndex: record.ByIndexFor(c.limits.present.ValueKB)}
 }
 
 // allKnowLayout tells whether all other nodes have said that they know the second layout.
@@ -62,7 +62,7 @@
 		c.at(x.notNow)
 		return
 	}
-	next := record.Layout{ByIndex: l.layout.ByIndex, ByTask: record.TasksFor(c.limits.next.ValueKB)}
+	next := record.Layout{ByIndex: l.layout.ByIndex, ByTask: record.ByTaskFor(c.limits.valueBytes())}
 	layout, err1 := json.Marshal(next)
 	term, err2 := encodeTerm(termValue{l.term, c.set.Node}, next)
 	if err1 != nil || err2 != nil {
@@ -160,9 +160,6 @@
 	}
 }
 
-// placementBytes is what a placement takes of a record, with room to spare.
-const placementBytes = 64
-
 // crowded tells whether the record of a task had better take no further placement: the limits have
 // fallen before the layout could change.
 func (l *leader) crowded(j *job, task int) bool {
@@ -170,5 +167,5 @@
 		return false
 	}
 	ch := j.chunks[task/l.chunkSize()]
-	return ch != nil && len(l.placedIn(ch)) >= l.c.limits.valueBytes()/placementBytes
+	return ch != nil && len(l.placedIn(ch)) >= l.c.limits.valueBytes()/record.PlacementBytes
 }
--- a/internal/record/layout.go
+++ b/internal/record/layout.go
@@ -6,13 +6,21 @@
 	ByTask  int `json:"by_task,omitempty"` // of one of the second; 0 while the first is in use
 }
 
-// tasksPerKB is how many tasks a record holds for each KiB of a value: a placement takes at most about
-// an eighth of it.
-const tasksPerKB = 8
+// leastTasks is how many tasks a record holds at least.
+const leastTasks = 8
 
-// TasksFor gives how many tasks a record holds that keeps within a value size. Version 1 does the same
-// with the value size of its settings.
-func TasksFor(valueKB float64) int { return max(tasksPerKB, int(tasksPerKB*valueKB)) }
+// indexTasksPerKB is how many tasks a record of the first layout holds for each KiB of a value.
+const indexTasksPerKB = 8
+
+// ByIndexFor gives how many tasks a record of the first layout holds. Version 1 does the same with the
+// value size of its settings.
+func ByIndexFor(valueKB float64) int { return max(leastTasks, int(indexTasksPerKB*valueKB)) }
+
+// PlacementBytes is what a placement takes of a record, with a machine's name of up to forty bytes.
+const PlacementBytes = 64
+
+// ByTaskFor gives how many tasks a record of the second layout holds that keeps within a value size.
+func ByTaskFor(valueBytes int) int { return max(leastTasks, valueBytes/PlacementBytes) }
 
 // Tasks gives how many tasks a record holds that is written now.
 func (l Layout) Tasks() int {
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -102,8 +102,8 @@
 
 // Without the second layout, and with settings that have changed, a record stays what it was.
 func TestFirstLayout(t *testing.T) {
-	layout := Layout{ByIndex: TasksFor(16)}
-	if layout.Tasks() != 128 || layout.Key("j", 2).String() != "j/2" || TasksFor(0.5) != 8 {
+	layout := Layout{ByIndex: ByIndexFor(16)}
+	if layout.Tasks() != 128 || layout.Key("j", 2).String() != "j/2" || ByIndexFor(0.5) != 8 {
 		t.Errorf("%+v", layout)
 	}
 	r := Record{Next: 1, Done: NewBits(128), Placed: map[int]Run{300: {1, "m", 1}}}
@@ -112,3 +112,17 @@
 		t.Errorf("%+v", parts)
 	}
 }
+
+// A record of the second layout that is full of placements fits into the value that it was made for.
+func TestFullRecordFits(t *testing.T) {
+	for _, valueBytes := range []int{1024, 2048, 16384} {
+		tasks := ByTaskFor(valueBytes)
+		r := Record{Next: 1_000_000, Done: NewBits(tasks), Placed: map[int]Run{}}
+		for i := range tasks {
+			r.Placed[99_000+i] = Run{1_000_000, "host-000000000000000231", 100}
+		}
+		if b, err := r.Encode(); err != nil || len(b) > valueBytes {
+			t.Errorf("%d tasks take %d of %d bytes, %v", tasks, len(b), valueBytes, err)
+		}
+	}
+}
