--- /dev/null
+++ b/cmd/bitternwing/job.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"bitternwing/internal/userclient"
+	"bitternwing/internal/wire"
+)
+
+// The exit statuses of the job commands; any other failure is exitFailure.
+const (
+	exitFailure     = 1
+	exitRefused     = 3
+	exitNotFound    = 4
+	exitUnavailable = 5
+)
+
+// jobCmd are the commands for people and scripts that hand in jobs.
+type jobCmd struct {
+	Submit submitCmd `cmd:"" help:"Submit a job from a file in the protocol's form (- for standard input)."`
+	Show   showCmd   `cmd:"" help:"Show a job's state."`
+	Cancel cancelCmd `cmd:"" help:"Cancel a job, and all jobs that need it."`
+}
+
+// serverFlags say whom to ask.
+type serverFlags struct {
+	Server string        `required:"" placeholder:"HOST:PORT" env:"BITTERNWING_SERVER" help:"Address of a controller, or of the load balancer before them."`
+	Wait   time.Duration `default:"60s" help:"How long to go on asking while no answer can be had."`
+	JSON   bool          `name:"json" help:"Print the answer as JSON."`
+}
+
+// run asks, and prints the answer.
+func (f *serverFlags) run(needs []string, ask func(context.Context, *userclient.Client) (wire.JobState, error)) error {
+	ctx, cancel := context.WithTimeout(context.Background(), f.Wait)
+	defer cancel()
+	state, err := ask(ctx, userclient.New(f.Server))
+	if err != nil {
+		return err
+	}
+	return f.print(os.Stdout, state, needs)
+}
+
+func (f *serverFlags) print(w io.Writer, state wire.JobState, needs []string) error {
+	if f.JSON {
+		return json.NewEncoder(w).Encode(state)
+	}
+	line := state.ID + ": " + state.State
+	if state.Done != nil && state.Running != nil {
+		line += fmt.Sprintf(", %d tasks running, %d done", *state.Running, *state.Done)
+	}
+	if _, err := fmt.Fprintln(w, line); err != nil {
+		return err
+	}
+	for _, id := range needs {
+		if _, err := fmt.Fprintln(w, "  needs", id); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type submitCmd struct {
+	serverFlags
+	File string `arg:"" help:"The job, as JSON."`
+}
+
+// Run submits a job. A file that is malformed is not sent.
+func (c *submitCmd) Run() error {
+	body, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	job, err := wire.ParseJob(body)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	return c.run(job.Needs, func(ctx context.Context, client *userclient.Client) (wire.JobState, error) {
+		return client.Submit(ctx, body)
+	})
+}
+
+// readFile reads a file of at most the size of a request.
+func readFile(name string) ([]byte, error) {
+	file := os.Stdin
+	if name != "-" {
+		opened, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = opened.Close() }()
+		file = opened
+	}
+	return io.ReadAll(io.LimitReader(file, wire.MaxBody+1))
+}
+
+type showCmd struct {
+	serverFlags
+	ID string `arg:"" help:"The job's id."`
+}
+
+// Run shows a job.
+func (c *showCmd) Run() error {
+	if err := checkID(c.ID); err != nil {
+		return err
+	}
+	return c.run(nil, func(ctx context.Context, client *userclient.Client) (wire.JobState, error) {
+		return client.Show(ctx, c.ID)
+	})
+}
+
+type cancelCmd struct {
+	serverFlags
+	ID string `arg:"" help:"The job's id."`
+}
+
+// Run cancels a job.
+func (c *cancelCmd) Run() error {
+	if err := checkID(c.ID); err != nil {
+		return err
+	}
+	return c.run(nil, func(ctx context.Context, client *userclient.Client) (wire.JobState, error) {
+		return client.Cancel(ctx, c.ID)
+	})
+}
+
+func checkID(id string) error {
+	if !wire.ValidJobID(id) {
+		return fmt.Errorf("%q is no job id (run- and six to twenty digits)", id)
+	}
+	return nil
+}
+
+// exitStatus gives the exit status for an error.
+func exitStatus(err error) int {
+	var refused *userclient.RefusedError
+	var unavailable *userclient.UnavailableError
+	switch {
+	case errors.As(err, &refused):
+		return exitRefused
+	case errors.Is(err, userclient.ErrNotFound):
+		return exitNotFound
+	case errors.As(err, &unavailable):
+		return exitUnavailable
+	}
+	return exitFailure
+}
--- a/cmd/bitternwing/main.go
+++ b/cmd/bitternwing/main.go
@@ -22,6 +22,7 @@
 
 type cli struct {
 	Serve   serveCmd   `cmd:"" default:"withargs" help:"Run a controller node (the default)."`
+	Job     jobCmd     `cmd:"" help:"Submit, show and cancel jobs."`
 	Check   checkCmd   `cmd:"" help:"Check the settings and start nothing."`
 	Schema  schemaCmd  `cmd:"" help:"Print the schema of the operators' settings."`
 	Version versionCmd `cmd:"" help:"Print the version."`
@@ -122,6 +123,6 @@
 		kong.Description("A scheduler for fleets that serve language models."))
 	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "bitternwing:", err)
-		os.Exit(1)
+		os.Exit(exitStatus(err))
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -204,15 +204,10 @@
 	c.send(Answer{Req: req, Status: status, Body: body})
 }
 
-// errorBody is the body of answers that are no success.
-type errorBody struct {
-	Error string `json:"error"`
-}
-
 // later tells a user to come back. It is the only answer for what can't be
 // confirmed now, and it is given at once.
 func (c *Core) later(req uint64, status int, why string) {
-	c.send(Answer{Req: req, Status: status, Body: errorBody{why}, RetryAfter: 1})
+	c.send(Answer{Req: req, Status: status, Body: wire.ErrorBody{Error: why}, RetryAfter: 1})
 }
 
 func (c *Core) log(l Level, msg string, pairs ...any) {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -121,7 +121,7 @@
 	}
 	value, err := json.Marshal(activeValue{Job: in.Job, AtMS: c.now.WallMS})
 	if err != nil || len(value) > c.limits.valueBytes() {
-		u.done(in.Req, 400, errorBody{"body: is too large"})
+		u.done(in.Req, 400, wire.ErrorBody{Error: "body: is too large"})
 		return
 	}
 	s := &submission{job: in.Job, value: value, reqs: []uint64{in.Req}}
@@ -146,7 +146,7 @@
 		case f.entry != nil || f.final != nil:
 			u.done(in.Req, 200, c.stateOf(in.Job.ID, f))
 		case refused.status != 0:
-			u.done(in.Req, refused.status, errorBody{refused.why})
+			u.done(in.Req, refused.status, wire.ErrorBody{Error: refused.why})
 		default:
 			// Undecided, or gone from the cache while it was asked for.
 			u.unsure(in.Req)
@@ -157,7 +157,7 @@
 func (u *users) poll(in Poll) {
 	c := u.c
 	if !wire.ValidJobID(in.ID) {
-		c.answer(in.Req, 404, errorBody{"no such job"})
+		c.answer(in.Req, 404, wire.ErrorBody{Error: "no such job"})
 		return
 	}
 	if f, ok := c.dir.finals[in.ID]; ok {
@@ -172,7 +172,7 @@
 		case f.failed:
 			u.unsure(in.Req)
 		case f.entry == nil && f.final == nil:
-			u.done(in.Req, 404, errorBody{"no such job"})
+			u.done(in.Req, 404, wire.ErrorBody{Error: "no such job"})
 		default:
 			u.done(in.Req, 200, c.stateOf(in.ID, f))
 		}
@@ -182,7 +182,7 @@
 func (u *users) cancel(in Cancel) {
 	c := u.c
 	if !wire.ValidJobID(in.ID) {
-		c.answer(in.Req, 404, errorBody{"no such job"})
+		c.answer(in.Req, 404, wire.ErrorBody{Error: "no such job"})
 		return
 	}
 	if f, ok := c.dir.finals[in.ID]; ok {
@@ -205,7 +205,7 @@
 		case f.final != nil:
 			u.done(in.Req, 200, wire.JobState{ID: in.ID, State: f.final.State})
 		case f.entry == nil:
-			u.done(in.Req, 404, errorBody{"no such job"})
+			u.done(in.Req, 404, wire.ErrorBody{Error: "no such job"})
 		case f.entry.CancelledMS != 0:
 			u.done(in.Req, 200, wire.JobState{ID: in.ID, State: wire.JobCancelled})
 		default:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -33,13 +33,17 @@
 	peers  map[string]string
 	cancel map[string]context.CancelFunc
 	done   map[string]chan struct{}
+	next   *config.NextLimits
 
 	mu     sync.Mutex
 	starts map[string]int // by task and attempt
 }
 
-func newSite(t *testing.T) *site {
-	s := &site{t: t, state: standin.NewStateServer(), addrs: map[string]string{}, peers: map[string]string{},
+func newSite(t *testing.T) *site { return newSiteWith(t, nil) }
+
+// newSiteWith has limits of the state service to come in the nodes' settings.
+func newSiteWith(t *testing.T, next *config.NextLimits) *site {
+	s := &site{t: t, next: next, state: standin.NewStateServer(), addrs: map[string]string{}, peers: map[string]string{},
 		cancel: map[string]context.CancelFunc{}, done: map[string]chan struct{}{}, starts: map[string]int{}}
 	types := []wire.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 512, CacheGB: 300, FetchGBPerS: 4,
 		Price: 16, SpotPrice: 5, BootS: 5, Zones: []string{"z1"}}}
@@ -76,7 +80,7 @@
 	set.Params = config.Params{Nodes: 3, Zones: []string{"z1"},
 		Teams:   []config.Team{{Name: "red", GPUs: 8, GPUsMax: 16}},
 		Workers: config.Workers{ReportS: 0.2, LeaseS: 2, CancelS: 10},
-		State:   config.State{RPS: 1000, WriteRPS: 500, ValueKB: 16, TxnOps: 12},
+		State:   config.State{RPS: 1000, WriteRPS: 500, ValueKB: 16, TxnOps: 12, Next: s.next},
 		Cloud:   config.Cloud{RPS: 20, ListLagS: 0.2},
 		Limits:  config.Limits{CPUShare: 1, MemoryMB: 98, MaxConnections: 400}}
 	n, err := node.New(set, slog.New(slog.NewTextHandler(io.Discard, nil)))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -48,9 +48,9 @@
 	s := &Server{core: c, conns: conns, userShare: int64(max(1, conns/3))}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", s.health)
-	mux.HandleFunc("POST /v2/runs", s.forUsers(s.submit))
-	mux.HandleFunc("GET /v2/runs/{id}", s.forUsers(s.poll))
-	mux.HandleFunc("POST /v2/runs/{id}/cancel", s.forUsers(s.cancel))
+	mux.HandleFunc("POST "+wire.JobsPath, s.forUsers(s.submit))
+	mux.HandleFunc("GET "+wire.JobsPath+"/{id}", s.forUsers(s.poll))
+	mux.HandleFunc("POST "+wire.JobsPath+"/{id}"+wire.CancelSuffix, s.forUsers(s.cancel))
 	mux.HandleFunc("POST /checkin", s.checkin)
 	s.http = &http.Server{
 		Handler:           mux,
@@ -115,10 +115,6 @@
 // Close ends the server at once.
 func (s *Server) Close() error { return s.http.Close() }
 
-type errorBody struct {
-	Error string `json:"error"`
-}
-
 func reply(w http.ResponseWriter, status, retryAfter int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -139,7 +135,7 @@
 	defer cancel()
 	a, ok := s.core.Ask(ctx, input)
 	if !ok {
-		reply(w, http.StatusServiceUnavailable, 1, errorBody{"no answer in time"})
+		reply(w, http.StatusServiceUnavailable, 1, wire.ErrorBody{Error: "no answer in time"})
 		return
 	}
 	reply(w, a.Status, a.RetryAfter, a.Body)
@@ -150,7 +146,7 @@
 		reply(w, http.StatusOK, 0, struct{}{})
 		return
 	}
-	reply(w, http.StatusServiceUnavailable, 0, errorBody{"can't take requests"})
+	reply(w, http.StatusServiceUnavailable, 0, wire.ErrorBody{Error: "can't take requests"})
 }
 
 // body reads a body within the protocol's limit; false if it was answered.
@@ -158,7 +154,7 @@
 	data, err := io.ReadAll(io.LimitReader(r.Body, wire.MaxBody+1))
 	if err != nil || len(data) > wire.MaxBody {
 		w.Header().Set("Connection", "close")
-		reply(w, http.StatusBadRequest, 0, errorBody{"body: is too large or broken off"})
+		reply(w, http.StatusBadRequest, 0, wire.ErrorBody{Error: "body: is too large or broken off"})
 		return nil, false
 	}
 	return data, true
@@ -171,7 +167,7 @@
 	}
 	job, err := wire.ParseJob(data)
 	if err != nil {
-		reply(w, http.StatusBadRequest, 0, errorBody{err.Error()})
+		reply(w, http.StatusBadRequest, 0, wire.ErrorBody{Error: err.Error()})
 		return
 	}
 	s.ask(w, r, userPatience, func(req uint64) core.Input { return core.Submit{Req: req, Job: job} })
@@ -195,7 +191,7 @@
 	}
 	report, err := wire.ParseReport(data)
 	if err != nil {
-		reply(w, http.StatusBadRequest, 0, errorBody{err.Error()})
+		reply(w, http.StatusBadRequest, 0, wire.ErrorBody{Error: err.Error()})
 		return
 	}
 	s.ask(w, r, workerPatience, func(req uint64) core.Input { return core.Checkin{Req: req, Report: report} })
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// SetLimits has it refuse larger values and transactions, as Store.SetLimits.
+func (s *StateServer) SetLimits(valueBytes, changes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.SetLimits(valueBytes, changes)
+}
+
 // Keys gives the keys below a prefix.
 func (s *StateServer) Keys(prefix string) []string {
 	s.mu.Lock()
--- a/internal/wire/user.go
+++ b/internal/wire/user.go
@@ -51,6 +51,17 @@
 // Priority gives the rank of a priority; a larger one goes first.
 func Priority(name string) int { return priorities[name] }
 
+// The paths of users' requests.
+const (
+	JobsPath     = "/v2/runs"
+	CancelSuffix = "/cancel"
+)
+
+// ErrorBody is the body of answers that are no success.
+type ErrorBody struct {
+	Error string `json:"error"`
+}
+
 // Job is a submission (POST /v2/runs). It is stored in this form as well.
 type Job struct {
 	ID         string   `json:"ref"`
