--- a/internal/core/dependents.go
+++ b/internal/core/dependents.go
@@ -29,7 +29,7 @@
 		}
 		switch {
 		case e != nil:
-			check.judge(id, e)
+			check.examine(id, e)
 		case !seen && !wire.ValidJobID(id):
 			check.refuse = id
 		case !seen:
@@ -39,6 +39,10 @@
 	if check.refuse != "" {
 		unknown = nil
 	}
+	if len(unknown) > 0 && len(u.reads) > u.c.op.MaxPendingRequests {
+		u.unsure(in.Req) // the queue of reads is full
+		return
+	}
 	check.open = len(unknown)
 	for _, id := range unknown {
 		u.reads = append(u.reads, &lookup{id: id, existence: true, then: func(f found) {
@@ -47,7 +51,7 @@
 			case f.failed:
 				check.failed = true
 			case f.entry != nil:
-				check.judge(id, f.entry)
+				check.examine(id, f.entry)
 			case f.final == nil:
 				check.refuse = id
 			}
@@ -61,8 +65,8 @@
 	}
 }
 
-// judge refuses a needed job that never ends by itself.
-func (n *needsCheck) judge(id string, e *entry) {
+// examine refuses a needed job that never ends by itself.
+func (n *needsCheck) examine(id string, e *entry) {
 	if e.Job.Kind == wire.KindService {
 		n.refuse = id
 	}
