--- /dev/null
+++ b/internal/core/admission.go
@@ -0,0 +1,66 @@
+package core
+
+import (
+	"bitternwing/internal/wire"
+)
+
+// admission tells what becomes of a submission.
+type admission int
+
+const (
+	fits      admission = iota // it can run on some machine, within its team's limit
+	never                      // it can't, whatever happens
+	undecided                  // the machine types are not known yet
+)
+
+// admissionOf tells whether a job can ever run here.
+func (c *Core) admissionOf(j *wire.Job) admission {
+	team := c.team(j.Team)
+	if team == nil {
+		return never
+	}
+	n := 1.0
+	if j.Kind == wire.KindService {
+		n = float64(j.Tasks)
+	}
+	if over(n*j.CPUs, team.CPUsMax) || over(n*j.GPUs, team.GPUsMax) {
+		return never
+	}
+	if c.catalog == nil {
+		return undecided
+	}
+	zones := map[string]bool{}
+	for i := range c.catalog {
+		t := &c.catalog[i]
+		if !allowsType(j, t.Name) || j.CPUs > t.CPUs || j.GPUs > t.GPUs || j.MemoryGB > t.MemoryGB {
+			continue
+		}
+		for _, z := range t.Zones {
+			if j.Zone == "" || j.Zone == z {
+				zones[z] = true
+			}
+		}
+	}
+	if len(zones) == 0 {
+		return never
+	}
+	if j.Spread && j.Tasks > 1 && (j.OneZone || len(zones) < 2) {
+		return never
+	}
+	return fits
+}
+
+// over tells whether an amount breaks a limit; a limit of 0 is none.
+func over(amount, limit float64) bool { return limit > 0 && amount > limit+1e-9 }
+
+func allowsType(j *wire.Job, name string) bool {
+	if j.Types == nil {
+		return true
+	}
+	for _, t := range j.Types {
+		if t == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/dependent_cancellations.go
@@ -0,0 +1,60 @@
+package core
+
+import (
+	"encoding/json"
+	"slices"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/wire"
+)
+
+// cancel has a job cancelled that needs a cancelled one.
+func (w *writer) cancel(j *job) {
+	if !slices.Contains(w.cancels, j) {
+		w.cancels = append(w.cancels, j)
+	}
+}
+
+// cancelledJob is a job whose cancellation is in a batch, with its value.
+type cancelledJob struct {
+	job   *job
+	value json.RawMessage
+}
+
+// addCancels adds the cancellations of jobs that need a cancelled one.
+func (w *writer) addCancels(b *batch, ops int) {
+	l, c := w.l, w.l.c
+	n := 0
+	for ; n < len(w.cancels) && len(b.txn.Then) < ops; n++ {
+		j := w.cancels[n]
+		e := c.dir.jobs[j.id]
+		if l.jobs[j.id] != j || j.cancelled || e == nil {
+			continue
+		}
+		v := e.activeValue
+		v.CancelledMS = max(1, c.now.WallMS)
+		value, err := c.encodeActive(v)
+		if err != nil {
+			continue
+		}
+		key := keyActive + j.id
+		b.cond(key, e.version)
+		b.txn.Then = append(b.txn.Then, wire.Op{Put: key, Value: value})
+		b.size += len(value) + 128
+		b.cancel = append(b.cancel, cancelledJob{j, value})
+	}
+	w.cancels = append(w.cancels[:0], w.cancels[n:]...)
+}
+
+// settleCancel takes what became of the cancellation of a job that needs a cancelled one.
+func (w *writer) settleCancel(x cancelledJob, r Result, failed map[string]bool) {
+	switch {
+	case r.Outcome == call.OK:
+		w.l.c.learn(x.job.id, x.value, r.Txn.Revision)
+	case failed[keyActive+x.job.id]:
+		w.rereadJob(x.job) // another node was quicker
+	}
+	if w.l.jobs[x.job.id] == x.job && !x.job.cancelled {
+		w.cancel(x.job)
+	}
+}
--- a/internal/core/records.go
+++ b/internal/core/writer.go
@@ -1,10 +1,7 @@
 package core
 
 import (
-	"encoding/json"
-	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"bitternwing/internal/call"
@@ -56,15 +53,6 @@
 // clean tells whether all that is known about a chunk is in the state service.
 func (ch *chunk) clean() bool { return !ch.dirty && !ch.inFlight }
 
-func (w *writer) finish(j *job) { w.finishes = append(w.finishes, j) }
-
-// cancel has a job cancelled that needs a cancelled one.
-func (w *writer) cancel(j *job) {
-	if !slices.Contains(w.cancels, j) {
-		w.cancels = append(w.cancels, j)
-	}
-}
-
 func (w *writer) orphan(key string, version uint64) {
 	w.orphans = append(w.orphans, wire.Cond{Key: key, Version: version})
 }
@@ -105,9 +93,6 @@
 // above the service's rate.
 const slowLeases = 6
 
-// endWrites is what the end of a job takes at least: its final state is put, its key deleted.
-const endWrites = 2
-
 // least is what a transaction has to be able to write. Where writes are scarce the end of a job
 // would never find its two at once, were records of tasks to take each as it comes.
 func (w *writer) least() float64 {
@@ -139,12 +124,6 @@
 	orphan []wire.Cond
 }
 
-// cancelledJob is a job whose cancellation is in a batch, with its value.
-type cancelledJob struct {
-	job   *job
-	value json.RawMessage
-}
-
 func (b *batch) cond(key string, version uint64) {
 	if !b.seen[key] {
 		b.seen[key] = true
@@ -242,74 +221,6 @@
 	return true
 }
 
-// addFinish adds a job's end: its final state is put, its other keys go. Records
-// that don't fit any more are left to be swept as orphans.
-func (w *writer) addFinish(b *batch, j *job, ops int) bool {
-	for _, ch := range j.chunks {
-		if ch.inFlight || ch.reading {
-			return false
-		}
-	}
-	records := w.l.recordKeys(j)
-	j.end = finalValue{State: wire.JobDone, Done: j.done, AtMS: w.l.c.now.WallMS}
-	if j.cancelled {
-		j.end.State = wire.JobCancelled
-	}
-	value, err := json.Marshal(j.end)
-	if err != nil {
-		return false
-	}
-	b.cond(keyActive+j.id, j.version)
-	b.txn.Then = append(b.txn.Then, wire.Op{Put: keyFinal + j.id, Value: value}, wire.Op{Delete: keyActive + j.id})
-	for _, r := range records {
-		if len(b.txn.Then) < ops && len(b.txn.If)+2 < w.l.c.limits.conditions() {
-			b.cond(r.Key, r.Version)
-			b.txn.Then = append(b.txn.Then, wire.Op{Delete: r.Key})
-		}
-	}
-	b.size += 256 * (2 + len(records))
-	b.jobs = append(b.jobs, j)
-	return true
-}
-
-// addCancels adds the cancellations of jobs that need a cancelled one.
-func (w *writer) addCancels(b *batch, ops int) {
-	l, c := w.l, w.l.c
-	n := 0
-	for ; n < len(w.cancels) && len(b.txn.Then) < ops; n++ {
-		j := w.cancels[n]
-		e := c.dir.jobs[j.id]
-		if l.jobs[j.id] != j || j.cancelled || e == nil {
-			continue
-		}
-		v := e.activeValue
-		v.CancelledMS = max(1, c.now.WallMS)
-		value, err := c.encodeActive(v)
-		if err != nil {
-			continue
-		}
-		key := keyActive + j.id
-		b.cond(key, e.version)
-		b.txn.Then = append(b.txn.Then, wire.Op{Put: key, Value: value})
-		b.size += len(value) + 128
-		b.cancel = append(b.cancel, cancelledJob{j, value})
-	}
-	w.cancels = append(w.cancels[:0], w.cancels[n:]...)
-}
-
-// settleCancel takes what became of the cancellation of a job that needs a cancelled one.
-func (w *writer) settleCancel(x cancelledJob, r Result, failed map[string]bool) {
-	switch {
-	case r.Outcome == call.OK:
-		w.l.c.learn(x.job.id, x.value, r.Txn.Revision)
-	case failed[keyActive+x.job.id]:
-		w.rereadJob(x.job) // another node was quicker
-	}
-	if w.l.jobs[x.job.id] == x.job && !x.job.cancelled {
-		w.cancel(x.job)
-	}
-}
-
 // settle takes a transaction's outcome. Unless it is known to have been applied,
 // all of it is written again from what is known now; if an unknown one was applied
 // after all, the versions no longer match and are read.
@@ -380,42 +291,6 @@
 	}
 }
 
-// settleEnd takes what became of the end of a job.
-func (w *writer) settleEnd(j *job, b *batch, r Result, failed map[string]bool) {
-	switch {
-	case r.Outcome == call.OK:
-		w.ended(j, b)
-	case failed[keyActive+j.id]:
-		// A cancel came first, or this very end was applied before, its outcome
-		// unknown. It is written again only once that is known: repeating it
-		// blindly would go on for good.
-		w.rereadJob(j)
-	default:
-		for _, ch := range j.chunks {
-			if failed[w.l.runKey(ch)] {
-				w.reread(ch)
-			}
-		}
-		maps.DeleteFunc(j.superseded, func(key string, _ uint64) bool { return failed[key] })
-		w.finish(j)
-	}
-}
-
-// ended drops a job whose end is written, and sweeps the records that did not fit into that
-// transaction.
-func (w *writer) ended(j *job, b *batch) {
-	l, c := w.l, w.l.c
-	c.keepFinal(j.id, j.end)
-	for _, r := range l.recordKeys(j) {
-		if !b.seen[r.Key] {
-			w.orphan(r.Key, r.Version)
-		}
-	}
-	l.dropJob(j)
-	c.log(Info, "job ended", "job", j.id, "cancelled", j.cancelled)
-	c.log(Debug, "ended job", "class", j.spec.Class, "tasks", j.spec.Tasks, "after_s", (c.now.WallMS-j.at)/1000)
-}
-
 // reread finds the version of a record whose last write had an unknown outcome.
 // Only the version counts: the leader is the only writer of its term.
 func (w *writer) reread(ch *chunk) {
@@ -434,115 +309,3 @@
 	})
 	w.l.c.send(StateGet{ID: id, Key: w.l.runKey(ch)})
 }
-
-// rereadJob finds out what became of a job's key without waiting for the watch.
-func (w *writer) rereadJob(j *job) {
-	l, c := w.l, w.l.c
-	id := l.stateCall(func(r Result) {
-		switch r.Outcome {
-		case call.OK:
-			c.learn(j.id, r.Item.Value, r.Item.Version)
-			l.jobChanged(j.id)
-			if j.final {
-				w.finish(j)
-			}
-		case call.Missing:
-			// Its end, whose outcome was unknown, was applied.
-			if j.final && l.jobs[j.id] == j {
-				for _, r := range l.recordKeys(j) {
-					w.orphan(r.Key, r.Version)
-				}
-				l.dropJob(j)
-			}
-		default:
-			if j.final {
-				w.finish(j)
-			}
-		}
-	})
-	c.send(StateGet{ID: id, Key: keyActive + j.id})
-}
-
-// countBytes is what the counts of a job take at most, beside its id.
-const countBytes = len(`"":[100000,100000],`)
-
-// counts writes how many tasks run and are done, for display at other nodes, at
-// most every report interval and only with writes to spare.
-func (w *writer) counts() {
-	l, c := w.l, w.l.c
-	if w.countsBusy || c.stateDown {
-		return
-	}
-	if due := w.countsAt + c.t.report; c.now.Steady < due {
-		c.at(due)
-		return
-	}
-	if w.tokens < w.rate()/2 {
-		return
-	}
-	w.countsAt = c.now.Steady
-	shards, sizes := map[string]map[string]counts{}, map[string]int{}
-	for _, j := range l.order {
-		if n := j.counts(); n != (counts{}) {
-			k := countShard(j.id)
-			if shards[k] == nil {
-				shards[k] = map[string]counts{}
-			}
-			if sizes[k] += len(j.id) + countBytes; sizes[k] < c.mostValue() {
-				shards[k][j.id] = n
-			}
-		}
-	}
-	txn := wire.Txn{If: []wire.Cond{{Key: keyTerm, Version: l.version}}}
-	keys := map[string]string{}
-	for i := 0; i < countShards; i++ {
-		k := keyCounts + strconv.Itoa(i)
-		if shards[k] == nil {
-			shards[k] = map[string]counts{}
-		}
-		value, err := json.Marshal(shards[k])
-		if err != nil || string(value) == w.countsLast[k] || len(shards[k]) == 0 && w.countsLast[k] == "" {
-			continue
-		}
-		keys[k] = string(value)
-		txn.Then = append(txn.Then, wire.Op{Put: k, Value: value})
-	}
-	if len(txn.Then) > c.mostValues() {
-		txn.Then = txn.Then[:c.mostValues()] // the rest goes next
-	}
-	if len(txn.Then) == 0 {
-		return
-	}
-	w.tokens -= float64(len(txn.Then))
-	w.countsBusy = true
-	id := l.stateCall(func(r Result) {
-		w.countsBusy = false
-		if r.Outcome == call.OK {
-			for _, op := range txn.Then {
-				w.countsLast[op.Put] = keys[op.Put]
-			}
-		}
-	})
-	c.send(StateTxn{ID: id, Txn: txn})
-}
-
-// writeCatalog keeps the machine types where a node finds them while the cloud is
-// down.
-func (w *writer) writeCatalog() {
-	l, c := w.l, w.l.c
-	if w.catalogOut || c.catalog == nil || c.dir.catalog != nil || c.stateDown {
-		return
-	}
-	value, err := json.Marshal(c.catalog)
-	if err != nil || len(value) > c.limits.valueBytes() {
-		return
-	}
-	w.catalogOut = true
-	id := l.stateCall(func(r Result) {
-		if r.Outcome != call.OK {
-			w.catalogOut = false
-		}
-	})
-	c.send(StateTxn{ID: id, Txn: wire.Txn{If: []wire.Cond{{Key: keyTerm, Version: l.version}},
-		Then: []wire.Op{{Put: keyCatalog, Value: value}}}})
-}
