--- a/cmd/bitternwing/job.go
+++ b/cmd/bitternwing/job.go
@@ -50,7 +50,7 @@
 	if f.JSON {
 		return json.NewEncoder(w).Encode(state)
 	}
-	line := state.ID + ": " + state.State
+	line := fmt.Sprintf("%s: %s", state.ID, state.State)
 	if state.Done != nil && state.Running != nil {
 		line += fmt.Sprintf(", %d tasks running, %d done", *state.Running, *state.Done)
 	}
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -33,8 +33,8 @@
 
 // finalValue is a job's final state.
 type finalValue struct {
-	State string `json:"s"`
-	Done  int    `json:"n"`
+	State wire.JobStatus `json:"s"`
+	Done  int            `json:"n"`
 	// AtMS is the time of day of the end; 0 in ends that versions before dependencies wrote.
 	AtMS int64 `json:"at,omitempty"`
 }
--- a/internal/core/fulfillment.go
+++ b/internal/core/fulfillment.go
@@ -223,7 +223,7 @@
 }
 
 // idleTime tells whether a job is to run only on what nobody else wants.
-func (j *job) idleTime() bool { return priority(j) == wire.Priority(wire.PriorityIdle) }
+func (j *job) idleTime() bool { return priority(j) == wire.PriorityIdle.Rank() }
 
 // mayStop tells whether the protocol lets a task of victim be stopped for job j: j
 // is of higher priority, or j lies within its team's guarantee and the victim's
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -68,16 +68,16 @@
 	machine *machine
 	session uint64
 	phase   phase
-	sentSeq uint64 // the report in whose answer its start went out
-	direct  uint64 // the token with which its start was sent directly; 0: it was not
-	waits   bool   // for the answer to a direct start
-	answer  uint64 // seq of that answer; 0: none came
-	warmth  int    // of its machine when it was placed
-	state   string // as last reported
+	sentSeq uint64         // the report in whose answer its start went out
+	direct  uint64         // the token with which its start was sent directly; 0: it was not
+	waits   bool           // for the answer to a direct start
+	answer  uint64         // seq of that answer; 0: none came
+	warmth  int            // of its machine when it was placed
+	state   wire.TaskState // as last reported
 	since   time.Duration
 	ranAt   time.Duration // when first seen running; 0: not yet
 	stop    stopKind
-	stopWhy string
+	stopWhy stopReason
 	stopOut bool // the stop went out directly; reports' answers repeat it
 }
 
@@ -98,11 +98,21 @@
 	stopNow
 )
 
+// stopReason is why a placement was told to stop, for the log.
+type stopReason string
+
+const (
+	stopCancelled     stopReason = "cancelled"
+	stopDrain         stopReason = "drain"          // its machine is to be returned, or will be taken
+	stopShrunk        stopReason = "shrunk"         // another job lacks its minimum
+	stopDoneElsewhere stopReason = "done elsewhere" // another attempt has completed
+)
+
 // inherited marks a placement of an earlier term, whose start may have gone out.
 const inherited = ^uint64(0)
 
 // halt has a placement stopped, from now on or, if it is being stopped, with this kind.
-func (p *placement) halt(kind stopKind, why string) {
+func (p *placement) halt(kind stopKind, why stopReason) {
 	if p.stop == keep {
 		p.job.halted++
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -259,7 +259,7 @@
 			l.end(p)
 			continue
 		}
-		p.halt(stopNow, "cancelled")
+		p.halt(stopNow, stopCancelled)
 		p.stopOut = false
 		if p.direct != 0 {
 			// Its start may still be on the way, behind the stop.
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -205,9 +205,9 @@
 		case p.phase < sent:
 			l.end(p)
 		case p.job.spec.Checkpoint > 0:
-			p.halt(stopSaving, "drain")
+			p.halt(stopSaving, stopDrain)
 		case m.faulty:
-			p.halt(stopNow, "drain")
+			p.halt(stopNow, stopDrain)
 		}
 	}
 	if m.faulty && len(m.runs) == 0 {
--- a/internal/core/preemption.go
+++ b/internal/core/preemption.go
@@ -32,7 +32,7 @@
 			return false
 		}
 		for _, p := range bestStops {
-			p.halt(r.haste(j, p), "shrunk")
+			p.halt(r.haste(j, p), stopShrunk)
 			r.l.due = append(r.l.due, p.machine)
 			if p.phase < sent {
 				r.l.end(p)
--- a/internal/core/production_format_test.go
+++ b/internal/core/production_format_test.go
@@ -87,7 +87,7 @@
 		t.Errorf("a job: %+v %v", active, ok)
 	}
 	final, ok := decode[productionFinal](encoded(t, finalValue{State: wire.JobDone, Done: 3, AtMS: 12}, nil))
-	if !ok || final.State != wire.JobDone || final.Done != 3 {
+	if !ok || final.State != string(wire.JobDone) || final.Done != 3 {
 		t.Errorf("an end: %+v %v", final, ok)
 	}
 	lead, ok := decode[productionLead](encoded(t, leadValue{"a", "a1", 4, 5}, nil))
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -194,7 +194,7 @@
 			if p.phase < sent {
 				l.end(p)
 			} else {
-				p.halt(stopNow, "done elsewhere")
+				p.halt(stopNow, stopDoneElsewhere)
 			}
 		}
 		l.finishIfDone(j)
--- a/internal/core/rule_checker_test.go
+++ b/internal/core/rule_checker_test.go
@@ -28,7 +28,7 @@
 	submitted bool
 	accepted  time.Duration // when its user was first told; 0: not yet
 	asked     bool          // its user asked for it to be cancelled
-	final     string
+	final     wire.JobStatus
 	finalAt   time.Duration // when a user was first told
 	toldAt    time.Duration // of its cancellation
 	done      map[int]bool
@@ -137,7 +137,7 @@
 
 // told takes note of an answer about a job: to a submission, a poll or a cancel that was sent
 // at asked. Questions that cross on their way may be answered in any order.
-func (j *ruleChecker) told(now, asked time.Duration, verb, id string, status int, state string) {
+func (j *ruleChecker) told(now, asked time.Duration, verb, id string, status int, state wire.JobStatus) {
 	x := j.jobs[id]
 	known := status == 200 || status == 201
 	if x == nil || !x.submitted {
--- a/internal/core/scale_cluster_test.go
+++ b/internal/core/scale_cluster_test.go
@@ -412,7 +412,7 @@
 func (y *scaleCluster) submit(j wire.Job) {
 	y.jobs++
 	y.req++
-	j.Class, j.CPUs, j.MemoryGB, j.Priority = "c", 4*j.GPUs, 20*j.GPUs, map[bool]string{true: "standard", false: "prod"}[j.Kind == wire.KindArray]
+	j.Class, j.CPUs, j.MemoryGB, j.Priority = "c", 4*j.GPUs, 20*j.GPUs, map[bool]wire.Priority{true: "standard", false: "prod"}[j.Kind == wire.KindArray]
 	j.ID = fmt.Sprintf("run-%s%05d", map[bool]string{true: "a", false: "0"}[j.Kind == wire.KindArray], y.jobs)
 	j.Team = fmt.Sprintf("t%d", y.jobs%12)
 	j.Image, j.ImageGB = fmt.Sprintf("img-%d", y.rnd.Intn(30)), 35
--- a/internal/core/sim_user_test.go
+++ b/internal/core/sim_user_test.go
@@ -15,20 +15,20 @@
 	faulty   bool // it fails wherever it runs
 	accepted bool
 	refused  int
-	told     string
+	told     wire.JobStatus
 	lastOK   time.Duration // when a question about it was last answered
 }
 
 // Users.
 
 // ask has a user ask some healthy node; the answer is status 0 if none came.
-func (s *sim) ask(in func(req uint64) core.Input, then func(status int, state string)) {
+func (s *sim) ask(in func(req uint64) core.Input, then func(status int, state wire.JobStatus)) {
 	s.askAt(nil, in, then)
 }
 
-func (s *sim) askAt(n *simNode, in func(req uint64) core.Input, then func(status int, state string)) {
+func (s *sim) askAt(n *simNode, in func(req uint64) core.Input, then func(status int, state wire.JobStatus)) {
 	over := false
-	give := func(status int, state string) {
+	give := func(status int, state wire.JobStatus) {
 		if !over {
 			over = true
 			then(status, state)
@@ -57,7 +57,7 @@
 		n.waiting[n.req] = func(a core.Answer) {
 			// What a standstill has made late is not told any more: see node.Ask.
 			s.after(s.latency(), func() {
-				st := ""
+				st := wire.JobStatus("")
 				if js, ok := a.Body.(wire.JobState); ok {
 					st = js.State
 				}
@@ -75,7 +75,7 @@
 	}
 	s.ruleChecker.submits(j.spec)
 	spec, sent := *j.spec, s.now
-	s.ask(func(req uint64) core.Input { return core.Submit{Req: req, Job: &spec} }, func(status int, state string) {
+	s.ask(func(req uint64) core.Input { return core.Submit{Req: req, Job: &spec} }, func(status int, state wire.JobStatus) {
 		s.ruleChecker.told(s.now, sent, "submit", j.spec.ID, status, state)
 		switch status {
 		case 200, 201:
@@ -106,7 +106,7 @@
 
 func (s *sim) poll(j *simJob) {
 	sent := s.now
-	s.ask(func(req uint64) core.Input { return core.Poll{Req: req, ID: j.spec.ID} }, func(status int, state string) {
+	s.ask(func(req uint64) core.Input { return core.Poll{Req: req, ID: j.spec.ID} }, func(status int, state wire.JobStatus) {
 		s.ruleChecker.told(s.now, sent, "poll", j.spec.ID, status, state)
 		if status == 200 {
 			if state != j.told && (state == wire.JobDone || state == wire.JobCancelled) {
@@ -128,7 +128,7 @@
 	}
 	s.ruleChecker.submits(j.spec).asked = true
 	sent := s.now
-	s.ask(func(req uint64) core.Input { return core.Cancel{Req: req, ID: j.spec.ID} }, func(status int, state string) {
+	s.ask(func(req uint64) core.Input { return core.Cancel{Req: req, ID: j.spec.ID} }, func(status int, state wire.JobStatus) {
 		s.ruleChecker.told(s.now, sent, "cancel", j.spec.ID, status, state)
 		if status == 200 {
 			s.say("cancel of %s: %s", j.spec.ID, state)
--- a/internal/core/sim_worker_test.go
+++ b/internal/core/sim_worker_test.go
@@ -332,7 +332,7 @@
 	})
 }
 
-func (s *sim) exit(w *simWorker, t *simTask, why string) {
+func (s *sim) exit(w *simWorker, t *simTask, why wire.ExitCause) {
 	if t.State == wire.TaskExited {
 		return
 	}
--- a/internal/core/trace_harness_test.go
+++ b/internal/core/trace_harness_test.go
@@ -89,7 +89,7 @@
 	"team":     func(j *wire.Job, value string, _ float64) { j.Team = value },
 	"class":    func(j *wire.Job, value string, _ float64) { j.Class = value },
 	"image":    func(j *wire.Job, value string, _ float64) { j.Image = value },
-	"priority": func(j *wire.Job, value string, _ float64) { j.Priority = value },
+	"priority": func(j *wire.Job, value string, _ float64) { j.Priority = wire.Priority(value) },
 	"zone":     func(j *wire.Job, value string, _ float64) { j.Zone = value },
 	"type":     func(j *wire.Job, value string, _ float64) { j.Types = []string{value} },
 	"needs":    func(j *wire.Job, value string, _ float64) { j.Needs = strings.Split(value, ",") },
@@ -155,7 +155,7 @@
 				w.t.Fatalf("unknown: %s", kv)
 			}
 			state, why, _ := strings.Cut(v, ":")
-			r.Tasks = append(r.Tasks, wire.TaskReport{Task: task, Attempt: a, State: state, Why: why})
+			r.Tasks = append(r.Tasks, wire.TaskReport{Task: task, Attempt: a, State: wire.TaskState(state), Why: wire.ExitCause(why)})
 		}
 	}
 	return r
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -131,7 +131,7 @@
 	s.t.Fatalf("never: %s", what)
 }
 
-func (s *site) submit(node, id, kind string, tasks, gpus int) {
+func (s *site) submit(node, id string, kind wire.JobKind, tasks, gpus int) {
 	s.t.Helper()
 	body := fmt.Sprintf(`{"ref":%q,"lane":"x","broker":"red","shape":%q,"urgency":"prod","parcels":%d,
 		"vcpus":1.0,"gpus":%d,"memory_gb":1.0,"bundle":"i","image_gb":1.0,"rigs":null,"hall":null,
@@ -143,7 +143,7 @@
 	})
 }
 
-func (s *site) state3(id, want string) {
+func (s *site) state3(id string, want wire.JobStatus) {
 	s.t.Helper()
 	for _, n := range []string{"a", "b", "c"} {
 		if s.cancel[n] == nil {
--- a/internal/wire/user.go
+++ b/internal/wire/user.go
@@ -28,28 +28,42 @@
 // maxTypes bounds the list of allowed machine types for the same reason.
 const maxTypes = 32
 
-// Kinds of jobs.
+// JobKind tells whether a job's tasks end by themselves.
+type JobKind string
+
+// The kinds of jobs.
 const (
-	KindArray   = "batch"
-	KindService = "standing"
+	KindArray   JobKind = "batch"
+	KindService JobKind = "standing"
 )
 
-// Job states as told to users.
+// JobStatus is the state of a job as told to users.
+type JobStatus string
+
+// The states of a job.
 const (
-	JobPending   = "pending"
-	JobRunning   = "running"
-	JobDone      = "done"
-	JobCancelled = "withdrawn"
+	JobPending   JobStatus = "pending"
+	JobRunning   JobStatus = "running"
+	JobDone      JobStatus = "done"
+	JobCancelled JobStatus = "withdrawn"
 )
 
-// Priorities from the most to the least important.
-var priorities = map[string]int{"prod": 3, "high": 2, "standard": 1, PriorityIdle: 0}
+// Priority is how urgent a job is.
+type Priority string
+
+// The priorities. Work of PriorityIdle is to run only on what nobody else wants.
+const (
+	PriorityProduction Priority = "prod"
+	PriorityHigh       Priority = "high"
+	PriorityStandard   Priority = "standard"
+	PriorityIdle       Priority = "idle"
+)
 
-// PriorityIdle is the priority of work that is to run only on what nobody else wants.
-const PriorityIdle = "idle"
+// ranks orders the priorities.
+var ranks = map[Priority]int{PriorityProduction: 3, PriorityHigh: 2, PriorityStandard: 1, PriorityIdle: 0}
 
-// Priority gives the rank of a priority; a larger one goes first.
-func Priority(name string) int { return priorities[name] }
+// Rank orders priorities; a larger one goes first.
+func (p Priority) Rank() int { return ranks[p] }
 
 // The paths of users' requests.
 const (
@@ -67,8 +81,8 @@
 	ID         string   `json:"ref"`
 	Class      string   `json:"lane"`
 	Team       string   `json:"broker"`
-	Kind       string   `json:"shape"`
-	Priority   string   `json:"urgency"`
+	Kind       JobKind  `json:"shape"`
+	Priority   Priority `json:"urgency"`
 	Tasks      int      `json:"parcels"`
 	CPUs       float64  `json:"vcpus"`
 	GPUs       float64  `json:"gpus"`
@@ -90,10 +104,10 @@
 
 // JobState is the answer to users about a job.
 type JobState struct {
-	ID      string `json:"ref"`
-	State   string `json:"status"`
-	Done    *int   `json:"done,omitempty"`
-	Running *int   `json:"running,omitempty"`
+	ID      string    `json:"ref"`
+	State   JobStatus `json:"status"`
+	Done    *int      `json:"done,omitempty"`
+	Running *int      `json:"running,omitempty"`
 }
 
 var jobID = regexp.MustCompile(`^run-[0-9]{6,20}$`)
@@ -283,8 +297,8 @@
 		ID:         f.text("ref", true),
 		Class:      f.text("lane", true),
 		Team:       f.text("broker", true),
-		Kind:       f.text("shape", true),
-		Priority:   f.text("urgency", true),
+		Kind:       JobKind(f.text("shape", true)),
+		Priority:   Priority(f.text("urgency", true)),
 		CPUs:       f.must("vcpus"),
 		GPUs:       f.must("gpus"),
 		MemoryGB:   f.must("memory_gb"),
@@ -316,7 +330,7 @@
 	case j.Kind != KindArray && j.Kind != KindService:
 		return errors.New("shape: is unknown")
 	}
-	if _, ok := priorities[j.Priority]; !ok {
+	if _, ok := ranks[j.Priority]; !ok {
 		return errors.New("urgency: is unknown")
 	}
 	return nil
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -5,38 +5,47 @@
 	"errors"
 )
 
-// Task states in a worker's report.
+// TaskState is the state of a task in a worker's report.
+type TaskState string
+
+// The task states.
 const (
-	TaskFetching = "pulling"
-	TaskRunning  = "running"
-	TaskSaving   = "saving"
-	TaskExited   = "exited"
+	TaskFetching TaskState = "pulling"
+	TaskRunning  TaskState = "running"
+	TaskSaving   TaskState = "saving"
+	TaskExited   TaskState = "exited"
 )
 
-// Why a task exited.
+// ExitCause is why a task exited.
+type ExitCause string
+
+// The causes of exits.
 const (
-	WhyDone    = "done"
-	WhyStopped = "stopped"
-	WhyError   = "error"
-	WhyNoRoom  = "no_room"
-	WhyBusy    = "busy"
-	WhyUnknown = "no_such"
+	WhyDone    ExitCause = "done"
+	WhyStopped ExitCause = "stopped"
+	WhyError   ExitCause = "error"
+	WhyNoRoom  ExitCause = "no_room"
+	WhyBusy    ExitCause = "busy"
+	WhyUnknown ExitCause = "no_such"
 )
 
-// Command verbs.
+// CommandOp is what a command tells a worker to do with a task.
+type CommandOp string
+
+// The commands.
 const (
-	OpStart  = "start"
-	OpStop   = "stop"
-	OpForget = "forget"
+	OpStart  CommandOp = "start"
+	OpStop   CommandOp = "stop"
+	OpForget CommandOp = "forget"
 )
 
 // TaskReport is a task in a worker's report.
 type TaskReport struct {
-	Task    string `json:"parcel"`
-	Attempt uint64 `json:"try"`
-	State   string `json:"status"`
-	Why     string `json:"cause,omitempty"`
-	Saved   bool   `json:"kept,omitempty"`
+	Task    string    `json:"parcel"`
+	Attempt uint64    `json:"try"`
+	State   TaskState `json:"status"`
+	Why     ExitCause `json:"cause,omitempty"`
+	Saved   bool      `json:"kept,omitempty"`
 }
 
 // Report is a worker's report (POST /checkin).
@@ -55,10 +64,10 @@
 
 // Command is an order to a worker.
 type Command struct {
-	Op      string   `json:"verb"`
-	Task    string   `json:"parcel"`
-	Attempt uint64   `json:"try"`
-	GraceS  *float64 `json:"leeway_s,omitempty"`
+	Op      CommandOp `json:"verb"`
+	Task    string    `json:"parcel"`
+	Attempt uint64    `json:"try"`
+	GraceS  *float64  `json:"leeway_s,omitempty"`
 }
 
 // ReportAnswer is the 200 answer to a report.
