--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bitternwing/internal/budget"
 	"bitternwing/internal/call"
 	"bitternwing/internal/config"
 	"bitternwing/internal/wire"
@@ -42,7 +43,7 @@
 	probeAt     time.Duration
 	lastReport  time.Duration // when a worker last reported here; negative: never
 	wake        time.Duration
-	evaluations evaluationRate
+	evaluations budget.Cost
 }
 
 // times are the durations derived from the settings, each a ratio of one of them.
@@ -112,7 +113,7 @@
 // call.
 func (c *Core) Step(now Time, in Input) []Effect {
 	c.now = now
-	c.evaluations.learn(now.Took)
+	c.evaluations.Learn(now.Took)
 	clear(c.out)
 	c.out = c.out[:0]
 	switch in := in.(type) {
--- a/internal/core/export_test.go
+++ b/internal/core/export_test.go
@@ -12,7 +12,7 @@
 func (c *Core) EvaluationsPerSecond() float64 { return c.evaluationsPerSecond() }
 
 // LastLooks is how many the last step took.
-func (c *Core) LastEvaluations() int { return c.evaluations.taken }
+func (c *Core) LastEvaluations() int { return c.evaluations.Taken() }
 
 // Finals is how many final states this node remembers.
 func (c *Core) Finals() int { return len(c.dir.finals) }
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -1,6 +1,9 @@
 package core
 
-import "math"
+import (
+	"bitternwing/internal/resource"
+	"math"
+)
 
 // allowed tells whether a job's next task may run on a machine: type, zone and
 // kind of machine, given where the job's other tasks are. Tasks that are stopping
@@ -41,15 +44,16 @@
 	r.evaluations -= len(r.hosts)
 	var best *host
 	bestScore := math.Inf(1)
+	need := resource.OfTask(j.spec)
 	for _, h := range r.hosts {
-		if !h.free.holds(j.spec) || !r.allowed(j, h.m) {
+		if !h.free.Holds(need) || !r.allowed(j, h.m) {
 			continue
 		}
 		left := 1.0
 		if h.m.mt.GPUs > 0 {
-			left = (h.free.gpus - j.spec.GPUs) / h.m.mt.GPUs
+			left = (h.free.GPUs - j.spec.GPUs) / h.m.mt.GPUs
 		} else if h.m.mt.CPUs > 0 {
-			left = (h.free.cpus - j.spec.CPUs) / h.m.mt.CPUs
+			left = (h.free.CPUs - j.spec.CPUs) / h.m.mt.CPUs
 		}
 		score := left + 2*float64(h.m.warmth(j.spec.Image))
 		if j.spec.Spot && !h.m.spot {
@@ -79,8 +83,8 @@
 	m.add(p)
 	m.touch(j.spec.Image, j.spec.ImageGB)
 	h := m.host
-	h.free.take(j.spec)
-	h.soon.take(j.spec)
+	h.free.Take(resource.OfTask(j.spec))
+	h.soon.Take(resource.OfTask(j.spec))
 	r.use.add(j, 1)
 	r.placed++
 	return p
@@ -96,9 +100,9 @@
 	p.machine.remove(p)
 	p.job.cursor = min(p.job.cursor, p.task)
 	h := p.machine.host
-	h.free.give(p.job.spec)
+	h.free.Give(resource.OfTask(p.job.spec))
 	clear(r.full)
-	h.soon.give(p.job.spec)
+	h.soon.Give(resource.OfTask(p.job.spec))
 	r.use.add(p.job, -1)
 	r.placed--
 }
--- a/internal/core/preemption.go
+++ b/internal/core/preemption.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"bitternwing/internal/resource"
 	"sort"
 )
 
@@ -36,17 +37,15 @@
 			r.l.due = append(r.l.due, p.machine)
 			if p.phase < sent {
 				r.l.end(p)
-				best.free.give(p.job.spec)
+				best.free.Give(resource.OfTask(p.job.spec))
 				clear(r.full)
 			}
-			best.soon.give(p.job.spec)
+			best.soon.Give(resource.OfTask(p.job.spec))
 			r.l.c.log(Debug, "shrunk", "task", p.name(), "for", j.id)
 		}
-		best.soon.take(j.spec)
+		best.soon.Take(resource.OfTask(j.spec))
 		// What is free there now is for this job too, as far as it needs it.
-		best.free.gpus = min(best.free.gpus, max(0, best.soon.gpus))
-		best.free.cpus = min(best.free.cpus, max(0, best.soon.cpus))
-		best.free.mem = min(best.free.mem, max(0, best.soon.mem))
+		best.free = best.free.Within(best.soon)
 		held++
 	}
 	return true
@@ -92,18 +91,18 @@
 // most fulfilled job's first.
 func (r *round) stopsFor(j *job, h *host, victim victimRule) ([]*placement, bool) {
 	soon := h.soon
-	if soon.holds(j.spec) {
+	if soon.Holds(resource.OfTask(j.spec)) {
 		return nil, true
 	}
 	// Mostly all that could stop there would not be enough; that is seen first.
 	most := soon
 	for _, p := range h.m.list {
 		if victim(j, p) {
-			most.give(p.job.spec)
+			most.Give(resource.OfTask(p.job.spec))
 		}
 	}
 	r.evaluations -= len(h.m.list) / 4
-	if !most.holds(j.spec) {
+	if !most.Holds(resource.OfTask(j.spec)) {
 		return nil, false
 	}
 	type scoredVictim struct {
@@ -127,9 +126,9 @@
 			continue
 		}
 		left[v.p.job]--
-		soon.give(v.p.job.spec)
+		soon.Give(resource.OfTask(v.p.job.spec))
 		stops = append(stops, v.p)
-		if soon.holds(j.spec) {
+		if soon.Holds(resource.OfTask(j.spec)) {
 			return stops, true
 		}
 	}
--- a/internal/core/provisioning.go
+++ b/internal/core/provisioning.go
@@ -6,6 +6,7 @@
 	"sort"
 
 	"bitternwing/internal/config"
+	"bitternwing/internal/resource"
 	"bitternwing/internal/wire"
 )
 
@@ -13,7 +14,7 @@
 type bin struct {
 	offer
 	mt   *wire.MachineType
-	room room
+	room resource.Amount
 	new  bool
 }
 
@@ -46,14 +47,14 @@
 		// A machine overdue may never come; what it should have taken is not
 		// left waiting for it.
 		if !m.up && !m.seenUp && now-m.rentedAt < config.Seconds(1.5*m.mt.BootS) {
-			p.bins = append(p.bins, &bin{offer: o, mt: m.mt, room: room{m.mt.GPUs, m.mt.CPUs, m.mt.MemoryGB}})
+			p.bins = append(p.bins, &bin{offer: o, mt: m.mt, room: resource.OfMachine(m.mt)})
 		}
 	}
 	for _, q := range t.requests {
 		mt := l.c.machineType(q.kind)
 		for i := 0; mt != nil && i < q.count; i++ {
 			p.count[q.offer]++
-			p.bins = append(p.bins, &bin{offer: q.offer, mt: mt, room: room{mt.GPUs, mt.CPUs, mt.MemoryGB}})
+			p.bins = append(p.bins, &bin{offer: q.offer, mt: mt, room: resource.OfMachine(mt)})
 		}
 	}
 	counted := map[*job]int{}
@@ -79,7 +80,7 @@
 func (p *planner) put(j *job, spot bool) bool {
 	p.r.evaluations -= len(p.bins) / 4
 	for _, b := range p.bins {
-		if b.room.holds(j.spec) && p.suits(j, b.offer) {
+		if b.room.Holds(resource.OfTask(j.spec)) && p.suits(j, b.offer) {
 			p.take(b, j)
 			return true
 		}
@@ -93,7 +94,7 @@
 }
 
 func (p *planner) take(b *bin, j *job) {
-	b.room.take(j.spec)
+	b.room.Take(resource.OfTask(j.spec))
 	p.zonesOf(j)[b.zone]++
 }
 
@@ -133,7 +134,7 @@
 	bestCost, bestCount := math.Inf(1), 0
 	for i := range l.c.catalog {
 		mt := &l.c.catalog[i]
-		if !(room{mt.GPUs, mt.CPUs, mt.MemoryGB}).holds(j.spec) {
+		if !resource.OfMachine(mt).Holds(resource.OfTask(j.spec)) {
 			continue
 		}
 		cost := mt.Price
@@ -155,7 +156,7 @@
 		return nil
 	}
 	p.count[best]++
-	b := &bin{offer: best, mt: bestType, room: room{bestType.GPUs, bestType.CPUs, bestType.MemoryGB}, new: true}
+	b := &bin{offer: best, mt: bestType, room: resource.OfMachine(bestType), new: true}
 	p.bins = append(p.bins, b)
 	return b
 }
@@ -167,7 +168,7 @@
 		n = min(n, int((j.team.GPUsMax-x[0])/j.spec.GPUs))
 	}
 	for i := 0; n > 0 && i < len(p.bins); i++ {
-		for b := p.bins[i]; n > 0 && b.room.holds(j.spec) && p.suits(j, b.offer); n-- {
+		for b := p.bins[i]; n > 0 && b.room.Holds(resource.OfTask(j.spec)) && p.suits(j, b.offer); n-- {
 			p.take(b, j)
 		}
 	}
@@ -181,12 +182,12 @@
 				break
 			}
 			fits := 0
-			for n > 0 && b.room.holds(j.spec) {
+			for n > 0 && b.room.Holds(resource.OfTask(j.spec)) {
 				p.take(b, j)
 				fits++
 				n--
 			}
-			share := 1 - b.room.gpus/max(1, b.mt.GPUs)
+			share := 1 - b.room.GPUs/max(1, b.mt.GPUs)
 			p.work += share * max(j.spec.EstimateS, 1) / b.mt.BootS
 			if !spot && j.spec.Spot {
 				// An ordinary machine in place of a cheap one has to be worth more.
@@ -232,14 +233,14 @@
 	}
 	for _, b := range p.bins {
 		if !b.spot {
-			sum += max(0, b.room.gpus)
+			sum += max(0, b.room.GPUs)
 		}
 	}
 	return sum
 }
 
 func (p *planner) headroomOn(h *host) float64 {
-	sum := max(0, h.free.gpus)
+	sum := max(0, h.free.GPUs)
 	for _, x := range h.m.runs {
 		if x.job.shrinkable() {
 			sum += x.job.spec.GPUs / 2
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bitternwing/internal/config"
+	"bitternwing/internal/resource"
 	"bitternwing/internal/wire"
 )
 
@@ -44,8 +45,8 @@
 // host is a machine that may take tasks in this round.
 type host struct {
 	m    *machine
-	free room
-	soon room // free once what was told to stop is gone
+	free resource.Amount
+	soon resource.Amount // free once what was told to stop is gone
 }
 
 // unmetDemand is a number of tasks of a job without a place.
@@ -68,22 +69,22 @@
 }
 
 // freeOf gives what is free of a machine now, and once all that stops is gone.
-func (l *leader) freeOf(m *machine) (free, soon room) {
-	free = room{m.mt.GPUs, m.mt.CPUs, m.mt.MemoryGB}
+func (l *leader) freeOf(m *machine) (free, soon resource.Amount) {
+	free = resource.OfMachine(m.mt)
 	for _, p := range m.runs {
-		free.take(p.job.spec)
+		free.Take(resource.OfTask(p.job.spec))
 	}
 	for _, t := range m.orphanedTasks {
 		if id, _, ok := wire.ParseTask(t.Task); ok && l.jobs[id] != nil {
-			free.take(l.jobs[id].spec)
+			free.Take(resource.OfTask(l.jobs[id].spec))
 		} else {
-			free = room{}
+			free = resource.Amount{}
 		}
 	}
 	soon = free
 	for _, p := range m.runs {
 		if p.stop != keep {
-			soon.give(p.job.spec)
+			soon.Give(resource.OfTask(p.job.spec))
 		}
 	}
 	return free, soon
@@ -139,7 +140,7 @@
 	spent := budget - r.evaluations
 	l.rounds.evaluations -= float64(spent)
 	l.rounds.spent += spent
-	l.c.evaluations.taken += spent
+	l.c.evaluations.Spend(spent)
 	if r.evaluations <= 0 {
 		// Out of budget: go on from where this round stopped, once what it took beyond
 		// its budget is made good.
@@ -172,9 +173,9 @@
 			idle++
 		}
 		if h.m.spot {
-			spot += h.free.gpus
+			spot += h.free.GPUs
 		} else {
-			free += h.free.gpus
+			free += h.free.GPUs
 		}
 	}
 	r.l.c.log(Debug, "round", "placed", r.placed, "waiting", len(r.unmet), "array_tasks", unplaced,
--- /dev/null
+++ b/internal/resource/resource.go
@@ -0,0 +1,40 @@
+// Package resource is the arithmetic of what machines have and what tasks take of them.
+package resource
+
+import "bitternwing/internal/wire"
+
+// tolerance is what amounts, given as decimal numbers, may be off by after adding and subtracting.
+const tolerance = 1e-9
+
+// Amount is an amount of each resource.
+type Amount struct{ GPUs, CPUs, MemoryGB float64 }
+
+// OfTask gives what a task of a job takes.
+func OfTask(j *wire.Job) Amount { return Amount{j.GPUs, j.CPUs, j.MemoryGB} }
+
+// OfMachine gives what a machine of a type has.
+func OfMachine(t *wire.MachineType) Amount { return Amount{t.GPUs, t.CPUs, t.MemoryGB} }
+
+// Holds tells whether there is room for another amount.
+func (a Amount) Holds(b Amount) bool {
+	return a.GPUs+tolerance >= b.GPUs && a.CPUs+tolerance >= b.CPUs && a.MemoryGB+tolerance >= b.MemoryGB
+}
+
+// Take takes an amount away.
+func (a *Amount) Take(b Amount) {
+	a.GPUs -= b.GPUs
+	a.CPUs -= b.CPUs
+	a.MemoryGB -= b.MemoryGB
+}
+
+// Give adds an amount.
+func (a *Amount) Give(b Amount) {
+	a.GPUs += b.GPUs
+	a.CPUs += b.CPUs
+	a.MemoryGB += b.MemoryGB
+}
+
+// Within bounds each part by that of another amount, which counts as 0 where it is below.
+func (a Amount) Within(b Amount) Amount {
+	return Amount{min(a.GPUs, max(0, b.GPUs)), min(a.CPUs, max(0, b.CPUs)), min(a.MemoryGB, max(0, b.MemoryGB))}
+}
