--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,15 +1,12 @@
 package config
 
 import (
-	"bytes"
 	_ "embed"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
-	"strings"
 
-	"github.com/santhosh-tekuri/jsonschema/v6"
+	"bitternwing/internal/schema"
 )
 
 // Operator is the operators' own settings.
@@ -65,30 +62,7 @@
 
 // ParseOperator reads the text of the operators' settings over the defaults.
 func ParseOperator(data []byte) (*Operator, error) {
-	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
-	if err != nil {
-		return nil, fmt.Errorf("not JSON: %v", err)
-	}
-	schemaDoc, err := jsonschema.UnmarshalJSON(bytes.NewReader(operatorSchema))
-	if err != nil {
-		return nil, err
-	}
-	c := jsonschema.NewCompiler()
-	if err := c.AddResource("operator.schema.json", schemaDoc); err != nil {
-		return nil, err
-	}
-	schema, err := c.Compile("operator.schema.json")
-	if err != nil {
-		return nil, err
-	}
-	if err := schema.Validate(doc); err != nil {
-		var ve *jsonschema.ValidationError
-		if errors.As(err, &ve) {
-			for len(ve.Causes) > 0 {
-				ve = ve.Causes[0]
-			}
-			return nil, fmt.Errorf("/%s: %s", strings.Join(ve.InstanceLocation, "/"), lastLine(ve.Error()))
-		}
+	if err := schema.Check("operator.schema.json", operatorSchema, data); err != nil {
 		return nil, err
 	}
 	o := DefaultOperator()
@@ -97,13 +71,3 @@
 	}
 	return o, nil
 }
-
-// lastLine keeps the part of a schema error that names the trouble.
-func lastLine(s string) string {
-	lines := strings.Split(strings.TrimSpace(s), "\n")
-	l := strings.TrimSpace(lines[len(lines)-1])
-	if _, after, ok := strings.Cut(l, "': "); ok {
-		return after
-	}
-	return l
-}
--- /dev/null
+++ b/internal/hollow/fleet.go
@@ -0,0 +1,257 @@
+// Package hollow simulates workers of the protocol, thousands in one process: each has its own address,
+// connection, lease and session, holds tasks, fetches and runs them on a clock, and computes nothing.
+//
+// Left out of the protocol's worker: images that are fetched at the same time do not share the rate, take
+// exactly as long as their size says, and are never dropped from the cache; machines do not differ in
+// speed, tasks do not fail, and there are no spot notices; a checkpoint keeps no progress, a task that
+// starts anew begins anew, unless it had completed before. A silent worker loses what is sent to it
+// instead of receiving it late. Direct commands to a zone that is cut off do not arrive, whoever sends them.
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"bitternwing/internal/standin"
+)
+
+// Kind is a kind of message.
+type Kind string
+
+// The kinds of messages that workers see.
+const (
+	KindReport  Kind = "report"
+	KindOrders  Kind = "orders"
+	KindInspect Kind = "inspect"
+)
+
+// AnyController stands for a controller that can't be told.
+const AnyController = ""
+
+// Traffic counts messages. Sizes are those of the bodies, seen from the controller.
+type Traffic interface {
+	Count(controller string, kind Kind, received, sent int)
+}
+
+// Controller is a controller that workers may report to.
+type Controller struct {
+	Name, Zone, Addr string
+}
+
+// Config is what workers need to know.
+type Config struct {
+	Seed        uint64
+	Report      time.Duration // interval of reports
+	Lease       time.Duration
+	Controllers []Controller
+	Jobs        Jobs
+	Observer    Observer
+	Traffic     Traffic
+}
+
+// Fleet is all hollow workers of a process. They share one listening socket, on which each has a loopback
+// address of its own.
+type Fleet struct {
+	config   Config
+	start    time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
+	listener net.Listener
+	port     string
+	server   *http.Server
+	running  sync.WaitGroup
+
+	mu       sync.Mutex
+	made     int
+	workers  map[string]*Worker // by name
+	byIP     map[string]*Worker
+	cutZones map[string]bool
+}
+
+// workerKey is the key of the worker that a connection goes to, in a request's context.
+type workerKey struct{}
+
+// NewFleet makes a fleet without workers.
+func NewFleet(config Config) (*Fleet, error) {
+	// The socket takes the connections to all loopback addresses, and to no others: it is bound to the
+	// loopback interface.
+	lc := net.ListenConfig{Control: bindToLoopback}
+	listener, err := lc.Listen(context.Background(), "tcp4", "0.0.0.0:0")
+	if err != nil {
+		return nil, fmt.Errorf("workers' address: %w", err)
+	}
+	_, port, err := net.SplitHostPort(listener.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{config: config, start: time.Now(), listener: listener, port: port,
+		workers: map[string]*Worker{}, byIP: map[string]*Worker{}, cutZones: map[string]bool{}}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.server = &http.Server{Handler: http.HandlerFunc(serve), ReadHeaderTimeout: answerPatience,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			if counted, ok := c.(workerConn); ok {
+				return context.WithValue(ctx, workerKey{}, counted.worker)
+			}
+			return ctx
+		}}
+	go func() { _ = f.server.Serve(&workerListener{listener, f}) }() // ends with Close
+	return f, nil
+}
+
+// bindToLoopback binds a socket to the loopback interface.
+func bindToLoopback(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) { failed = unix.BindToDevice(int(fd), "lo") })
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// workerConn is a connection to a worker.
+type workerConn struct {
+	countedConn
+	worker *Worker
+}
+
+// workerListener finds the worker that a connection goes to.
+type workerListener struct {
+	net.Listener
+	fleet *Fleet
+}
+
+// Accept gives the next connection to a worker; others are closed.
+func (l *workerListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		ip, _, _ := net.SplitHostPort(c.LocalAddr().String())
+		if w := l.fleet.at(ip); w != nil {
+			return workerConn{countedConn{c, &w.count}, w}, nil
+		}
+		_ = c.Close()
+	}
+}
+
+func serve(rw http.ResponseWriter, r *http.Request) {
+	if w, ok := r.Context().Value(workerKey{}).(*Worker); ok {
+		w.serve(rw, r)
+	}
+}
+
+// now is the fleet's steady clock.
+func (f *Fleet) now() time.Duration { return time.Since(f.start) }
+
+// The loopback addresses of workers begin at 127.16.0.1, and a third byte has so many of them.
+const (
+	firstWorkerByte = 16
+	perThirdByte    = 250
+)
+
+// addressOf gives the address of the worker with a number, counted from 0.
+func addressOf(index int) net.IP {
+	third := index / perThirdByte
+	return net.IPv4(127, byte(firstWorkerByte+third/256), byte(third%256), byte(1+index%perThirdByte))
+}
+
+// Launch starts a worker; the cloud calls it when a machine is up.
+func (f *Fleet) Launch(about Description) *Worker {
+	ctx, stop := context.WithCancel(f.ctx)
+	f.mu.Lock()
+	w := newWorker(f, about, f.made, stop)
+	f.made++
+	f.workers[about.Name] = w
+	f.byIP[w.ip.String()] = w
+	f.mu.Unlock()
+	f.running.Add(1)
+	go func() {
+		defer f.running.Done()
+		w.run(ctx)
+	}()
+	return w
+}
+
+// LaunchMachine starts a worker for a machine of a cloud.
+func (f *Fleet) LaunchMachine(m standin.MachineSpec) standin.Machine {
+	return f.Launch(Description{Name: m.Name, Zone: m.Zone, Spot: m.Spot, Type: m.Type})
+}
+
+func (f *Fleet) at(ip string) *Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byIP[ip]
+}
+
+func (f *Fleet) forget(w *Worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.workers, w.machine.about.Name)
+	delete(f.byIP, w.ip.String())
+}
+
+// Workers gives the workers that are there, in no order.
+func (f *Fleet) Workers() []*Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := make([]*Worker, 0, len(f.workers))
+	for _, w := range f.workers {
+		all = append(all, w)
+	}
+	return all
+}
+
+// Running counts the tasks of a job that run on all machines.
+func (f *Fleet) Running(job string) int {
+	n := 0
+	for _, w := range f.Workers() {
+		n += w.Running(job)
+	}
+	return n
+}
+
+// Followed counts the workers by the controller whose answer they took last.
+func (f *Fleet) Followed() map[string]int {
+	counts := map[string]int{}
+	for _, w := range f.Workers() {
+		w.mu.Lock()
+		if w.followed != "" && !w.dead {
+			counts[w.followed]++
+		}
+		w.mu.Unlock()
+	}
+	return counts
+}
+
+// SetCut cuts a zone's workers off from the controllers of other zones, or ends that.
+func (f *Fleet) SetCut(zone string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cutZones[zone] = cut
+}
+
+func (f *Fleet) isCut(zone string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cutZones[zone]
+}
+
+// separated tells whether a cut lies between two zones.
+func (f *Fleet) separated(a, b string) bool {
+	return a != b && (f.isCut(a) || f.isCut(b))
+}
+
+// Close ends all workers.
+func (f *Fleet) Close() {
+	f.cancel()
+	_ = f.server.Close()
+	f.running.Wait()
+}
--- /dev/null
+++ b/internal/hollow/machine_test.go
@@ -0,0 +1,122 @@
+package hollow
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"bitternwing/internal/wire"
+)
+
+// world is the jobs and the events of a machine under test.
+type world struct {
+	jobs   map[string]*wire.Job
+	events []string
+}
+
+func (w *world) Job(id string) *wire.Job { return w.jobs[id] }
+func (w *world) RunTime(job *wire.Job, _ int) time.Duration {
+	if job.Kind == wire.KindService {
+		return Never
+	}
+	return 10 * time.Second
+}
+func (w *world) StartReceived(s Start)        { w.note("start", s.Task, s.Attempt) }
+func (w *world) TaskRuns(_, task string)      { w.note("runs", task) }
+func (w *world) note(what ...any)             { w.events = append(w.events, fmt.Sprintln(what...)) }
+func (w *world) TaskEnds(_, t string, d bool) { w.note("ends", t, d) }
+
+func newTestMachine() (*Machine, *world) {
+	w := &world{jobs: map[string]*wire.Job{
+		"run-000001": {ID: "run-000001", Kind: wire.KindArray, Tasks: 9, GPUs: 1, Image: "a", ImageGB: 4, Checkpoint: 5, SaveS: 2},
+		"run-000002": {ID: "run-000002", Kind: wire.KindService, Tasks: 1, GPUs: 1, Image: "a", ImageGB: 4},
+	}}
+	about := Description{Name: "host-1", Zone: "z1", Type: wire.MachineType{Name: "g2", GPUs: 2, CPUs: 8, MemoryGB: 64, FetchGBPerS: 2}}
+	return NewMachine(about, "127.16.0.1:1", w, w), w
+}
+
+func start(task string, attempt uint64) wire.Command {
+	return wire.Command{Op: wire.OpStart, Task: task, Attempt: attempt}
+}
+
+func stop(task string, attempt uint64, grace float64) wire.Command {
+	return wire.Command{Op: wire.OpStop, Task: task, Attempt: attempt, GraceS: &grace}
+}
+
+// states gives the tasks of a report in short.
+func states(m *Machine, now time.Duration) []string {
+	var all []string
+	for _, t := range m.Report(now).Tasks {
+		all = append(all, fmt.Sprint(t.Task, "#", t.Attempt, " ", t.State, t.Why))
+	}
+	return all
+}
+
+func expect(t *testing.T, m *Machine, at time.Duration, want ...string) {
+	t.Helper()
+	if got := states(m, at*time.Second); !slices.Equal(got, want) {
+		t.Errorf("after %d s: %q, not %q", at, got, want)
+	}
+}
+
+// TestCommands plays the protocol's commands: an image is fetched once, a start of a held attempt has no
+// effect, what can't run is refused with its cause, and a forgotten attempt may start again.
+func TestCommands(t *testing.T) {
+	m, _ := newTestMachine()
+	order := func(now time.Duration, commands ...wire.Command) bool {
+		return m.Ordered(now*time.Second, wire.Orders{Token: 5, Session: 1, Commands: commands})
+	}
+	order(0, start("run-000001/0", 1), start("run-000002/0", 1), start("run-000001/0", 1))
+	expect(t, m, 1, "run-000001/0#1 pulling", "run-000002/0#1 pulling")
+	expect(t, m, 2, "run-000001/0#1 running", "run-000002/0#1 running")
+	order(3, start("run-000001/0", 2), start("run-000001/1", 1), start("run-000009/0", 1))
+	expect(t, m, 4, "run-000001/0#1 running", "run-000001/0#2 exitedbusy", "run-000001/1#1 exitedno_room",
+		"run-000002/0#1 running", "run-000009/0#1 exitedno_such")
+	forget := wire.Command{Op: wire.OpForget, Task: "run-000001/1", Attempt: 1}
+	order(5, forget, stop("run-000002/0", 1, 9), start("run-000001/1", 1))
+	expect(t, m, 5, "run-000001/0#1 running", "run-000001/0#2 exitedbusy", "run-000001/1#1 running",
+		"run-000002/0#1 exitedstopped", "run-000009/0#1 exitedno_such")
+	order(6, stop("run-000001/0", 1, 2), stop("run-000001/1", 1, 1))
+	expect(t, m, 7, "run-000001/0#1 saving", "run-000001/0#2 exitedbusy", "run-000001/1#1 exitedstopped",
+		"run-000002/0#1 exitedstopped", "run-000009/0#1 exitedno_such")
+	m.Advance(8 * time.Second)
+	if r := m.Report(8 * time.Second); r.Tasks[0].State != wire.TaskExited || !r.Tasks[0].Saved {
+		t.Errorf("what has saved is %+v", r.Tasks[0])
+	}
+}
+
+// TestTokensAndSessions drops what is not from who is entitled now, or was meant for an earlier session.
+func TestTokensAndSessions(t *testing.T) {
+	m, w := newTestMachine()
+	if !m.Answered(0, 1, wire.ReportAnswer{Token: 7, Commands: []wire.Command{start("run-000002/0", 1)}}) {
+		t.Error("an answer with a higher token was dropped")
+	}
+	if m.Answered(0, 1, wire.ReportAnswer{Token: 6}) || m.Ordered(0, wire.Orders{Token: 6, Session: 1}) {
+		t.Error("a lower token was obeyed")
+	}
+	m.Advance(3 * time.Second)
+	m.Expire()
+	if m.Answered(4*time.Second, 1, wire.ReportAnswer{Token: 8}) || m.Ordered(0, wire.Orders{Token: 8, Session: 1}) {
+		t.Error("an earlier session was obeyed")
+	}
+	expect(t, m, 4)
+	want := []string{"start run-000002/0 1\n", "runs run-000002/0\n", "ends run-000002/0 false\n"}
+	if !slices.Equal(w.events, want) || m.Report(0).Session != 2 {
+		t.Errorf("%q", w.events)
+	}
+}
+
+// TestCompletion has a task run for its time, to the end.
+func TestCompletion(t *testing.T) {
+	m, w := newTestMachine()
+	m.Ordered(0, wire.Orders{Session: 1, Commands: []wire.Command{start("run-000001/3", 1)}})
+	if m.Next() != 2*time.Second {
+		t.Errorf("the image is there after %v", m.Next())
+	}
+	expect(t, m, 11, "run-000001/3#1 running")
+	expect(t, m, 12, "run-000001/3#1 exiteddone")
+	if m.Next() != Never || w.events[len(w.events)-1] != "ends run-000001/3 true\n" {
+		t.Errorf("%q", w.events)
+	}
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"bitternwing/internal/config"
+	"bitternwing/internal/hollow"
 	"bitternwing/internal/node"
 	"bitternwing/internal/standin"
 	"bitternwing/internal/wire"
@@ -29,6 +30,7 @@
 	t      *testing.T
 	state  *standin.StateServer
 	cloud  *standin.Cloud
+	fleet  *hollow.Fleet
 	addrs  map[string]string
 	peers  map[string]string
 	cancel map[string]context.CancelFunc
@@ -36,26 +38,71 @@
 	next   *config.NextLimits
 
 	mu     sync.Mutex
+	jobs   map[string]*wire.Job
 	starts map[string]int // by task and attempt
 }
 
+// upload has the workers know a job, as users do.
+func (s *site) upload(body string) {
+	s.t.Helper()
+	job, err := wire.ParseJob([]byte(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.jobs[job.ID] = job
+}
+
+// Job gives a job that was uploaded.
+func (s *site) Job(id string) *wire.Job {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.jobs[id]
+}
+
+// RunTime has tasks of arrays end soon, and replicas not at all.
+func (s *site) RunTime(job *wire.Job, _ int) time.Duration {
+	if job.Kind == wire.KindService {
+		return hollow.Never
+	}
+	return 300 * time.Millisecond
+}
+
+// StartReceived counts the starts of each attempt.
+func (s *site) StartReceived(start hollow.Start) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts[fmt.Sprint(start.Task, "#", start.Attempt)]++
+}
+
+// TaskRuns and TaskEnds tell the site nothing.
+func (s *site) TaskRuns(_, _ string)         {}
+func (s *site) TaskEnds(_, _ string, _ bool) {}
+
+// Count counts no messages.
+func (s *site) Count(string, hollow.Kind, int, int) {}
+
 func newSite(t *testing.T) *site { return newSiteWith(t, nil) }
 
 // newSiteWith has limits of the state service to come in the nodes' settings.
 func newSiteWith(t *testing.T, next *config.NextLimits) *site {
 	s := &site{t: t, next: next, state: standin.NewStateServer(), addrs: map[string]string{}, peers: map[string]string{},
-		cancel: map[string]context.CancelFunc{}, done: map[string]chan struct{}{}, starts: map[string]int{}}
+		cancel: map[string]context.CancelFunc{}, done: map[string]chan struct{}{}, jobs: map[string]*wire.Job{}, starts: map[string]int{}}
 	types := []wire.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 512, CacheGB: 300, FetchGBPerS: 4,
 		Price: 16, SpotPrice: 5, BootS: 5, Zones: []string{"z1"}}}
-	s.cloud = standin.NewCloud(types, 50*time.Millisecond, 2*time.Second, func(machine, task string, attempt uint64) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.starts[fmt.Sprint(task, "#", attempt)]++
-	})
+	var controllers []hollow.Controller
 	for _, n := range []string{"a", "b", "c"} {
 		s.addrs[n], s.peers[n] = standin.FreeAddr(), standin.FreeAddr()
-		s.cloud.SetNode(n, s.addrs[n])
+		controllers = append(controllers, hollow.Controller{Name: n, Zone: "z1", Addr: s.addrs[n]})
+	}
+	var err error
+	s.fleet, err = hollow.NewFleet(hollow.Config{Seed: 1, Report: 200 * time.Millisecond, Lease: 2 * time.Second,
+		Controllers: controllers, Jobs: s, Observer: s, Traffic: s})
+	if err != nil {
+		t.Fatal(err)
 	}
+	s.cloud = standin.NewCloud(types, s.fleet.LaunchMachine)
 	for _, n := range []string{"a", "b", "c"} {
 		s.run(n)
 	}
@@ -64,6 +111,7 @@
 			s.kill(n)
 		}
 		s.cloud.Close()
+		s.fleet.Close()
 		s.state.Close()
 	})
 	return s
@@ -137,6 +185,7 @@
 		"vcpus":1.0,"gpus":%d,"memory_gb":1.0,"bundle":"i","image_gb":1.0,"rigs":null,"hall":null,
 		"one_zone":false,"apart":false,"loaner":false,"expect_s":1.0,"stamp_s":0.0,"stow_s":0.0,"cutoff_s":null}`,
 		id, kind, tasks, gpus)
+	s.upload(body)
 	s.eventually("accepted "+id, func() bool {
 		code, _ := s.call("POST", node, "/v2/runs", body)
 		return code == 201 || code == 200
@@ -189,7 +238,7 @@
 	s := newSite(t)
 	s.submit("a", "run-000001", wire.KindService, 2, 4)
 	s.submit("b", "run-000002", wire.KindArray, 5, 1)
-	s.eventually("two replicas run", func() bool { return s.cloud.Running("run-000001") == 2 })
+	s.eventually("two replicas run", func() bool { return s.fleet.Running("run-000001") == 2 })
 	s.state3("run-000001", wire.JobRunning)
 	s.state3("run-000002", wire.JobDone)
 
@@ -214,7 +263,7 @@
 		code, st := s.call("POST", next, "/v2/runs/run-000001/cancel", "")
 		return code == 200 && st.State == wire.JobCancelled
 	})
-	s.eventually("replicas gone", func() bool { return s.cloud.Running("run-000001") == 0 })
+	s.eventually("replicas gone", func() bool { return s.fleet.Running("run-000001") == 0 })
 	s.state3("run-000001", wire.JobCancelled)
 	s.eventually("records swept", func() bool { return len(s.state.Keys("r/")) == 0 && len(s.state.Keys("w/a/")) == 0 })
 	if code, _ := s.call("GET", next, "/v2/runs/run-000999", ""); code != 404 {
@@ -228,7 +277,7 @@
 func TestOutage(t *testing.T) {
 	s := newSite(t)
 	s.submit("a", "run-000001", wire.KindService, 1, 4)
-	s.eventually("it runs", func() bool { return s.cloud.Running("run-000001") == 1 })
+	s.eventually("it runs", func() bool { return s.fleet.Running("run-000001") == 1 })
 	s.state.SetDown(true)
 	s.eventually("503", func() bool {
 		code, _ := s.call("GET", "b", "/v2/runs/run-000001", "")
--- a/internal/node/pipeline_test.go
+++ b/internal/node/pipeline_test.go
@@ -31,7 +31,9 @@
 	defer cancel()
 	submit := func(node, id string, tasks int, needs string) {
 		t.Helper()
-		if _, err := userclient.New(s.addrs[node]).Submit(ctx, jobBody(id, tasks, needs)); err != nil {
+		body := jobBody(id, tasks, needs)
+		s.upload(string(body))
+		if _, err := userclient.New(s.addrs[node]).Submit(ctx, body); err != nil {
 			t.Fatal(err)
 		}
 	}
--- /dev/null
+++ b/internal/scalerun/controllers.go
@@ -0,0 +1,262 @@
+package scalerun
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"bitternwing/internal/config"
+	"bitternwing/internal/scalerun/measure"
+	"bitternwing/internal/standin"
+)
+
+// controller is a controller process, with all that it needs to be started again.
+type controller struct {
+	name, zone       string
+	listen, internal string // addresses
+	state, cloud     string
+	settingsFile     string
+	relays           []*relay // to the others
+
+	cmd       *exec.Cmd
+	exited    chan struct{}
+	expected  bool // it was killed on purpose
+	restartAt time.Duration
+	usage     *measure.Process
+}
+
+// controllers are the controller processes of a run.
+type controllers struct {
+	binary   string
+	dir      string
+	operator string // file of the operators' settings; empty: none
+	now      func() time.Duration
+	died     chan string // names of those that ended by themselves
+
+	mu  sync.Mutex
+	all []*controller
+}
+
+// plan gives controllers names, zones and addresses, and connects them by relays.
+func (c *controllers) plan(s *Scenario, basePort int, traffic *measure.Traffic) error {
+	for i := range s.Controllers.Count {
+		x := &controller{name: fmt.Sprintf("controller-%02d", i), zone: s.Zones[i%len(s.Zones)]}
+		var err error
+		if x.listen, err = address(basePort, 2*i); err != nil {
+			return err
+		}
+		if x.internal, err = address(basePort, 2*i+1); err != nil {
+			return err
+		}
+		c.all = append(c.all, x)
+	}
+	for _, from := range c.all {
+		for _, to := range c.all {
+			if from == to {
+				continue
+			}
+			r, err := newRelay(from.name, to.name, to.internal, traffic)
+			if err != nil {
+				return err
+			}
+			from.relays = append(from.relays, r)
+		}
+	}
+	return nil
+}
+
+// address gives an address with a port counted from a base, which must not be in use; base 0: any free one.
+func address(base, offset int) (string, error) {
+	if base == 0 {
+		return standin.FreeAddr(), nil
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", base+offset)
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return "", fmt.Errorf("port %d: %w", base+offset, err)
+	}
+	return addr, l.Close()
+}
+
+// writeSettings writes the settings files of all controllers.
+func (c *controllers) writeSettings(s *Scenario, params config.Params) error {
+	if len(s.Operator) > 0 {
+		c.operator = filepath.Join(c.dir, "operator.json")
+		if err := os.WriteFile(c.operator, s.Operator, 0o600); err != nil {
+			return err
+		}
+		if _, err := config.LoadOperator(c.operator); err != nil {
+			return err
+		}
+	}
+	for _, x := range c.all {
+		settings := config.Settings{Node: x.name, Zone: x.zone, Listen: x.listen, PeerListen: x.internal,
+			Services: config.Services{Cloud: x.cloud, State: x.state}, Params: params}
+		for _, r := range x.relays {
+			settings.Peers = append(settings.Peers, config.Peer{Node: r.to, Zone: c.named(r.to).zone, Addr: r.addr()})
+		}
+		text, err := toml.Marshal(settings)
+		if err != nil {
+			return err
+		}
+		x.settingsFile = filepath.Join(c.dir, x.name+".toml")
+		if err := os.WriteFile(x.settingsFile, text, 0o600); err != nil {
+			return err
+		}
+		if _, err := config.Load(x.settingsFile); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *controllers) named(name string) *controller {
+	for _, x := range c.all {
+		if x.name == name {
+			return x
+		}
+	}
+	return nil
+}
+
+// start starts a controller's process. Its log is kept beside its settings.
+func (c *controllers) start(x *controller) error {
+	args := []string{}
+	if c.operator != "" {
+		args = append(args, "--operator", c.operator)
+	}
+	cmd := exec.Command(c.binary, append(args, "--config", x.settingsFile)...)
+	log, err := os.OpenFile(filepath.Join(c.dir, x.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	c.mu.Lock()
+	x.cmd, x.exited, x.expected, x.restartAt = cmd, exited, false, 0
+	if x.usage == nil {
+		x.usage = measure.NewProcess(x.name, cmd.Process.Pid, c.now().Seconds())
+	} else {
+		x.usage.Restarted(cmd.Process.Pid, c.now().Seconds())
+	}
+	c.mu.Unlock()
+	go func() {
+		_ = cmd.Wait() // a killed process ends with an error
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if !x.expected {
+			c.died <- x.name
+		}
+		close(exited)
+	}()
+	return nil
+}
+
+// startAll starts all controllers.
+func (c *controllers) startAll() error {
+	for _, x := range c.all {
+		if err := c.start(x); err != nil {
+			return fmt.Errorf("%s: %w", x.name, err)
+		}
+	}
+	return nil
+}
+
+// kill ends a controller's process by its id, and waits for it. It is to be started again at a time; 0: never.
+func (c *controllers) kill(x *controller, restartAt time.Duration) error {
+	c.mu.Lock()
+	cmd, exited := x.cmd, x.exited
+	x.expected, x.restartAt = true, restartAt
+	c.mu.Unlock()
+	if cmd == nil {
+		return nil
+	}
+	if err := cmd.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	<-exited
+	return nil
+}
+
+// restartDue starts those again whose time has come.
+func (c *controllers) restartDue() error {
+	for _, x := range c.all {
+		c.mu.Lock()
+		due := x.restartAt > 0 && c.now() >= x.restartAt
+		c.mu.Unlock()
+		if !due {
+			continue
+		}
+		if err := c.start(x); err != nil {
+			return fmt.Errorf("%s: %w", x.name, err)
+		}
+	}
+	return nil
+}
+
+// sample samples all processes that are there.
+func (c *controllers) sample(atS float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range c.all {
+		if x.usage != nil && !x.expected {
+			_ = x.usage.Take(atS) // one that just ended has no sample
+		}
+	}
+}
+
+// residentMB is the memory of all processes as last sampled.
+func (c *controllers) residentMB() float64 {
+	sum := 0.0
+	for _, x := range c.all {
+		if x.usage != nil && len(x.usage.Samples) > 0 {
+			sum += x.usage.Samples[len(x.usage.Samples)-1].MemoryMB
+		}
+	}
+	return sum
+}
+
+// close ends all processes and relays.
+func (c *controllers) close() error {
+	var failed error
+	for _, x := range c.all {
+		failed = errors.Join(failed, c.kill(x, 0))
+		for _, r := range x.relays {
+			r.close()
+		}
+	}
+	return failed
+}
+
+// addresses gives the public addresses, and the names by address.
+func (c *controllers) addresses() ([]string, map[string]string) {
+	names := map[string]string{}
+	var all []string
+	for _, x := range c.all {
+		all = append(all, x.listen)
+		names[x.listen] = x.name
+	}
+	return all, names
+}
+
+// setZoneCut cuts the relays between a zone's controllers and the others, or ends that.
+func (c *controllers) setZoneCut(zone string, cut bool) {
+	for _, x := range c.all {
+		for _, r := range x.relays {
+			if (x.zone == zone) != (c.named(r.to).zone == zone) {
+				r.setCut(cut)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/scalerun/load/transport.go
@@ -0,0 +1,61 @@
+package load
+
+import (
+	"io"
+	"net/http"
+	"strings"
+
+	"bitternwing/internal/hollow"
+	"bitternwing/internal/scalerun/measure"
+	"bitternwing/internal/wire"
+)
+
+// countingTransport counts requests and answers by the controller that they go to.
+type countingTransport struct {
+	traffic Traffic
+	names   map[string]string // of the controllers, by address
+	next    http.RoundTripper
+}
+
+// RoundTrip makes a request.
+func (t *countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = &countingBody{ReadCloser: resp.Body, ended: func(sent int) {
+		t.traffic.Count(t.names[r.URL.Host], kindOf(r), int(max(0, r.ContentLength)), sent)
+	}}
+	return resp, nil
+}
+
+func kindOf(r *http.Request) hollow.Kind {
+	switch {
+	case r.Method == http.MethodGet:
+		return measure.KindPoll
+	case strings.HasSuffix(r.URL.Path, wire.CancelSuffix):
+		return measure.KindCancel
+	}
+	return measure.KindSubmit
+}
+
+// countingBody counts the bytes of an answer, and tells when it is closed.
+type countingBody struct {
+	io.ReadCloser
+	bytes int
+	ended func(bytes int)
+}
+
+func (b *countingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.bytes += n
+	return n, err
+}
+
+func (b *countingBody) Close() error {
+	if b.ended != nil {
+		b.ended(b.bytes)
+		b.ended = nil
+	}
+	return b.ReadCloser.Close()
+}
--- /dev/null
+++ b/internal/scalerun/load/users.go
@@ -0,0 +1,175 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bitternwing/internal/hollow"
+	"bitternwing/internal/scalerun/measure"
+	"bitternwing/internal/userclient"
+	"bitternwing/internal/wire"
+)
+
+// The users' times by the protocol.
+const (
+	submitPatience = 60 * time.Second
+	pollInterval   = 5 * time.Second
+	cancelPatience = 2 * time.Minute
+)
+
+// mostAtOnce bounds the users that wait for an answer.
+const mostAtOnce = 512
+
+// Ledger is told what users did and were told.
+type Ledger interface {
+	Submit(job *wire.Job)
+	Accepted(id string)
+	Told(id string, state wire.JobStatus)
+	Unknown(id string)
+}
+
+// Traffic counts users' messages.
+type Traffic interface {
+	Count(controller string, kind hollow.Kind, received, sent int)
+}
+
+// Users submit jobs, ask about them until they are over, and cancel services in the end. They reach the
+// controllers in turn, as through a load balancer that knows which are healthy.
+type Users struct {
+	ledger  Ledger
+	client  *userclient.Client
+	slots   chan struct{}
+	running sync.WaitGroup
+
+	// SubmitTimes are from the first try of a submission to its answer.
+	SubmitTimes *measure.Histogram
+	Submitted   atomic.Int64
+	Accepted    atomic.Int64
+	Refused     atomic.Int64
+	GivenUp     atomic.Int64
+	Done        atomic.Int64
+	Cancelled   atomic.Int64
+}
+
+// NewUsers makes users of controllers at addresses.
+func NewUsers(addresses []string, ledger Ledger, traffic Traffic, names map[string]string) *Users {
+	transport := &countingTransport{traffic: traffic, names: names, next: &http.Transport{
+		MaxIdleConnsPerHost: mostAtOnce, IdleConnTimeout: 30 * time.Second, DisableCompression: true}}
+	return &Users{ledger: ledger, client: userclient.NewBalanced(addresses, transport), slots: make(chan struct{}, mostAtOnce),
+		SubmitTimes: measure.NewHistogram()}
+}
+
+// Play has a user submit a job and follow it, in the background, until the context ends.
+func (u *Users) Play(ctx context.Context, a Arrival) {
+	u.ledger.Submit(a.Job)
+	u.Submitted.Add(1)
+	u.running.Add(1)
+	go func() {
+		defer u.running.Done()
+		u.live(ctx, a)
+	}()
+}
+
+// Wait waits for all users. Their context has to have ended.
+func (u *Users) Wait() { u.running.Wait() }
+
+func (u *Users) live(ctx context.Context, a Arrival) {
+	if !u.submit(ctx, a.Job) {
+		return
+	}
+	var cancelAt <-chan time.Time
+	if a.Job.Kind == wire.KindService && a.Class.RunS > 0 {
+		cancelAt = time.After(time.Duration(a.Class.RunS * float64(time.Second)))
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-cancelAt:
+			u.cancel(ctx, a.Job.ID)
+			return
+		case <-time.After(pollInterval):
+			if u.poll(ctx, a.Job.ID) {
+				return
+			}
+		}
+	}
+}
+
+// submit hands a job in; true if it was accepted.
+func (u *Users) submit(ctx context.Context, job *wire.Job) bool {
+	body, err := job.Submission()
+	if err != nil {
+		return false
+	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, submitPatience)
+	defer cancel()
+	_, err = u.ask(ctx, func() (wire.JobState, error) { return u.client.Submit(ctx, body) })
+	var refused *userclient.RefusedError
+	switch {
+	case err == nil:
+		u.SubmitTimes.Add(time.Since(began))
+		u.Accepted.Add(1)
+		u.ledger.Accepted(job.ID)
+		return true
+	case errors.As(err, &refused):
+		u.Refused.Add(1)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		u.GivenUp.Add(1)
+	}
+	return false
+}
+
+// poll asks about a job; true if it is over.
+func (u *Users) poll(ctx context.Context, id string) bool {
+	ctx, cancel := context.WithTimeout(ctx, pollInterval)
+	defer cancel()
+	state, err := u.ask(ctx, func() (wire.JobState, error) { return u.client.Show(ctx, id) })
+	if errors.Is(err, userclient.ErrNotFound) {
+		u.ledger.Unknown(id)
+	}
+	if err != nil {
+		return false
+	}
+	u.ledger.Told(id, state.State)
+	return u.over(state.State)
+}
+
+func (u *Users) cancel(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, cancelPatience)
+	defer cancel()
+	state, err := u.ask(ctx, func() (wire.JobState, error) { return u.client.Cancel(ctx, id) })
+	if err == nil {
+		u.ledger.Told(id, state.State)
+		u.over(state.State)
+	}
+}
+
+// over counts final states.
+func (u *Users) over(state wire.JobStatus) bool {
+	switch state {
+	case wire.JobDone:
+		u.Done.Add(1)
+	case wire.JobCancelled:
+		u.Cancelled.Add(1)
+	default:
+		return false
+	}
+	return true
+}
+
+// ask waits for its turn among all users.
+func (u *Users) ask(ctx context.Context, f func() (wire.JobState, error)) (wire.JobState, error) {
+	select {
+	case u.slots <- struct{}{}:
+	case <-ctx.Done():
+		return wire.JobState{}, ctx.Err()
+	}
+	defer func() { <-u.slots }()
+	return f()
+}
--- /dev/null
+++ b/internal/scalerun/measure/histogram.go
@@ -0,0 +1,61 @@
+package measure
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	mostMilliseconds  = 3_600_000
+	significantDigits = 3
+)
+
+// Histogram keeps times, to the millisecond.
+type Histogram struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+// NewHistogram makes an empty one.
+func NewHistogram() *Histogram {
+	return &Histogram{h: hdrhistogram.New(1, mostMilliseconds, significantDigits)}
+}
+
+// Add adds a time; what is beyond the range counts as its end.
+func (h *Histogram) Add(d time.Duration) { h.AddValue(d.Milliseconds()) }
+
+// AddValue adds a value of another unit.
+func (h *Histogram) AddValue(v int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.h.RecordValue(min(max(v, 0), mostMilliseconds)) // within its range
+}
+
+// Summary is what a histogram comes to.
+type Summary struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean"`
+	P50   int64   `json:"p50"`
+	P99   int64   `json:"p99"`
+	Max   int64   `json:"max"`
+}
+
+// Summary gives the figures.
+func (h *Histogram) Summary() Summary {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return Summary{Count: h.h.TotalCount(), Mean: h.h.Mean(), P50: h.h.ValueAtQuantile(50), P99: h.h.ValueAtQuantile(99), Max: h.h.Max()}
+}
+
+// Quantiles gives the values at some quantiles, in percent.
+func (h *Histogram) Quantiles(percent []float64) []int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	values := make([]int64, len(percent))
+	for i, p := range percent {
+		values[i] = h.h.ValueAtQuantile(p)
+	}
+	return values
+}
--- /dev/null
+++ b/internal/scalerun/measure/process.go
@@ -0,0 +1,146 @@
+package measure
+
+import (
+	"github.com/prometheus/procfs"
+)
+
+// Sample is what a process used in a second.
+type Sample struct {
+	AtS       float64 `json:"at_s"`
+	Cores     float64 `json:"cores"`
+	MemoryMB  float64 `json:"memory_mb"`
+	ReadKB    float64 `json:"read_kb_per_s"`
+	WrittenKB float64 `json:"written_kb_per_s"`
+	Files     int     `json:"open_files"`
+}
+
+// Process samples a process by its id.
+type Process struct {
+	Name    string
+	Samples []Sample
+
+	pid  int
+	last reading
+}
+
+// reading is a state of a process's counters.
+type reading struct {
+	atS           float64
+	cpu           float64
+	read, written uint64
+}
+
+// NewProcess begins to sample a process at a time in seconds.
+func NewProcess(name string, pid int, atS float64) *Process {
+	p := &Process{Name: name}
+	p.Restarted(pid, atS)
+	return p
+}
+
+// Restarted goes on with another process under the same name.
+func (p *Process) Restarted(pid int, atS float64) {
+	p.pid = pid
+	p.last = reading{atS: atS}
+	if proc, err := procfs.NewProc(pid); err == nil {
+		p.last, _, _ = read(proc, atS) // what can't be read yet counts from 0
+	}
+}
+
+// read reads a process's counters and its resident memory.
+func read(proc procfs.Proc, atS float64) (reading, int, error) {
+	stat, err := proc.Stat()
+	if err != nil {
+		return reading{atS: atS}, 0, err
+	}
+	io, err := proc.IO()
+	if err != nil {
+		return reading{atS: atS}, 0, err
+	}
+	return reading{atS, stat.CPUTime(), io.RChar, io.WChar}, stat.ResidentMemory(), nil
+}
+
+// kilobyte and megabyte are the units of the samples, in bytes.
+const (
+	kilobyte = 1 << 10
+	megabyte = 1 << 20
+)
+
+// Take takes a sample; an error says that the process is no more.
+func (p *Process) Take(atS float64) error {
+	proc, err := procfs.NewProc(p.pid)
+	if err != nil {
+		return err
+	}
+	now, resident, err := read(proc, atS)
+	if err != nil {
+		return err
+	}
+	files, err := proc.FileDescriptorsLen()
+	if err != nil {
+		return err
+	}
+	elapsed := now.atS - p.last.atS
+	if elapsed <= 0 {
+		return nil
+	}
+	p.Samples = append(p.Samples, Sample{
+		AtS:       atS,
+		Cores:     (now.cpu - p.last.cpu) / elapsed,
+		MemoryMB:  float64(resident) / megabyte,
+		ReadKB:    float64(now.read-p.last.read) / elapsed / kilobyte,
+		WrittenKB: float64(now.written-p.last.written) / elapsed / kilobyte,
+		Files:     files,
+	})
+	p.last = now
+	return nil
+}
+
+// Usage is what a process used over a run: means and peaks of its samples.
+type Usage struct {
+	Cores       float64 `json:"cores"`
+	PeakCores   float64 `json:"peak_cores"`
+	PeakMB      float64 `json:"peak_memory_mb"`
+	ReadKB      float64 `json:"read_kb_per_s"`
+	WrittenKB   float64 `json:"written_kb_per_s"`
+	PeakFiles   int     `json:"peak_open_files"`
+	SampleCount int     `json:"samples"`
+}
+
+// Usage sums up the samples from a time on.
+func (p *Process) Usage(fromS float64) Usage {
+	var u Usage
+	for _, s := range p.Samples {
+		if s.AtS < fromS {
+			continue
+		}
+		u.SampleCount++
+		u.Cores += s.Cores
+		u.ReadKB += s.ReadKB
+		u.WrittenKB += s.WrittenKB
+		u.PeakCores = max(u.PeakCores, s.Cores)
+		u.PeakMB = max(u.PeakMB, s.MemoryMB)
+		u.PeakFiles = max(u.PeakFiles, s.Files)
+	}
+	if n := float64(u.SampleCount); n > 0 {
+		u.Cores /= n
+		u.ReadKB /= n
+		u.WrittenKB /= n
+	}
+	return u
+}
+
+// HalfOfMemoryMB gives half of the machine's memory.
+func HalfOfMemoryMB() (float64, error) {
+	fs, err := procfs.NewDefaultFS()
+	if err != nil {
+		return 0, err
+	}
+	info, err := fs.Meminfo()
+	if err != nil {
+		return 0, err
+	}
+	if info.MemTotalBytes == nil {
+		return 0, nil
+	}
+	return float64(*info.MemTotalBytes) / 2 / megabyte, nil
+}
--- /dev/null
+++ b/internal/scalerun/measure/traffic.go
@@ -0,0 +1,69 @@
+// Package measure counts messages, samples processes and keeps histograms of a scale run.
+package measure
+
+import (
+	"sync"
+
+	"bitternwing/internal/hollow"
+)
+
+// The kinds of messages beside those of the workers. Those to the state service and the cloud are named
+// by what they ask for.
+const (
+	KindPeer   hollow.Kind = "peer"
+	KindSubmit hollow.Kind = "submit"
+	KindPoll   hollow.Kind = "poll"
+	KindCancel hollow.Kind = "cancel"
+)
+
+// Count is a number of messages and the bytes of their bodies, seen from the controller.
+type Count struct {
+	Messages int64 `json:"messages"`
+	Received int64 `json:"received_bytes"`
+	Sent     int64 `json:"sent_bytes"`
+}
+
+// Traffic counts messages by controller and kind.
+type Traffic struct {
+	mu     sync.Mutex
+	counts map[string]map[hollow.Kind]Count
+}
+
+// NewTraffic makes a count of nothing.
+func NewTraffic() *Traffic { return &Traffic{counts: map[string]map[hollow.Kind]Count{}} }
+
+// Count counts a message and its answer.
+func (t *Traffic) Count(controller string, kind hollow.Kind, received, sent int) {
+	t.add(controller, kind, Count{1, int64(received), int64(sent)})
+}
+
+// Bytes counts bytes of a stream whose messages can't be told apart.
+func (t *Traffic) Bytes(controller string, kind hollow.Kind, received, sent int) {
+	t.add(controller, kind, Count{0, int64(received), int64(sent)})
+}
+
+func (t *Traffic) add(controller string, kind hollow.Kind, c Count) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	kinds := t.counts[controller]
+	if kinds == nil {
+		kinds = map[hollow.Kind]Count{}
+		t.counts[controller] = kinds
+	}
+	sum := kinds[kind]
+	sum.Messages += c.Messages
+	sum.Received += c.Received
+	sum.Sent += c.Sent
+	kinds[kind] = sum
+}
+
+// Of gives a controller's counts by kind.
+func (t *Traffic) Of(controller string) map[hollow.Kind]Count {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	kinds := map[hollow.Kind]Count{}
+	for k, c := range t.counts[controller] {
+		kinds[k] = c
+	}
+	return kinds
+}
--- /dev/null
+++ b/internal/scalerun/relay.go
@@ -0,0 +1,141 @@
+package scalerun
+
+import (
+	"io"
+	"net"
+	"sync"
+
+	"bitternwing/internal/scalerun/measure"
+)
+
+// relay passes the connections of one controller to another one on, so that what they exchange can be
+// counted and cut off. While it is cut, bytes are held back and delivered when that ends.
+type relay struct {
+	from, to string // controllers
+	target   string // address
+	listener net.Listener
+	traffic  *measure.Traffic
+
+	mu    sync.Mutex
+	open  *sync.Cond
+	cut   bool
+	ended bool
+	conns map[net.Conn]bool
+}
+
+func newRelay(from, to, target string, traffic *measure.Traffic) (*relay, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{from: from, to: to, target: target, listener: l, traffic: traffic, conns: map[net.Conn]bool{}}
+	r.open = sync.NewCond(&r.mu)
+	go r.serve()
+	return r, nil
+}
+
+func (r *relay) addr() string { return r.listener.Addr().String() }
+
+func (r *relay) serve() {
+	for {
+		in, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.connect(in)
+	}
+}
+
+// connect passes a connection on until one of its sides ends it.
+func (r *relay) connect(in net.Conn) {
+	defer r.forget(in)
+	if !r.keep(in) || !r.pass() {
+		return
+	}
+	out, err := net.Dial("tcp4", r.target)
+	if err != nil {
+		return
+	}
+	defer r.forget(out)
+	if !r.keep(out) {
+		return
+	}
+	go func() {
+		r.copy(out, in, func(n int) {
+			r.traffic.Bytes(r.from, measure.KindPeer, 0, n)
+			r.traffic.Bytes(r.to, measure.KindPeer, n, 0)
+		})
+		r.forget(out)
+	}()
+	r.copy(in, out, func(n int) {
+		r.traffic.Bytes(r.from, measure.KindPeer, n, 0)
+		r.traffic.Bytes(r.to, measure.KindPeer, 0, n)
+	})
+}
+
+// relayBuffer is how many bytes are passed on at a time.
+const relayBuffer = 16 << 10
+
+func (r *relay) copy(to io.Writer, from io.Reader, count func(int)) {
+	buffer := make([]byte, relayBuffer)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			if !r.pass() {
+				return
+			}
+			count(n)
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// pass waits while the relay is cut; false if it has ended.
+func (r *relay) pass() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.cut && !r.ended {
+		r.open.Wait()
+	}
+	return !r.ended
+}
+
+func (r *relay) setCut(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+	r.open.Broadcast()
+}
+
+// keep remembers a connection until forget; false if the relay has ended.
+func (r *relay) keep(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.ended {
+		r.conns[c] = true
+	}
+	return !r.ended
+}
+
+func (r *relay) forget(c net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
+	_ = c.Close()
+}
+
+func (r *relay) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+	r.open.Broadcast()
+	_ = r.listener.Close()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/scalerun/result.go
@@ -0,0 +1,162 @@
+package scalerun
+
+import (
+	"encoding/json"
+	"os"
+	"slices"
+
+	"bitternwing/internal/hollow"
+	"bitternwing/internal/scalerun/measure"
+	"bitternwing/internal/scalerun/rules"
+)
+
+// Second is what was counted in a second of a run.
+type Second struct {
+	AtS        float64 `json:"at_s"`
+	Asked      int64   `json:"asked"`   // tasks submitted
+	Started    int64   `json:"started"` // starts that workers took in
+	Completed  int64   `json:"completed"`
+	OnMachine  int64   `json:"on_machine"`
+	Leader     string  `json:"leader"`
+	Reporting  int     `json:"reporting"` // workers that the leader answered last
+	Violations int     `json:"violations"`
+}
+
+// ProcessResult is what a process used, and its messages by kind.
+type ProcessResult struct {
+	Name    string                        `json:"name"`
+	Zone    string                        `json:"zone,omitempty"`
+	Led     bool                          `json:"led"`
+	Usage   measure.Usage                 `json:"usage"`
+	Traffic map[hollow.Kind]measure.Count `json:"traffic,omitempty"`
+	Samples []measure.Sample              `json:"samples"`
+}
+
+// WorkerResult is the traffic of the workers, in bytes a second over windows of five seconds, both ways.
+type WorkerResult struct {
+	Count    int             `json:"count"`
+	Windows  measure.Summary `json:"bytes_per_s"`
+	PeakMean float64         `json:"peak_mean_bytes_per_s"`
+}
+
+// JobCounts are the jobs of a run by what became of them.
+type JobCounts struct {
+	Submitted int64 `json:"submitted"`
+	Accepted  int64 `json:"accepted"`
+	Refused   int64 `json:"refused"`
+	GivenUp   int64 `json:"given_up"`
+	Done      int64 `json:"done"`
+	Cancelled int64 `json:"cancelled"`
+}
+
+// Result is what a run came to. Times are in milliseconds where nothing else is said.
+type Result struct {
+	Scenario   *Scenario         `json:"scenario"`
+	Ended      string            `json:"ended"` // why; "in time" if nothing ended it
+	DurationS  float64           `json:"duration_s"`
+	Violations []rules.Violation `json:"violations"`
+
+	Asked          int64   `json:"asked"`
+	Started        int64   `json:"started"`
+	Completed      int64   `json:"completed"`
+	AskedPerS      float64 `json:"asked_per_s"`
+	StartedPerS    float64 `json:"started_per_s"`
+	PeakStartsPerS float64 `json:"peak_starts_per_s"` // over ten seconds
+	PeakOnMachine  int64   `json:"peak_on_machine"`
+
+	Jobs        JobCounts                     `json:"jobs"`
+	SubmitTimes measure.Summary               `json:"submit_ms"`
+	StartTimes  map[string]measure.Summary    `json:"start_ms"`  // by class, from submission
+	UrgentTimes measure.Summary               `json:"urgent_ms"` // from submission until all of a job runs
+	Failovers   []Failover                    `json:"failovers"`
+	Workers     WorkerResult                  `json:"workers"`
+	Processes   []ProcessResult               `json:"processes"`
+	Direct      map[hollow.Kind]measure.Count `json:"direct"` // messages of controllers to workers
+	Seconds     []Second                      `json:"seconds"`
+}
+
+// endedInTime is the reason of an end that nothing else has caused.
+const endedInTime = "in time"
+
+// result sums a run up.
+func (r *run) result(err error) *Result {
+	s := r.scenario
+	now := r.recorder.totals()
+	measured := max(1, r.now().Seconds()-s.WarmUpS)
+	res := &Result{Scenario: s, Ended: endedInTime, DurationS: r.now().Seconds(), Violations: r.ledger.Violations(),
+		Asked: r.generator.Tasks(), Started: now.started, Completed: now.completed,
+		AskedPerS: float64(r.generator.Tasks()) / measured, StartedPerS: float64(now.started) / measured,
+		PeakStartsPerS: peakStarts(r.seconds), SubmitTimes: r.users.SubmitTimes.Summary(), UrgentTimes: r.recorder.urgent.Summary(),
+		StartTimes: map[string]measure.Summary{}, Failovers: r.recorder.failovers, Seconds: r.seconds,
+		Direct: r.traffic.Of(hollow.AnyController),
+		Jobs: JobCounts{r.users.Submitted.Load(), r.users.Accepted.Load(), r.users.Refused.Load(), r.users.GivenUp.Load(),
+			r.users.Done.Load(), r.users.Cancelled.Load()}}
+	if err != nil {
+		res.Ended = err.Error()
+	}
+	for class, h := range r.recorder.classes {
+		res.StartTimes[class] = h.Summary()
+	}
+	led := map[string]bool{}
+	for _, second := range r.seconds {
+		res.PeakOnMachine = max(res.PeakOnMachine, second.OnMachine)
+		led[second.Leader] = true
+	}
+	res.Workers = WorkerResult{s.workers(), r.workers.windows.Summary(), r.workers.peak}
+	for _, x := range r.controllers.all {
+		res.Processes = append(res.Processes, ProcessResult{x.name, x.zone, led[x.name], x.usage.Usage(s.WarmUpS), r.traffic.Of(x.name), x.usage.Samples})
+	}
+	res.Processes = append(res.Processes, ProcessResult{Name: r.self.Name, Usage: r.self.Usage(s.WarmUpS), Samples: r.self.Samples})
+	return res
+}
+
+// peakWindow is over how many seconds the peak of starts is taken.
+const peakWindow = 10
+
+// peakStarts gives the most starts a second over a window.
+func peakStarts(seconds []Second) float64 {
+	peak, sum := 0.0, int64(0)
+	for i, s := range seconds {
+		sum += s.Started
+		if i >= peakWindow {
+			sum -= seconds[i-peakWindow].Started
+		}
+		if i >= peakWindow-1 {
+			first := seconds[max(0, i-peakWindow)].AtS
+			if i < peakWindow {
+				first = 0
+			}
+			peak = max(peak, float64(sum)/(s.AtS-first))
+		}
+	}
+	return peak
+}
+
+// Write writes the result as JSON.
+func (res *Result) Write(path string) error {
+	data, err := json.MarshalIndent(res, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(data, '\n'), 0o600)
+}
+
+// Leader gives the process that led the longest.
+func (res *Result) Leader() *ProcessResult {
+	led := map[string]int{}
+	for _, s := range res.Seconds {
+		led[s.Leader]++
+	}
+	i := slices.IndexFunc(res.Processes, func(p ProcessResult) bool {
+		for _, n := range led {
+			if n > led[p.Name] {
+				return false
+			}
+		}
+		return led[p.Name] > 0
+	})
+	if i < 0 {
+		return nil
+	}
+	return &res.Processes[i]
+}
--- /dev/null
+++ b/internal/scalerun/rules/ledger.go
@@ -0,0 +1,222 @@
+// Package rules checks what workers and users see against the rules of the protocol: a task on two
+// machines, a task of a cancelled job after its time, a team beyond its limit, an accepted job that is
+// unknown, a job that is called done too early.
+package rules
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"bitternwing/internal/config"
+	"bitternwing/internal/wire"
+)
+
+// Rule is the protocol's name of a rule.
+type Rule string
+
+// The rules that are checked.
+const (
+	RanTwice     Rule = "ran_twice"
+	Quota        Rule = "quota"
+	RanCancelled Rule = "ran_cancelled"
+	Forgotten    Rule = "forgotten"
+	NotDone      Rule = "not_done"
+)
+
+// Violation is a broken rule, with the message that shows it.
+type Violation struct {
+	Rule    Rule    `json:"rule"`
+	AtS     float64 `json:"at_s"`
+	Message string  `json:"message"`
+}
+
+// mostKept bounds the violations that are kept.
+const mostKept = 100
+
+// tolerance is what amounts may be off by after adding and subtracting.
+const tolerance = 1e-6
+
+// Ledger knows where each task is and what users were told.
+type Ledger struct {
+	cancelTime time.Duration
+	now        func() time.Duration
+	teams      map[string]config.Team
+
+	mu         sync.Mutex
+	jobs       map[string]*job
+	used       map[string]*amount // by team
+	violations []Violation
+}
+
+// amount is what a team's tasks use.
+type amount struct{ gpus, cpus float64 }
+
+// job is what is known of a job.
+type job struct {
+	spec        *wire.Job
+	accepted    bool
+	cancelTold  bool
+	cancelledAt time.Duration // when its user was told
+	reported    bool          // that it ran on after that
+	machines    map[int]string
+	done        map[int]bool
+}
+
+// NewLedger makes a ledger with a clock. Cancelled jobs have cancelTime to be gone.
+func NewLedger(teams []config.Team, cancelTime time.Duration, now func() time.Duration) *Ledger {
+	l := &Ledger{cancelTime: cancelTime, now: now, teams: map[string]config.Team{}, jobs: map[string]*job{}, used: map[string]*amount{}}
+	for _, t := range teams {
+		l.teams[t.Name] = t
+		l.used[t.Name] = &amount{}
+	}
+	return l
+}
+
+// Submit notes a job before it is handed in.
+func (l *Ledger) Submit(spec *wire.Job) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.jobs[spec.ID] = &job{spec: spec, machines: map[int]string{}, done: map[int]bool{}}
+}
+
+// Accepted notes that a user was told that a job is accepted.
+func (l *Ledger) Accepted(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.jobs[id].accepted = true
+}
+
+// Told checks a state that a user was told of a job.
+func (l *Ledger) Told(id string, state wire.JobStatus) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := l.jobs[id]
+	switch {
+	case state == wire.JobCancelled && !j.cancelTold:
+		j.cancelTold, j.cancelledAt = true, l.now()
+	case state == wire.JobDone && len(j.done) < j.spec.Tasks:
+		l.broken(NotDone, "%s is called done with %d of %d tasks completed", id, len(j.done), j.spec.Tasks)
+	}
+}
+
+// Unknown checks an answer to a user that there is no such job.
+func (l *Ledger) Unknown(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if j := l.jobs[id]; j != nil && j.accepted {
+		l.broken(Forgotten, "%s was accepted and is unknown now", id)
+	}
+}
+
+// TaskRuns checks that a task may be on a machine from now on.
+func (l *Ledger) TaskRuns(machine, task string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j, index := l.find(task)
+	if j == nil {
+		return
+	}
+	if other, on := j.machines[index]; on {
+		l.broken(RanTwice, "%s starts on %s while it is on %s", task, machine, other)
+	} else {
+		l.use(j, 1)
+	}
+	j.machines[index] = machine
+	if l.late(j) {
+		l.broken(RanCancelled, "%s starts on %s after its job was cancelled", task, machine)
+	}
+	l.checkLimit(j)
+}
+
+// TaskEnds notes that a task is on a machine no longer; done if it completed.
+func (l *Ledger) TaskEnds(machine, task string, done bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j, index := l.find(task)
+	if j == nil {
+		return
+	}
+	if done {
+		j.done[index] = true
+	}
+	if j.machines[index] == machine {
+		delete(j.machines, index)
+		l.use(j, -1)
+	}
+}
+
+// Completed tells whether a task has completed on some machine.
+func (l *Ledger) Completed(id string, index int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := l.jobs[id]
+	return j != nil && j.done[index]
+}
+
+// Job gives a submitted job; nil if there is none.
+func (l *Ledger) Job(id string) *wire.Job {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if j := l.jobs[id]; j != nil {
+		return j.spec
+	}
+	return nil
+}
+
+// CheckCancelled checks that cancelled jobs are gone in time. It is called now and then.
+func (l *Ledger) CheckCancelled() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, j := range l.jobs {
+		if !l.late(j) || j.reported {
+			continue
+		}
+		for index, machine := range j.machines {
+			j.reported = true
+			l.broken(RanCancelled, "%s is on %s, %.1f s after its user was told that it is cancelled",
+				wire.TaskName(id, index), machine, (l.now() - j.cancelledAt).Seconds())
+			break
+		}
+	}
+}
+
+// Violations gives the broken rules so far.
+func (l *Ledger) Violations() []Violation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Violation(nil), l.violations...)
+}
+
+// late tells whether nothing of a job may be on a machine any more.
+func (l *Ledger) late(j *job) bool {
+	return j.cancelTold && l.now() > j.cancelledAt+l.cancelTime
+}
+
+func (l *Ledger) find(task string) (*job, int) {
+	id, index, ok := wire.ParseTask(task)
+	if !ok {
+		return nil, 0
+	}
+	return l.jobs[id], index
+}
+
+func (l *Ledger) use(j *job, tasks float64) {
+	u := l.used[j.spec.Team]
+	u.gpus += tasks * j.spec.GPUs
+	u.cpus += tasks * j.spec.CPUs
+}
+
+func (l *Ledger) checkLimit(j *job) {
+	t, u := l.teams[j.spec.Team], l.used[j.spec.Team]
+	if t.GPUsMax > 0 && u.gpus > t.GPUsMax+tolerance || t.CPUsMax > 0 && u.cpus > t.CPUsMax+tolerance {
+		l.broken(Quota, "team %s uses %.2f GPUs of %.2f and %.2f CPUs of %.2f", t.Name, u.gpus, t.GPUsMax, u.cpus, t.CPUsMax)
+	}
+}
+
+// broken keeps a violation. The caller holds the lock.
+func (l *Ledger) broken(rule Rule, format string, args ...any) {
+	if len(l.violations) < mostKept {
+		l.violations = append(l.violations, Violation{rule, l.now().Seconds(), fmt.Sprintf(format, args...)})
+	}
+}
--- /dev/null
+++ b/internal/scalerun/rules/ledger_test.go
@@ -0,0 +1,68 @@
+package rules
+
+import (
+	"testing"
+	"time"
+
+	"bitternwing/internal/config"
+	"bitternwing/internal/wire"
+)
+
+// TestRules breaks each rule once, and sees it told once; what comes close to it is no violation.
+func TestRules(t *testing.T) {
+	type setup struct {
+		ledger *Ledger
+		now    *time.Duration
+	}
+	const job = "run-000001"
+	for _, test := range []struct {
+		rule       Rule
+		close, bad func(setup)
+	}{
+		{RanTwice, func(s setup) {
+			s.ledger.TaskRuns("m1", job+"/0")
+			s.ledger.TaskEnds("m1", job+"/0", false)
+			s.ledger.TaskRuns("m2", job+"/0")
+		}, func(s setup) { s.ledger.TaskRuns("m1", job+"/0") }},
+		{Quota, func(s setup) {
+			s.ledger.TaskRuns("m1", job+"/0")
+			s.ledger.TaskRuns("m1", job+"/1")
+		}, func(s setup) { s.ledger.TaskRuns("m1", job+"/2") }},
+		{RanCancelled, func(s setup) {
+			s.ledger.TaskRuns("m1", job+"/0")
+			s.ledger.Told(job, wire.JobCancelled)
+			*s.now += 30 * time.Second
+			s.ledger.CheckCancelled()
+		}, func(s setup) {
+			*s.now += time.Second
+			s.ledger.CheckCancelled()
+			s.ledger.CheckCancelled()
+		}},
+		{RanCancelled, func(s setup) {
+			s.ledger.Told(job, wire.JobCancelled)
+			*s.now += 31 * time.Second
+			s.ledger.CheckCancelled()
+		}, func(s setup) { s.ledger.TaskRuns("m1", job+"/0") }},
+		{Forgotten, func(s setup) { s.ledger.Unknown(job) }, func(s setup) {
+			s.ledger.Accepted(job)
+			s.ledger.Unknown(job)
+		}},
+		{NotDone, func(s setup) {
+			s.ledger.TaskRuns("m1", job+"/0")
+			s.ledger.TaskEnds("m1", job+"/0", true)
+		}, func(s setup) { s.ledger.Told(job, wire.JobDone) }},
+	} {
+		now := time.Duration(0)
+		l := NewLedger([]config.Team{{Name: "red", GPUsMax: 2}}, 30*time.Second, func() time.Duration { return now })
+		l.Submit(&wire.Job{ID: job, Team: "red", Tasks: 3, GPUs: 1})
+		s := setup{l, &now}
+		test.close(s)
+		if v := l.Violations(); len(v) > 0 {
+			t.Errorf("%s: told too early: %v", test.rule, v)
+		}
+		test.bad(s)
+		if v := l.Violations(); len(v) != 1 || v[0].Rule != test.rule {
+			t.Errorf("%s: %v", test.rule, v)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scalerun/run.go
@@ -0,0 +1,375 @@
+// Package scalerun plays a large fleet on one machine: real controller processes, and stand-ins of the
+// state service, the cloud, the users and the workers, of which thousands share this process. It checks
+// the protocol's rules as the workers and users see them, and measures what each process uses.
+//
+// All traffic stays on the loopback interface. What the hollow workers leave out is said in package hollow.
+// The state service and the cloud answer at once and keep their limits; a zone that is cut off loses them
+// both, as if they were outside it.
+package scalerun
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"bitternwing/internal/config"
+	"bitternwing/internal/hollow"
+	"bitternwing/internal/scalerun/load"
+	"bitternwing/internal/scalerun/measure"
+	"bitternwing/internal/scalerun/rules"
+	"bitternwing/internal/standin"
+	"bitternwing/internal/wire"
+)
+
+// Options say where and with what a scenario is played.
+type Options struct {
+	Binary        string // of the controllers
+	Dir           string // for settings, logs and results
+	BasePort      int    // of the controllers; 0: any free ones
+	MostProcesses int
+	Progress      func(Second) // called each second
+}
+
+// workerMB is what a hollow worker is taken to need of this process, baseMB what all else needs.
+const (
+	workerMB = 0.1
+	baseMB   = 400
+)
+
+// tick is how often the run looks at what is due.
+const tick = time.Second
+
+// ErrRuleBroken says that the run ended with a broken rule.
+var ErrRuleBroken = errors.New("a rule was broken")
+
+// run is a scale run while it lasts.
+type run struct {
+	scenario *Scenario
+	options  Options
+	start    time.Time
+	memoryMB float64 // that all processes may use
+
+	teams       []string
+	traffic     *measure.Traffic
+	ledger      *rules.Ledger
+	recorder    *recorder
+	state       *standin.StateServer
+	cloud       *standin.Cloud
+	fleet       *hollow.Fleet
+	controllers *controllers
+	users       *load.Users
+	generator   *load.Generator
+	workers     *workerTraffic
+	self        *measure.Process
+
+	faults  []scheduled
+	asked   int64
+	seconds []Second
+	last    totals
+}
+
+// Run plays a scenario. The result is there whenever it could be begun, also with an error.
+func Run(ctx context.Context, s *Scenario, o Options) (*Result, error) {
+	r := &run{scenario: s, options: o, start: time.Now()}
+	if err := r.check(); err != nil {
+		return nil, err
+	}
+	defer r.close()
+	if err := r.setUp(); err != nil {
+		return nil, err
+	}
+	err := r.play(ctx)
+	r.closeChildren()
+	result := r.result(err)
+	if err == nil && len(result.Violations) > 0 {
+		err = fmt.Errorf("%w: %s: %s", ErrRuleBroken, result.Violations[0].Rule, result.Violations[0].Message)
+	}
+	return result, err
+}
+
+// check refuses a run that the machine can't bear.
+func (r *run) check() error {
+	s, o := r.scenario, r.options
+	if _, err := os.Stat(o.Binary); err != nil {
+		return fmt.Errorf("binary: %w", err)
+	}
+	if n := s.Controllers.Count + 1; n > o.MostProcesses {
+		return fmt.Errorf("controllers: %d processes, %d at most", n, o.MostProcesses)
+	}
+	half, err := measure.HalfOfMemoryMB()
+	if err != nil {
+		return fmt.Errorf("memory: %w", err)
+	}
+	r.memoryMB = half
+	need := baseMB + workerMB*float64(s.workers()) + s.Controllers.MemoryMB*float64(s.Controllers.Count)
+	if need > half {
+		return fmt.Errorf("memory: up to %.0f MB, half of this machine's is %.0f MB", need, half)
+	}
+	return nil
+}
+
+func (r *run) now() time.Duration { return time.Since(r.start) }
+
+// setUp starts the stand-ins, the workers and the controllers.
+func (r *run) setUp() error {
+	s := r.scenario
+	params := s.params()
+	for _, t := range params.Teams {
+		r.teams = append(r.teams, t.Name)
+	}
+	r.traffic = measure.NewTraffic()
+	r.ledger = rules.NewLedger(params.Teams, config.Seconds(s.Workers.CancelS), r.now)
+	r.recorder = newRecorder(r.ledger, r.now)
+	r.self = measure.NewProcess("scalerun", os.Getpid(), 0)
+	r.controllers = &controllers{binary: r.options.Binary, dir: r.options.Dir, now: r.now, died: make(chan string, 16*s.Controllers.Count)}
+	if err := r.controllers.plan(s, r.options.BasePort, r.traffic); err != nil {
+		return err
+	}
+	if err := r.setUpServices(); err != nil {
+		return err
+	}
+	if err := r.controllers.writeSettings(s, params); err != nil {
+		return err
+	}
+	addresses, names := r.controllers.addresses()
+	r.users = load.NewUsers(addresses, r.ledger, r.traffic, names)
+	warmUp := config.Seconds(s.WarmUpS)
+	r.generator = load.NewGenerator(s.Seed, s.Classes, r.teams, s.StartsPerS, warmUp)
+	r.faults = r.schedule()
+	return r.controllers.startAll()
+}
+
+// setUpServices starts the state service, the cloud and the workers.
+func (r *run) setUpServices() error {
+	s := r.scenario
+	r.state = standin.NewStateServer()
+	r.state.SetRates(s.State.RPS, s.State.WriteRPS)
+	r.state.SetLimits(int(s.State.ValueKB*1024), s.State.TxnOps)
+	r.state.SetObserver(r.countService("state"))
+	var workersControllers []hollow.Controller
+	for _, x := range r.controllers.all {
+		workersControllers = append(workersControllers, hollow.Controller{Name: x.name, Zone: x.zone, Addr: x.listen})
+	}
+	fleet, err := hollow.NewFleet(hollow.Config{Seed: s.Seed, Report: config.Seconds(s.Workers.ReportS), Lease: config.Seconds(s.Workers.LeaseS),
+		Controllers: workersControllers, Jobs: load.Uploads{Completions: r.ledger}, Observer: r.recorder, Traffic: r.traffic})
+	if err != nil {
+		return err
+	}
+	r.fleet = fleet
+	r.workers = newWorkerTraffic(fleet)
+	r.cloud = standin.NewCloud(s.catalog(), fleet.LaunchMachine)
+	r.cloud.SetObserver(r.countService("cloud"))
+	r.cloud.SetRate(s.Cloud.RPS)
+	r.cloud.SetBoots()
+	for _, x := range r.controllers.all {
+		if x.state, err = r.state.AddClient(x.name); err != nil {
+			return err
+		}
+		if x.cloud, err = r.cloud.AddClient(x.name); err != nil {
+			return err
+		}
+	}
+	for _, g := range s.Machines {
+		r.cloud.SetCapacity(g.Type, g.Count)
+		for i, zone := range s.Zones {
+			r.cloud.Have(g.Type, zone, share(g.Count, len(s.Zones), i))
+		}
+	}
+	return nil
+}
+
+// share gives one of so many equal shares of a count; the first ones have what is left over.
+func share(count, parts, index int) int {
+	n := count / parts
+	if index < count%parts {
+		n++
+	}
+	return n
+}
+
+// countService counts the requests of controllers to a service, by what they ask for.
+func (r *run) countService(service string) standin.Observe {
+	return func(client, method, path string, received, sent int) {
+		// What a controller sends the service receives.
+		r.traffic.Count(client, hollow.Kind(service+" "+method+" "+resourceOf(path)), sent, received)
+	}
+}
+
+// resourceOf gives the first part of a path.
+func resourceOf(path string) string {
+	for i := 1; i < len(path); i++ {
+		if path[i] == '/' {
+			return path[:i]
+		}
+	}
+	return path
+}
+
+// catalog gives the machine types.
+func (s *Scenario) catalog() []wire.MachineType {
+	var types []wire.MachineType
+	for _, g := range s.Machines {
+		types = append(types, wire.MachineType{Name: g.Type, CPUs: g.CPUs, GPUs: g.GPUs, MemoryGB: g.MemoryGB, CacheGB: g.CacheGB,
+			FetchGBPerS: g.FetchGBPerS, Price: g.GPUs + 1, SpotPrice: g.GPUs + 1, BootS: g.BootS, Zones: s.Zones})
+	}
+	return types
+}
+
+// params gives the controllers' settings.
+func (s *Scenario) params() config.Params {
+	gpus, cpus := 0.0, 0.0
+	for _, g := range s.Machines {
+		gpus += float64(g.Count) * g.GPUs
+		cpus += float64(g.Count) * g.CPUs
+	}
+	p := config.Params{Nodes: s.Controllers.Count, Zones: s.Zones, ClockOffMS: 5,
+		Workers: config.Workers{ReportS: s.Workers.ReportS, LeaseS: s.Workers.LeaseS, CancelS: s.Workers.CancelS},
+		State:   config.State{RPS: s.State.RPS, WriteRPS: s.State.WriteRPS, ValueKB: s.State.ValueKB, TxnOps: s.State.TxnOps},
+		Cloud:   config.Cloud{RPS: s.Cloud.RPS, ListLagS: s.Cloud.ListLagS},
+		Limits: config.Limits{CPUShare: s.Controllers.Cores, MemoryMB: s.Controllers.MemoryMB,
+			MaxConnections: s.Controllers.MaxConnections}}
+	for i := range s.Teams.Count {
+		p.Teams = append(p.Teams, config.Team{Name: fmt.Sprintf("team-%03d", i),
+			GPUs: gpus * s.Teams.GuaranteedShare, GPUsMax: gpus * s.Teams.LimitShare,
+			CPUs: cpus * s.Teams.GuaranteedShare, CPUsMax: cpus * s.Teams.LimitShare})
+	}
+	return p
+}
+
+// play lets the time of the scenario pass.
+func (r *run) play(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, config.Seconds(r.scenario.DurationS))
+	submitted := make(chan struct{})
+	go func() {
+		defer close(submitted)
+		r.submitAll(ctx)
+	}()
+	err := r.untilEnd(ctx)
+	cancel()
+	<-submitted
+	r.users.Wait()
+	return err
+}
+
+// untilEnd does what is due each second until the time is over or something ends the run.
+func (r *run) untilEnd(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				return nil
+			}
+			return errors.New("interrupted")
+		case name := <-r.controllers.died:
+			return fmt.Errorf("%s ended by itself, see %s", name, filepath.Join(r.options.Dir, name+".log"))
+		case <-ticker.C:
+			if err := r.second(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// submitStep is how often jobs are submitted that are due.
+const submitStep = 20 * time.Millisecond
+
+// submitAll submits the jobs as they come.
+func (r *run) submitAll(ctx context.Context) {
+	warmUp := config.Seconds(r.scenario.WarmUpS)
+	ticker := time.NewTicker(submitStep)
+	defer ticker.Stop()
+	started := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if r.now() < warmUp {
+			continue
+		}
+		due := r.generator.Until(r.now())
+		if !started {
+			due = append(r.generator.AtStart(r.now()), due...)
+			started = true
+		}
+		for _, a := range due {
+			r.recorder.submit(a)
+			r.users.Play(ctx, a)
+		}
+	}
+}
+
+// second does what is due each second: faults, checks, samples.
+func (r *run) second() error {
+	if err := r.carryOutFaults(); err != nil {
+		return err
+	}
+	if err := r.controllers.restartDue(); err != nil {
+		return err
+	}
+	r.ledger.CheckCancelled()
+	at := r.now().Seconds()
+	r.controllers.sample(at)
+	if err := r.self.Take(at); err != nil {
+		return err
+	}
+	r.workers.sample(at)
+	r.note(at)
+	used := r.controllers.residentMB() + r.self.Samples[len(r.self.Samples)-1].MemoryMB
+	if used > r.memoryMB {
+		return fmt.Errorf("memory: %.0f MB are used, half of this machine's is %.0f MB", used, r.memoryMB)
+	}
+	return nil
+}
+
+// note keeps the counts of the last second.
+func (r *run) note(at float64) {
+	now := r.recorder.totals()
+	leader, reporting := r.leader()
+	second := Second{AtS: at, Started: now.started - r.last.started, Completed: now.completed - r.last.completed, OnMachine: now.onMachine,
+		Asked: r.generator.Tasks() - r.asked, Leader: leader, Reporting: reporting, Violations: len(r.ledger.Violations())}
+	r.asked = r.generator.Tasks()
+	r.last = now
+	r.seconds = append(r.seconds, second)
+	if r.options.Progress != nil {
+		r.options.Progress(second)
+	}
+}
+
+// leader gives the controller whose answers the most workers took last, and how many these are.
+func (r *run) leader() (string, int) {
+	name, most := "", 0
+	for controller, n := range r.fleet.Followed() {
+		if n > most || n == most && controller < name {
+			name, most = controller, n
+		}
+	}
+	return name, most
+}
+
+// closeChildren ends the controllers.
+func (r *run) closeChildren() {
+	if r.controllers != nil {
+		_ = r.controllers.close() // what has ended has ended
+	}
+}
+
+// close ends all that the run has started.
+func (r *run) close() {
+	r.closeChildren()
+	if r.cloud != nil {
+		r.cloud.Close()
+	}
+	if r.fleet != nil {
+		r.fleet.Close()
+	}
+	if r.state != nil {
+		r.state.Close()
+	}
+}
--- /dev/null
+++ b/internal/scalerun/scenario.go
@@ -0,0 +1,183 @@
+package scalerun
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"bitternwing/internal/scalerun/load"
+	"bitternwing/internal/schema"
+)
+
+// Scenario says what a scale run plays.
+type Scenario struct {
+	Name        string          `json:"name"`
+	Seed        uint64          `json:"seed"`
+	DurationS   float64         `json:"duration_s"`
+	WarmUpS     float64         `json:"warm_up_s"` // before jobs are submitted, and before means are taken
+	Controllers Controllers     `json:"controllers"`
+	Zones       []string        `json:"zones"`
+	Machines    []MachineGroup  `json:"machines"`
+	Teams       Teams           `json:"teams"`
+	Workers     WorkerTimes     `json:"workers"`
+	State       StateLimits     `json:"state"`
+	Cloud       CloudLimits     `json:"cloud"`
+	StartsPerS  float64         `json:"starts_per_s"`
+	Classes     []load.Class    `json:"classes"`
+	Faults      []Fault         `json:"faults"`
+	Operator    json.RawMessage `json:"operator"`
+}
+
+// Controllers are the real processes.
+type Controllers struct {
+	Count          int     `json:"count"`
+	Cores          float64 `json:"cores"`
+	MemoryMB       float64 `json:"memory_mb"`
+	MaxConnections int     `json:"max_connections"`
+	RestartS       float64 `json:"restart_s"`
+}
+
+// MachineGroup is a number of machines of a type, spread over all zones.
+type MachineGroup struct {
+	Type        string  `json:"type"`
+	Count       int     `json:"count"`
+	GPUs        float64 `json:"gpus"`
+	CPUs        float64 `json:"cpus"`
+	MemoryGB    float64 `json:"memory_gb"`
+	CacheGB     float64 `json:"cache_gb"`
+	FetchGBPerS float64 `json:"fetch_gb_per_s"`
+	BootS       float64 `json:"boot_s"`
+}
+
+// Teams are all alike; their shares are of all GPUs and CPUs.
+type Teams struct {
+	Count           int     `json:"count"`
+	GuaranteedShare float64 `json:"guaranteed_share"`
+	LimitShare      float64 `json:"limit_share"`
+}
+
+// WorkerTimes are the times of the workers' protocol.
+type WorkerTimes struct {
+	ReportS float64 `json:"report_s"`
+	LeaseS  float64 `json:"lease_s"`
+	CancelS float64 `json:"cancel_s"`
+}
+
+// StateLimits are the limits of the state service.
+type StateLimits struct {
+	RPS      float64 `json:"rps"`
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+}
+
+// CloudLimits are the limits of the cloud.
+type CloudLimits struct {
+	RPS      float64 `json:"rps"`
+	ListLagS float64 `json:"list_lag_s"`
+}
+
+// FaultKind is what goes wrong.
+type FaultKind string
+
+// The kinds of faults.
+const (
+	KillLeader      FaultKind = "kill_leader"
+	KillControllers FaultKind = "kill_controllers"
+	WorkersDie      FaultKind = "workers_die"
+	RackSilent      FaultKind = "rack_silent"
+	ZoneCut         FaultKind = "zone_cut"
+	StateDown       FaultKind = "state_down"
+)
+
+// Fault goes wrong at a time, counted from the start of the run. Count is a number of workers.
+type Fault struct {
+	AtS   float64   `json:"at_s"`
+	Kind  FaultKind `json:"kind"`
+	Count int       `json:"count,omitempty"`
+	Zone  string    `json:"zone,omitempty"`
+	ForS  float64   `json:"for_s,omitempty"`
+}
+
+//go:embed scenario.schema.json
+var scenarioSchema []byte
+
+// ScenarioSchema is the published schema of scenarios.
+func ScenarioSchema() []byte { return scenarioSchema }
+
+// LoadScenario reads a scenario and checks it.
+func LoadScenario(path string) (*Scenario, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	s, err := ParseScenario(data)
+	if err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// ParseScenario reads the text of a scenario and checks it.
+func ParseScenario(data []byte) (*Scenario, error) {
+	if err := schema.Check("scenario.schema.json", scenarioSchema, data); err != nil {
+		return nil, err
+	}
+	s := &Scenario{}
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, err
+	}
+	return s, s.checkFaults()
+}
+
+// checkFaults checks what a schema can't tell: faults within the run, in zones that there are.
+func (s *Scenario) checkFaults() error {
+	for i, f := range s.Faults {
+		if f.AtS >= s.DurationS {
+			return fmt.Errorf("/faults/%d/at_s: %g is not before the end of the run at %g", i, f.AtS, s.DurationS)
+		}
+		if f.Kind == ZoneCut && !s.hasZone(f.Zone) {
+			return fmt.Errorf("/faults/%d/zone: there is no zone %q", i, f.Zone)
+		}
+	}
+	return nil
+}
+
+func (s *Scenario) hasZone(name string) bool {
+	for _, z := range s.Zones {
+		if z == name {
+			return true
+		}
+	}
+	return false
+}
+
+// workers counts the machines of all groups.
+func (s *Scenario) workers() int {
+	n := 0
+	for _, g := range s.Machines {
+		n += g.Count
+	}
+	return n
+}
+
+// Scale gives the scenario with a share of its workers, starts, teams and connections. Controllers stay as
+// they are.
+func (s *Scenario) Scale(share float64) *Scenario {
+	scaled := *s
+	scaled.Name = fmt.Sprintf("%s x %g", s.Name, share)
+	scaled.Machines = append([]MachineGroup(nil), s.Machines...)
+	for i := range scaled.Machines {
+		scaled.Machines[i].Count = max(1, int(share*float64(s.Machines[i].Count)))
+	}
+	scaled.Classes = append([]load.Class(nil), s.Classes...)
+	for i := range scaled.Classes {
+		scaled.Classes[i].AtStart = int(share * float64(s.Classes[i].AtStart))
+	}
+	scaled.Teams.Count = max(1, int(share*float64(s.Teams.Count)))
+	scaled.Teams.GuaranteedShare = min(1, s.Teams.GuaranteedShare/share)
+	scaled.Teams.LimitShare = min(1, s.Teams.LimitShare/share)
+	scaled.StartsPerS = share * s.StartsPerS
+	return &scaled
+}
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,334 @@
+package standin
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"bitternwing/internal/wire"
+)
+
+// MachineSpec is a machine that a cloud brings up.
+type MachineSpec struct {
+	Name string
+	Type wire.MachineType
+	Zone string
+	Spot bool
+}
+
+// Machine is a machine that is up, with a worker on it.
+type Machine interface {
+	// Addr is where its worker takes direct commands.
+	Addr() string
+	// State is the state that the cloud lists.
+	State() string
+	// Stop ends the machine: it was given back.
+	Stop()
+}
+
+// Launch brings a machine up.
+type Launch func(MachineSpec) Machine
+
+// Cloud rents machines. Each type has a capacity, and a machine is up after its type's boot time. Its list
+// does not lag.
+type Cloud struct {
+	mu       sync.Mutex
+	types    []wire.MachineType
+	capacity map[string]int // by type; a type that is not there has no bound
+	boots    bool
+	launch   Launch
+	machines map[string]*rental
+	answers  map[string]wire.Names
+	made     int
+	closed   bool
+	cut      map[string]bool // clients that get no answer
+
+	requests *rate.Limiter // nil: no limit
+	observe  Observe
+	servers  []*http.Server
+	addr     string
+}
+
+// rental is a machine that was rented. It has no worker until it is up.
+type rental struct {
+	spec    MachineSpec
+	rented  time.Time
+	machine Machine
+	boot    *time.Timer
+}
+
+// NewCloud starts a cloud on loopback, with an address for a client without a name. Its machines are up at
+// once.
+func NewCloud(types []wire.MachineType, launch Launch) *Cloud {
+	c := &Cloud{types: types, capacity: map[string]int{}, launch: launch,
+		machines: map[string]*rental{}, answers: map[string]wire.Names{}, cut: map[string]bool{}}
+	addr, err := c.AddClient("")
+	if err != nil {
+		panic(err) // no port on loopback: nothing can be tested
+	}
+	c.addr = addr
+	return c
+}
+
+// SetObserver has requests counted from now on. It is called before the first client is added.
+func (c *Cloud) SetObserver(observe Observe) { c.observe = observe }
+
+// SetBoots has machines take their type's boot time to come up from now on.
+func (c *Cloud) SetBoots() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.boots = true
+}
+
+// SetRate bounds the requests a second, with bursts worth two seconds.
+func (c *Cloud) SetRate(requests float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests = rate.NewLimiter(rate.Limit(requests), max(1, int(2*requests)))
+}
+
+// SetCapacity bounds the machines of a type that can be rented at a time.
+func (c *Cloud) SetCapacity(machineType string, most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.capacity[machineType] = most
+}
+
+// AddClient gives an address for a client.
+func (c *Cloud) AddClient(name string) (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := serveObserved(l, name, c.observeRequest, func(w http.ResponseWriter, r *http.Request) {
+		if c.isCut(name) {
+			<-r.Context().Done() // nothing comes back
+			return
+		}
+		c.serve(w, r)
+	})
+	c.mu.Lock()
+	c.servers = append(c.servers, server)
+	c.mu.Unlock()
+	return l.Addr().String(), nil
+}
+
+// SetCut cuts a client off: what it asks for is lost until that ends.
+func (c *Cloud) SetCut(client string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[client] = cut
+}
+
+func (c *Cloud) isCut(client string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut[client]
+}
+
+func (c *Cloud) observeRequest(client, method, path string, received, sent int) {
+	if c.observe != nil {
+		c.observe(client, method, path, received, sent)
+	}
+}
+
+// Addr is where the client without a name is served.
+func (c *Cloud) Addr() string { return c.addr }
+
+// Have brings machines up that were rented before.
+func (c *Cloud) Have(machineType, zone string, count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.typeOf(machineType)
+	for range count {
+		c.bringUp(c.add(*t, zone, false))
+	}
+}
+
+// Close ends the cloud and its machines.
+func (c *Cloud) Close() {
+	c.mu.Lock()
+	c.closed = true
+	servers := c.servers
+	var ended []Machine
+	for _, r := range c.machines {
+		if m := r.end(); m != nil {
+			ended = append(ended, m)
+		}
+	}
+	c.mu.Unlock()
+	for _, m := range ended {
+		m.Stop()
+	}
+	for _, s := range servers {
+		_ = s.Close()
+	}
+}
+
+// end stops a boot and gives the machine, if it is up.
+func (r *rental) end() Machine {
+	if r.boot != nil {
+		r.boot.Stop()
+	}
+	return r.machine
+}
+
+func (c *Cloud) typeOf(name string) *wire.MachineType {
+	for i := range c.types {
+		if c.types[i].Name == name {
+			return &c.types[i]
+		}
+	}
+	return nil
+}
+
+func (c *Cloud) add(t wire.MachineType, zone string, spot bool) *rental {
+	c.made++
+	r := &rental{spec: MachineSpec{Name: fmt.Sprintf("host-%06d", c.made), Type: t, Zone: zone, Spot: spot}, rented: time.Now()}
+	c.machines[r.spec.Name] = r
+	return r
+}
+
+func (c *Cloud) bringUp(r *rental) { r.machine = c.launch(r.spec) }
+
+// boot brings a machine up after its boot time.
+func (c *Cloud) boot(r *rental) {
+	if !c.boots {
+		c.bringUp(r)
+		return
+	}
+	r.boot = time.AfterFunc(time.Duration(r.spec.Type.BootS*float64(time.Second)), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if !c.closed && c.machines[r.spec.Name] == r {
+			c.bringUp(r)
+		}
+	})
+}
+
+func (c *Cloud) serve(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.requests != nil && !c.requests.Allow() {
+		answer(w, http.StatusTooManyRequests, nil)
+		return
+	}
+	switch r.Method + " " + r.URL.Path {
+	case "GET /catalog":
+		answer(w, http.StatusOK, wire.Catalog{Types: c.types})
+	case "GET /rentals":
+		q := r.URL.Query()
+		limit, _ := strconv.Atoi(q.Get("limit"))
+		answer(w, http.StatusOK, c.list(q.Get("after"), limit))
+	case "POST /rentals":
+		var q wire.RentRequest
+		if json.NewDecoder(r.Body).Decode(&q) != nil || c.typeOf(q.Type) == nil || q.Count < 1 || q.Count > wire.MaxRent {
+			answer(w, http.StatusBadRequest, nil)
+			return
+		}
+		c.rent(w, q)
+	case "POST /rentals/release":
+		var n wire.Names
+		if json.NewDecoder(r.Body).Decode(&n) != nil || len(n.Machines) > wire.MaxRelease {
+			answer(w, http.StatusBadRequest, nil)
+			return
+		}
+		c.release(n.Machines)
+		answer(w, http.StatusOK, struct{}{})
+	default:
+		answer(w, http.StatusBadRequest, nil)
+	}
+}
+
+// list gives a page of the machines, by name.
+func (c *Cloud) list(after string, limit int) wire.MachineList {
+	if limit <= 0 || limit > wire.MaxList {
+		limit = wire.MaxList
+	}
+	var rest []*rental
+	for name, r := range c.machines {
+		if name > after {
+			rest = append(rest, r)
+		}
+	}
+	slices.SortFunc(rest, func(a, b *rental) int { return cmp.Compare(a.spec.Name, b.spec.Name) })
+	page := wire.MachineList{Machines: []wire.Machine{}, More: len(rest) > limit}
+	for _, r := range rest[:min(limit, len(rest))] {
+		page.Machines = append(page.Machines, r.listed())
+	}
+	return page
+}
+
+func (r *rental) listed() wire.Machine {
+	m := wire.Machine{Name: r.spec.Name, Type: r.spec.Type.Name, Zone: r.spec.Zone, Spot: r.spec.Spot,
+		State: wire.MachineBooting, AgeS: time.Since(r.rented).Seconds()}
+	if r.machine != nil {
+		m.Addr, m.State = r.machine.Addr(), r.machine.State()
+	}
+	return m
+}
+
+// free is how many more machines of a type can be rented.
+func (c *Cloud) free(machineType string) int {
+	most, bounded := c.capacity[machineType]
+	if !bounded {
+		return wire.MaxRent
+	}
+	for _, r := range c.machines {
+		if r.spec.Type.Name == machineType && (r.machine == nil || r.machine.State() != wire.MachineFailed) {
+			most--
+		}
+	}
+	return most
+}
+
+func (c *Cloud) rent(w http.ResponseWriter, q wire.RentRequest) {
+	if a, ok := c.answers[q.Request]; ok {
+		answer(w, http.StatusOK, a)
+		return
+	}
+	count := min(q.Count, c.free(q.Type))
+	if count <= 0 {
+		answer(w, http.StatusServiceUnavailable, wire.ErrorBody{Error: "no capacity"})
+		return
+	}
+	var a wire.Names
+	for range count {
+		r := c.add(*c.typeOf(q.Type), q.Zone, q.Spot)
+		c.boot(r)
+		a.Machines = append(a.Machines, r.spec.Name)
+	}
+	c.answers[q.Request] = a
+	answer(w, http.StatusOK, a)
+}
+
+func (c *Cloud) release(names []string) {
+	for _, name := range names {
+		r := c.machines[name]
+		if r == nil {
+			continue
+		}
+		delete(c.machines, name)
+		if m := r.end(); m != nil {
+			m.Stop()
+		}
+	}
+}
+
+// FreeAddr finds a free address on loopback.
+func FreeAddr() string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/internal/standin/cloud_test.go
@@ -0,0 +1,53 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/cloud"
+	"bitternwing/internal/wire"
+)
+
+// testMachine is a machine without a worker.
+type testMachine struct{ stopped bool }
+
+func (m *testMachine) Addr() string  { return "127.0.0.1:1" }
+func (m *testMachine) State() string { return wire.MachineRunning }
+func (m *testMachine) Stop()         { m.stopped = true }
+
+// TestCloud rents up to the capacity, answers a repeated request again, lists pages in order, and stops what
+// is given back.
+func TestCloud(t *testing.T) {
+	machines := map[string]*testMachine{}
+	c := NewCloud([]wire.MachineType{{Name: "g8", Zones: []string{"z1"}}}, func(s MachineSpec) Machine {
+		machines[s.Name] = &testMachine{}
+		return machines[s.Name]
+	})
+	defer c.Close()
+	c.Have("g8", "z1", 498)
+	c.SetCapacity("g8", 502)
+	client, ctx := cloud.New(c.Addr(), 1000, 4), context.Background()
+	want := wire.RentRequest{Request: "r-1", Type: "g8", Zone: "z1", Count: 9}
+	for range 2 {
+		if names, o := client.Rent(ctx, want); o != call.OK || len(names.Machines) != 4 || names.Machines[0] != "host-000499" {
+			t.Errorf("%v, %v", names, o)
+		}
+	}
+	want.Request = "r-2"
+	if _, o := client.Rent(ctx, want); o != call.Refused {
+		t.Errorf("more than there are: %v", o)
+	}
+	first, _ := client.List(ctx, "")
+	if len(first.Machines) != wire.MaxList || !first.More {
+		t.Fatalf("%d machines in the first page", len(first.Machines))
+	}
+	last := first.Machines[wire.MaxList-1].Name
+	if rest, _ := client.List(ctx, last); len(rest.Machines) != 2 || rest.More || rest.Machines[0].Name != fmt.Sprintf("host-%06d", 501) {
+		t.Errorf("%+v after %s", rest, last)
+	}
+	if o := client.Release(ctx, []string{"host-000001", "host-999999"}); o != call.OK || !machines["host-000001"].stopped || machines["host-000002"].stopped {
+		t.Errorf("%v", o)
+	}
+}
--- /dev/null
+++ b/internal/standin/state_server.go
@@ -0,0 +1,292 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/wire"
+)
+
+// StateServer serves a Store over HTTP. Each client can have an address of its own, so that what each asks
+// for can be counted, and each can be cut off by itself.
+type StateServer struct {
+	mu      sync.Mutex
+	store   *Store
+	start   time.Time
+	down    bool
+	cut     map[string]bool
+	changed chan struct{} // closed at the next change
+	ended   chan struct{}
+
+	requests, writes *rate.Limiter // nil: no limit
+	observe          Observe
+	servers          []*http.Server
+	addr             string // of the client without a name
+}
+
+// Observe is told of each request that a stand-in answers: whose it is, and the sizes of the bodies.
+type Observe func(client, method, path string, received, sent int)
+
+// NewStateServer starts a state service on loopback, with an address for a client without a name.
+func NewStateServer() *StateServer {
+	s := &StateServer{store: NewStore(), start: time.Now(), cut: map[string]bool{}, changed: make(chan struct{}), ended: make(chan struct{})}
+	addr, err := s.AddClient("")
+	if err != nil {
+		panic(err) // no port on loopback: nothing can be tested
+	}
+	s.addr = addr
+	return s
+}
+
+// SetObserver has requests counted from now on. It is called before the first client is added.
+func (s *StateServer) SetObserver(observe Observe) { s.observe = observe }
+
+// AddClient gives an address for a client.
+func (s *StateServer) AddClient(name string) (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := serveObserved(l, name, s.observeRequest, func(w http.ResponseWriter, r *http.Request) { s.serve(name, w, r) })
+	s.mu.Lock()
+	s.servers = append(s.servers, server)
+	s.mu.Unlock()
+	return l.Addr().String(), nil
+}
+
+func (s *StateServer) observeRequest(client, method, path string, received, sent int) {
+	if s.observe != nil {
+		s.observe(client, method, path, received, sent)
+	}
+}
+
+// Addr is where the client without a name is served.
+func (s *StateServer) Addr() string { return s.addr }
+
+// Close ends it.
+func (s *StateServer) Close() {
+	close(s.ended)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
+
+// SetDown begins or ends an outage.
+func (s *StateServer) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	if !down {
+		s.store.Refresh(time.Since(s.start))
+	}
+	s.notify()
+}
+
+// SetCut cuts a client off: nothing that it asks for is answered until that ends.
+func (s *StateServer) SetCut(client string, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[client] = cut
+	s.notify()
+}
+
+// SetLimits has it refuse larger values and transactions, as Store.SetLimits.
+func (s *StateServer) SetLimits(valueBytes, changes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.SetLimits(valueBytes, changes)
+}
+
+// SetRates bounds the requests and the writes a second, with bursts of one second's worth.
+func (s *StateServer) SetRates(requests, writes float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = rate.NewLimiter(rate.Limit(requests), max(1, int(requests)))
+	s.writes = rate.NewLimiter(rate.Limit(writes), max(1, int(writes)))
+}
+
+// Keys gives the keys below a prefix.
+func (s *StateServer) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.store.Keys(prefix)
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+var statusOf = map[call.Outcome]int{call.OK: 200, call.Conflict: 409, call.Missing: 404, call.Invalid: 400, call.TooOld: 410}
+
+// notify wakes the watches. The caller holds the lock.
+func (s *StateServer) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// admit waits until a client is not cut off, and takes the lock at the present time. Otherwise it gives the
+// status of the refusal; 0 if there is nobody to answer any more.
+func (s *StateServer) admit(client string, r *http.Request) (status int) {
+	if !s.reachable(client, r) {
+		return 0
+	}
+	s.mu.Lock()
+	switch {
+	case s.down && r.URL.Path != "/changes":
+		status = http.StatusServiceUnavailable
+	case s.requests != nil && !s.requests.Allow():
+		status = http.StatusTooManyRequests
+	default:
+		s.store.At(time.Since(s.start))
+		return http.StatusOK
+	}
+	s.mu.Unlock()
+	return status
+}
+
+// reachable waits while a client is cut off; false if it or this server has gone away meanwhile.
+func (s *StateServer) reachable(client string, r *http.Request) bool {
+	for {
+		s.mu.Lock()
+		cut, changed := s.cut[client], s.changed
+		s.mu.Unlock()
+		if !cut {
+			return r.Context().Err() == nil
+		}
+		if !s.wait(r, changed, time.Hour) {
+			return false
+		}
+	}
+}
+
+// wait waits for a change, or for a time; false if the client or this server has gone away.
+func (s *StateServer) wait(r *http.Request, changed <-chan struct{}, most time.Duration) bool {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-s.ended:
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return true
+}
+
+func (s *StateServer) serve(client string, w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, wire.MaxBody+1))
+	if err != nil || len(body) > wire.MaxBody {
+		answer(w, http.StatusBadRequest, nil)
+		return
+	}
+	switch status := s.admit(client, r); {
+	case status == 0:
+		return
+	case status != http.StatusOK:
+		answer(w, status, nil)
+		return
+	case r.URL.Path == "/changes":
+		s.mu.Unlock()
+		s.changes(client, w, r)
+		return
+	}
+	defer s.mu.Unlock()
+	before := s.store.Revision()
+	s.serveStore(w, r, body)
+	if s.store.Revision() != before {
+		s.notify()
+	}
+}
+
+// serveStore answers what needs no waiting. The caller holds the lock.
+func (s *StateServer) serveStore(w http.ResponseWriter, r *http.Request, body []byte) {
+	q := r.URL.Query()
+	switch {
+	case r.URL.Path == "/kv":
+		limit, _ := strconv.Atoi(q.Get("limit"))
+		answer(w, http.StatusOK, s.store.List(q.Get("under"), q.Get("after"), limit))
+	case strings.HasPrefix(r.URL.Path, "/kv/"):
+		item, outcome := s.store.Get(strings.TrimPrefix(r.URL.Path, "/kv/"))
+		if outcome == call.Missing {
+			answer(w, http.StatusNotFound, wire.TxnAnswer{Revision: s.store.Revision()})
+			return
+		}
+		answer(w, http.StatusOK, item)
+	case r.URL.Path == "/txn":
+		s.transaction(w, body)
+	case r.URL.Path == "/grants":
+		var g wire.LeaseRequest
+		if json.Unmarshal(body, &g) != nil || g.TTLMillis < 100 {
+			answer(w, http.StatusBadRequest, nil)
+			return
+		}
+		answer(w, http.StatusOK, wire.LeaseAnswer{Lease: s.store.Grant(time.Duration(g.TTLMillis) * time.Millisecond)})
+	case strings.HasPrefix(r.URL.Path, "/grants/"):
+		id, extend := strings.CutSuffix(strings.TrimPrefix(r.URL.Path, "/grants/"), "/extend")
+		n, _ := strconv.ParseUint(id, 10, 64)
+		if extend {
+			answer(w, statusOf[s.store.Extend(n)], struct{}{})
+		} else {
+			answer(w, statusOf[s.store.Revoke(n)], struct{}{})
+		}
+	default:
+		answer(w, http.StatusBadRequest, nil)
+	}
+}
+
+func (s *StateServer) transaction(w http.ResponseWriter, body []byte) {
+	var t wire.Txn
+	if json.Unmarshal(body, &t) != nil {
+		answer(w, http.StatusBadRequest, nil)
+		return
+	}
+	if n := len(t.Then); n > 0 && s.writes != nil && !s.writes.AllowN(time.Now(), n) {
+		answer(w, http.StatusTooManyRequests, nil)
+		return
+	}
+	a, outcome := s.store.Txn(t)
+	answer(w, statusOf[outcome], a)
+}
+
+// changes waits for changes; in an outage an open watch just waits.
+func (s *StateServer) changes(client string, w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	ms, _ := strconv.Atoi(q.Get("block_ms"))
+	for end := time.Now().Add(time.Duration(ms) * time.Millisecond); ; {
+		s.mu.Lock()
+		changed, served := s.changed, !s.down && !s.cut[client]
+		var c wire.Changes
+		outcome := call.OK
+		if served {
+			s.store.At(time.Since(s.start))
+			c, outcome = s.store.Changes(q.Get("under"), after)
+		}
+		s.mu.Unlock()
+		left := time.Until(end)
+		if served && (outcome != call.OK || len(c.Events) > 0 || left <= 0) {
+			answer(w, statusOf[outcome], c)
+			return
+		}
+		if !s.wait(r, changed, max(left, leaseCheck)) {
+			return
+		}
+	}
+}
+
+// leaseCheck is how long after a watch's time, or in an outage, it is looked at again.
+const leaseCheck = 50 * time.Millisecond
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -1,5 +1,5 @@
-// Package standin has stand-ins of what the controllers talk to (state service,
-// cloud, workers), for tests. They keep to the protocol's page and are no products.
+// Package standin has stand-ins of the state service and the cloud, for tests and scale runs. They keep to
+// the protocol's page and are no products. The workers are those of package hollow.
 package standin
 
 import (
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/google/btree"
+
 	"bitternwing/internal/call"
 	"bitternwing/internal/wire"
 )
@@ -16,7 +18,7 @@
 type Store struct {
 	now      time.Duration
 	revision uint64
-	items    map[string]wire.Item
+	items    *btree.BTreeG[wire.Item] // by key
 	log      []change
 	leases   map[uint64]*lease
 	next     uint64
@@ -36,9 +38,12 @@
 // keptChanges is how many changes a watch can go back.
 const keptChanges = 10_000
 
+// itemDegree is the degree of the tree of items.
+const itemDegree = 32
+
 // NewStore makes an empty store.
 func NewStore() *Store {
-	return &Store{items: map[string]wire.Item{}, leases: map[uint64]*lease{}, revision: 1}
+	return &Store{items: btree.NewG(itemDegree, func(a, b wire.Item) bool { return a.Key < b.Key }), leases: map[uint64]*lease{}, revision: 1}
 }
 
 // At moves the time on and ends leases that are over.
@@ -86,41 +91,55 @@
 
 // Get reads a key.
 func (s *Store) Get(key string) (wire.Item, call.Outcome) {
-	it, ok := s.items[key]
+	item, ok := s.items.Get(wire.Item{Key: key})
 	if !ok {
 		return wire.Item{}, call.Missing
 	}
-	return it, call.OK
+	return item, call.OK
+}
+
+// below visits the items with a prefix and a key after another one, in order, until it is told to end.
+func (s *Store) below(prefix, after string, visit func(wire.Item) bool) {
+	s.items.AscendGreaterOrEqual(wire.Item{Key: max(prefix, after)}, func(item wire.Item) bool {
+		if !strings.HasPrefix(item.Key, prefix) {
+			return false
+		}
+		return item.Key <= after || visit(item)
+	})
 }
 
 // Keys gives all keys below a prefix, in order.
 func (s *Store) Keys(prefix string) []string {
 	var keys []string
-	for k := range s.items {
-		if strings.HasPrefix(k, prefix) {
-			keys = append(keys, k)
-		}
-	}
-	sort.Strings(keys)
+	s.below(prefix, "", func(item wire.Item) bool {
+		keys = append(keys, item.Key)
+		return true
+	})
 	return keys
 }
 
 // List reads a page.
 func (s *Store) List(prefix, after string, limit int) wire.Page {
 	p := wire.Page{Items: []wire.Item{}, Revision: s.revision}
-	for _, k := range s.Keys(prefix) {
-		if k <= after {
-			continue
-		}
-		if len(p.Items) == limit {
+	size := 0
+	s.below(prefix, after, func(item wire.Item) bool {
+		size += len(item.Key) + len(item.Value) + itemOverhead
+		if len(p.Items) == limit || size > pageBytes && len(p.Items) > 0 {
 			p.More = true
-			break
+			return false
 		}
-		p.Items = append(p.Items, s.items[k])
-	}
+		p.Items = append(p.Items, item)
+		return true
+	})
 	return p
 }
 
+// pageBytes is the most that a page holds, itemOverhead what the form of an item takes of it.
+const (
+	pageBytes    = 512 << 10
+	itemOverhead = 64
+)
+
 // Txn runs a transaction.
 func (s *Store) Txn(t wire.Txn) (wire.TxnAnswer, call.Outcome) {
 	if s.beyondLimits(t) {
@@ -133,7 +152,7 @@
 	}
 	var failed []string
 	for _, c := range t.If {
-		if s.items[c.Key].Version != c.Version {
+		if item, _ := s.items.Get(wire.Item{Key: c.Key}); item.Version != c.Version {
 			failed = append(failed, c.Key)
 		}
 	}
@@ -149,26 +168,28 @@
 			continue
 		}
 		value := append(json.RawMessage(nil), op.Value...)
-		s.items[op.Put] = wire.Item{Key: op.Put, Value: value, Version: s.revision, Lease: op.Lease}
+		s.items.ReplaceOrInsert(wire.Item{Key: op.Put, Value: value, Version: s.revision, Lease: op.Lease})
 		s.note(wire.Event{Put: op.Put, Value: value, Version: s.revision})
 	}
 	return wire.TxnAnswer{Revision: s.revision}, call.OK
 }
 
 func (s *Store) remove(key string) {
-	if _, ok := s.items[key]; ok {
-		delete(s.items, key)
+	if _, ok := s.items.Delete(wire.Item{Key: key}); ok {
 		s.note(wire.Event{Delete: key, Version: s.revision})
 	}
 }
 
 func (s *Store) note(e wire.Event) {
 	s.log = append(s.log, change{s.revision, e})
-	if len(s.log) > keptChanges {
-		s.log = append([]change(nil), s.log[len(s.log)-keptChanges:]...)
+	if len(s.log) >= 2*keptChanges {
+		s.log = append([]change(nil), s.keptLog()...)
 	}
 }
 
+// keptLog is what a watch can still be given.
+func (s *Store) keptLog() []change { return s.log[max(0, len(s.log)-keptChanges):] }
+
 // Grant makes a lease.
 func (s *Store) Grant(ttl time.Duration) uint64 {
 	s.next++
@@ -193,12 +214,12 @@
 	}
 	delete(s.leases, id)
 	var keys []string
-	for k, it := range s.items {
-		if it.Lease == id {
-			keys = append(keys, k)
+	s.items.Ascend(func(item wire.Item) bool {
+		if item.Lease == id {
+			keys = append(keys, item.Key)
 		}
-	}
-	sort.Strings(keys)
+		return true
+	})
 	if len(keys) > 0 {
 		s.revision++
 	}
@@ -210,12 +231,13 @@
 
 // Changes gives what changed below a prefix after a revision.
 func (s *Store) Changes(prefix string, after uint64) (wire.Changes, call.Outcome) {
-	if len(s.log) == keptChanges && s.log[0].revision > after+1 {
+	kept := s.keptLog()
+	if len(kept) == keptChanges && kept[0].revision > after+1 {
 		return wire.Changes{}, call.TooOld
 	}
 	c := wire.Changes{Revision: s.revision, Events: []wire.Event{}}
-	from := sort.Search(len(s.log), func(i int) bool { return s.log[i].revision > after })
-	for _, ch := range s.log[from:] {
+	from := sort.Search(len(kept), func(i int) bool { return kept[i].revision > after })
+	for _, ch := range kept[from:] {
 		if strings.HasPrefix(ch.event.Put+ch.event.Delete, prefix) {
 			c.Events = append(c.Events, ch.event)
 		}
--- a/internal/userclient/client.go
+++ b/internal/userclient/client.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"bitternwing/internal/wire"
@@ -43,15 +44,26 @@
 // maxAnswer bounds what is read of an answer.
 const maxAnswer = 64 << 10
 
-// Client asks one controller, or a load balancer before several.
+// Client asks one controller, or a load balancer before several, or several in turn.
 type Client struct {
-	base string
-	http *http.Client
+	addresses []string
+	tries     atomic.Uint64
+	http      *http.Client
 }
 
 // New makes a client for an address of the form host:port.
-func New(address string) *Client {
-	return &Client{base: "http://" + address, http: &http.Client{Timeout: oneTry}}
+func New(address string) *Client { return NewBalanced([]string{address}, nil) }
+
+// NewBalanced makes a client that asks the next one of some addresses at each try. A nil transport is the
+// default one.
+func NewBalanced(addresses []string, transport http.RoundTripper) *Client {
+	return &Client{addresses: addresses, http: &http.Client{Timeout: oneTry, Transport: transport}}
+}
+
+// next gives the address for the next try.
+func (c *Client) next() string {
+	n := c.tries.Add(1) - 1
+	return c.addresses[n%uint64(len(c.addresses))]
 }
 
 // Submit hands in a job, given as the protocol has it, and gives its state.
@@ -86,7 +98,7 @@
 
 // try makes a request once. A pause above 0 says when to ask again.
 func (c *Client) try(ctx context.Context, method, path string, body []byte) (wire.JobState, time.Duration, error) {
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.next()+path, bytes.NewReader(body))
 	if err != nil {
 		return wire.JobState{}, 0, err
 	}
--- a/internal/wire/user.go
+++ b/internal/wire/user.go
@@ -102,6 +102,16 @@
 	Needs []string `json:"awaits,omitempty"`
 }
 
+// Submission gives the body of a user's submission, in which flags are never absent.
+func (j *Job) Submission() ([]byte, error) {
+	return json.Marshal(struct {
+		*Job
+		OneZone bool `json:"one_zone"`
+		Spread  bool `json:"apart"`
+		Spot    bool `json:"loaner"`
+	}{j, j.OneZone, j.Spread, j.Spot})
+}
+
 // JobState is the answer to users about a job.
 type JobState struct {
 	ID      string    `json:"ref"`
