--- a/internal/capacity/index.go
+++ b/internal/capacity/index.go
@@ -11,7 +11,7 @@
 
 // Index keeps machines, each with a value of the caller's.
 type Index[T any] struct {
-	groups  map[Group]*group[T]
+	groups  map[groupKey]*group[T]
 	order   []*group[T]
 	entries map[string]*entry[T]
 }
@@ -19,7 +19,6 @@
 // entry is a machine in the index.
 type entry[T any] struct {
 	room  Room
-	size  resource.Amount // of the whole machine
 	group *group[T]
 	value T
 	// changed says that the order by name does not know of the present room yet.
@@ -28,7 +27,7 @@
 
 // main gives the resource by which a machine's room is ordered: GPUs, or CPUs where it has none.
 func (e *entry[T]) main(a resource.Amount) float64 {
-	if e.size.GPUs > 0 {
+	if e.group.size.GPUs > 0 {
 		return a.GPUs
 	}
 	return a.CPUs
@@ -36,7 +35,7 @@
 
 // left is the share of the machine that a task would leave free.
 func (e *entry[T]) left(need resource.Amount) float64 {
-	size := e.main(e.size)
+	size := e.main(e.group.size)
 	if size == 0 {
 		return 1
 	}
@@ -51,10 +50,17 @@
 	return e.room.Name < other.room.Name
 }
 
+// groupKey names a group. Machines of a type differ in size where the type has changed; their free room is in
+// order only among those of one size.
+type groupKey struct {
+	Group
+	size resource.Amount
+}
+
 // group is the machines of a group, in two orders: by free room, for what is to be placed, and by name,
 // for what is to be stopped.
 type group[T any] struct {
-	Group
+	groupKey
 	byFree treap[*entry[T], freeBounds]
 	byName treap[*entry[T], Bounds]
 	// changed are the machines whose change the order by name does not know of yet.
@@ -63,15 +69,15 @@
 
 // NewIndex makes an index without machines.
 func NewIndex[T any]() *Index[T] {
-	return &Index[T]{groups: map[Group]*group[T]{}, entries: map[string]*entry[T]{}}
+	return &Index[T]{groups: map[groupKey]*group[T]{}, entries: map[string]*entry[T]{}}
 }
 
-func (x *Index[T]) group(key Group) *group[T] {
+func (x *Index[T]) group(key groupKey) *group[T] {
 	if g := x.groups[key]; g != nil {
 		return g
 	}
 	priority := func(e **entry[T]) uint64 { return hash((*e).room.Name) }
-	g := &group[T]{Group: key,
+	g := &group[T]{groupKey: key,
 		byFree: treap[*entry[T], freeBounds]{before: lessFree[T], priority: priority, join: joinFree,
 			summarize: func(e **entry[T]) freeBounds { return freeBoundsOf(&(*e).room) }},
 		byName: treap[*entry[T], Bounds]{before: lessName[T], priority: priority, join: joinBounds,
@@ -85,7 +91,8 @@
 
 func compareGroups[T any](a, b *group[T]) int {
 	spot := map[bool]int{true: 1}
-	return cmp.Or(strings.Compare(a.Type, b.Type), strings.Compare(a.Zone, b.Zone), spot[a.Spot]-spot[b.Spot])
+	return cmp.Or(strings.Compare(a.Type, b.Type), strings.Compare(a.Zone, b.Zone), spot[a.Spot]-spot[b.Spot],
+		cmp.Compare(a.size.GPUs, b.size.GPUs), cmp.Compare(a.size.CPUs, b.size.CPUs), cmp.Compare(a.size.MemoryGB, b.size.MemoryGB))
 }
 
 func lessFree[T any](a, b **entry[T]) bool {
@@ -100,12 +107,12 @@
 // Put takes a machine of some size in, or changes what is known of it.
 func (x *Index[T]) Put(key Group, size resource.Amount, room Room, value T) {
 	e := x.entries[room.Name]
-	if e != nil && (e.group.Group != key || e.size != size) {
+	if e != nil && e.group.groupKey != (groupKey{key, size}) {
 		x.Remove(room.Name)
 		e = nil
 	}
 	if e == nil {
-		e = &entry[T]{room: room, size: size, group: x.group(key)}
+		e = &entry[T]{room: room, group: x.group(groupKey{key, size})}
 		x.entries[room.Name] = e
 		e.group.byFree.insert(e)
 		e.group.byName.insert(e)
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -19,7 +19,7 @@
 func (l *leader) refreshHosts() {
 	for _, m := range l.fleet {
 		if m.mt == nil {
-			m.mt = l.c.machineType(m.kind)
+			m.setType(l.c.machineType(m.kind))
 		}
 		switch usable := l.usable(m); {
 		case !usable && m.host != nil:
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -137,6 +137,12 @@
 	}
 }
 
+// setType takes in what a machine's type is; nil: it is not known yet.
+func (m *machine) setType(mt *wire.MachineType) {
+	m.mt = mt
+	m.roomChanged = true
+}
+
 // removeMachine drops a machine: there is evidence that it and all on it are no more.
 func (l *leader) removeMachine(m *machine, why string) {
 	for _, p := range m.sorted() {
--- a/internal/core/placement_oracle_test.go
+++ b/internal/core/placement_oracle_test.go
@@ -122,7 +122,7 @@
 func (f *drawnFleet) addMachine() {
 	f.made++
 	m := f.l.machine(fmt.Sprintf("host-%03d", f.number("name", 0, 999)))
-	m.mt = rapid.SampledFrom(f.types).Draw(f.T, "type")
+	m.setType(rapid.SampledFrom(f.types).Draw(f.T, "type"))
 	m.describe(m.mt.Name, rapid.SampledFrom(drawnZones[1:]).Draw(f.T, "zone"), "x", f.chance("spot", 3))
 	m.up, m.heard = true, f.l.c.now.Steady
 }
@@ -178,7 +178,7 @@
 // happens changes something between two rounds.
 func (f *drawnFleet) happens() {
 	l, m := f.l, f.anyMachine()
-	switch f.number("event", 0, 16) {
+	switch f.number("event", 0, 18) {
 	case 0:
 		f.addMachine()
 	case 1:
@@ -209,6 +209,15 @@
 		j.failed = map[string]bool{m.name: true}
 		j.rankChanged()
 		j.rank = f.number("rank now", 0, capacity.Ranks-1)
+	case 17:
+		// Limits and guarantees fall and rise.
+		team := &l.c.set.Params.Teams[f.number("team", 0, 2)]
+		team.GPUs, team.GPUsMax = float64(f.number("guarantee", 0, 12)), float64(f.number("limit", 0, 40))
+	case 18:
+		// The catalog has another size for the type, which the machine has from now on.
+		mt := *m.mt
+		mt.GPUs, mt.CPUs = float64(f.number("its gpus", 0, 6)), float64(f.number("its cpus", 1, 20))
+		m.setType(&mt)
 	case 12, 15, 16:
 		f.report(m)
 	}
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -188,7 +188,7 @@
 				m := l.machine(name)
 				m.rentedAt, m.rented = r.Sent, true
 				m.describe(q.kind, q.zone, "", q.spot)
-				m.mt = c.machineType(q.kind)
+				m.setType(c.machineType(q.kind))
 			}
 			if len(r.Names) < q.count {
 				t.exhausted[q.offer] = now + 2*c.t.listLag
