--- a/.ci/knownred/main.go
+++ b/.ci/knownred/main.go
@@ -68,15 +68,38 @@
 	return known, nil
 }
 
-type event struct{ Action, Package, Test, Output string }
+// event is a line of what go test -json prints.
+type event struct {
+	Action  action
+	Package string
+	Test    string
+	Output  string
+}
+
+// action is what an event tells.
+type action string
+
+// The actions that matter here.
+const (
+	actionOutput      action = "output"
+	actionBuildOutput action = "build-output"
+	actionPass        action = "pass"
+	actionFail        action = "fail"
+	actionBuildFail   action = "build-fail"
+)
+
+// tally is what the events have told so far.
+type tally struct {
+	passed   int
+	failed   map[string]bool // tests
+	byTest   map[string]bool // packages in which one failed
+	packages map[string]bool // that failed
+	output   map[string]*strings.Builder
+}
 
 // judge reads what go test -json prints and tells what failed beyond what is known.
 func judge(known map[string]string, in io.Reader, out io.Writer) error {
-	passed := 0
-	failed := map[string]bool{}   // tests
-	byTest := map[string]bool{}   // packages in which one failed
-	packages := map[string]bool{} // that failed
-	output := map[string]*strings.Builder{}
+	t := &tally{failed: map[string]bool{}, byTest: map[string]bool{}, packages: map[string]bool{}, output: map[string]*strings.Builder{}}
 	scan := bufio.NewScanner(in)
 	scan.Buffer(nil, 64<<20)
 	for scan.Scan() {
@@ -85,37 +108,58 @@
 			say(out, scan.Text())
 			continue
 		}
-		key := e.Package + " " + e.Test
-		switch e.Action {
-		case "output", "build-output":
-			if output[key] == nil {
-				output[key] = &strings.Builder{}
-			}
-			output[key].WriteString(e.Output)
-		case "pass":
-			if e.Test != "" {
-				passed++
-			} else {
-				say(out, "ok  ", e.Package)
-			}
-			delete(output, key)
-		case "build-fail":
-			packages[e.Package] = true
-		case "fail":
-			if e.Test != "" {
-				failed[e.Test], byTest[e.Package] = true, true
-			} else {
-				packages[e.Package] = true
-			}
-		}
+		t.take(e, out)
 	}
 	if err := scan.Err(); err != nil {
 		return err
 	}
+	excused, err := t.excuse(known, out)
+	if err != nil {
+		return err
+	}
+	red := t.printFailures(excused, out)
+	t.printOutput(out)
+	say(out, fmt.Sprintf("%d passed, %d failed", t.passed, red))
+	if red > 0 {
+		return fmt.Errorf("%d failed", red)
+	}
+	return nil
+}
+
+// take counts an event.
+func (t *tally) take(e event, out io.Writer) {
+	key := e.Package + " " + e.Test
+	switch e.Action {
+	case actionOutput, actionBuildOutput:
+		if t.output[key] == nil {
+			t.output[key] = &strings.Builder{}
+		}
+		t.output[key].WriteString(e.Output)
+	case actionPass:
+		if e.Test != "" {
+			t.passed++
+		} else {
+			say(out, "ok  ", e.Package)
+		}
+		delete(t.output, key)
+	case actionBuildFail:
+		t.packages[e.Package] = true
+	case actionFail:
+		if e.Test != "" {
+			t.failed[e.Test], t.byTest[e.Package] = true, true
+		} else {
+			t.packages[e.Package] = true
+		}
+	}
+}
+
+// excuse gives the tests that may fail: those that are known to, and the tests that they are parts of. A known one
+// that did not fail is an error.
+func (t *tally) excuse(known map[string]string, out io.Writer) (map[string]bool, error) {
 	excused := map[string]bool{}
 	for test, line := range known {
-		if !failed[test] {
-			return fmt.Errorf("KNOWN-RED names %s, which does not exist or does not fail", test)
+		if !t.failed[test] {
+			return nil, fmt.Errorf("KNOWN-RED names %s, which does not exist or does not fail", test)
 		}
 		say(out, "KNOWN RED:", line)
 		for name := test; name != ""; {
@@ -124,33 +168,33 @@
 			name = name[:max(i, 0)]
 		}
 	}
-	red := 0
-	for test := range failed {
-		part := false // it fails with an excused part of its own
-		for name := range excused {
-			part = part || name == test
-		}
-		if !part {
+	return excused, nil
+}
+
+// printFailures prints and counts the failures that nothing excuses.
+func (t *tally) printFailures(excused map[string]bool, out io.Writer) (red int) {
+	for test := range t.failed {
+		if !excused[test] {
 			red++
 			say(out, "FAIL", test)
 		}
 	}
-	for name := range packages {
-		if !byTest[name] {
+	for name := range t.packages {
+		if !t.byTest[name] {
 			red++ // it did not build, or ended outside a test
 			say(out, "FAIL", name)
 		}
 	}
-	for key, b := range output {
+	return red
+}
+
+// printOutput prints what failed tests and packages have printed.
+func (t *tally) printOutput(out io.Writer) {
+	for key, b := range t.output {
 		if text := b.String(); strings.Contains(text, "FAIL") || strings.Contains(text, "panic:") || strings.HasSuffix(key, " ") {
 			say(out, strings.TrimSuffix(text, "\n"))
 		}
 	}
-	say(out, fmt.Sprintf("%d passed, %d failed", passed, red))
-	if red > 0 {
-		return fmt.Errorf("%d failed", red)
-	}
-	return nil
 }
 
 // say prints a line. Whoever can't print it has nobody to tell; the exit status stands.
--- /dev/null
+++ b/internal/node/effects.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+
+	"bitternwing/internal/core"
+	"bitternwing/internal/wire"
+)
+
+// How long calls may take, in the node's patience: reading many keys or asking the cloud takes longer than one
+// request to the state service.
+const (
+	listPatience  = 3
+	cloudPatience = 4
+	watchPatience = 2 // beyond the time that the watch waits
+)
+
+// pageItems is how many keys are read at a time.
+const pageItems = 500
+
+// carryOut does one effect.
+func (n *Node) carryOut(ctx context.Context, e core.Effect) {
+	switch e := e.(type) {
+	case core.Answer:
+		n.deliver(e)
+	case core.Log:
+		n.log.Log(ctx, levels[e.Level], e.Message, e.Pairs...)
+	case core.CloudCatalog, core.CloudRent, core.CloudRelease, core.CloudList:
+		n.askCloud(ctx, e)
+	case core.WorkerOrders, core.WorkerInspect:
+		n.askWorker(ctx, e)
+	case core.PeerAsk:
+		n.askPeer(ctx, e)
+	default:
+		n.askState(ctx, e)
+	}
+}
+
+// levels gives the log's name of a level.
+var levels = map[core.Level]slog.Level{core.Debug: slog.LevelDebug, core.Info: slog.LevelInfo, core.Error: slog.LevelError}
+
+// deliver gives an answer to the request that waits for it, if it still does.
+func (n *Node) deliver(a core.Answer) {
+	n.reqMu.Lock()
+	ch := n.waiting[a.Req]
+	n.reqMu.Unlock()
+	if ch != nil {
+		ch <- a
+	}
+}
+
+// askState makes a call to the state service.
+func (n *Node) askState(ctx context.Context, e core.Effect) {
+	switch e := e.(type) {
+	case core.StateGet:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Item, r.Outcome = n.state.Get(ctx, e.Key) })
+	case core.StateList:
+		n.do(ctx, e.ID, listPatience*n.patient, func(ctx context.Context, r *core.Result) {
+			r.Page, r.Outcome = n.state.List(ctx, e.Prefix, e.After, pageItems)
+		})
+	case core.StateTxn:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Txn, r.Outcome = n.state.Txn(ctx, e.Txn) })
+	case core.StateGrant:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Lease, r.Outcome = n.state.Grant(ctx, e.TTL) })
+	case core.StateExtend:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Outcome = n.state.Extend(ctx, e.Lease) })
+	case core.StateRevoke:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Outcome = n.state.Revoke(ctx, e.Lease) })
+	case core.StateWatch:
+		n.do(ctx, e.ID, e.Wait+watchPatience*n.patient, func(ctx context.Context, r *core.Result) {
+			r.Changes, r.Outcome = n.state.Watch(ctx, e.Prefix, e.After, e.Wait)
+		})
+	}
+}
+
+// askCloud makes a call to the cloud.
+func (n *Node) askCloud(ctx context.Context, e core.Effect) {
+	patience := cloudPatience * n.patient
+	switch e := e.(type) {
+	case core.CloudCatalog:
+		n.do(ctx, e.ID, patience, func(ctx context.Context, r *core.Result) { r.Catalog, r.Outcome = n.cloud.Catalog(ctx) })
+	case core.CloudRent:
+		n.do(ctx, e.ID, patience, func(ctx context.Context, r *core.Result) {
+			names, o := n.cloud.Rent(ctx, e.Request)
+			r.Names, r.Outcome = names.Machines, o
+		})
+	case core.CloudRelease:
+		n.do(ctx, e.ID, patience, func(ctx context.Context, r *core.Result) { r.Outcome = n.cloud.Release(ctx, e.Names) })
+	case core.CloudList:
+		n.do(ctx, e.ID, patience, func(ctx context.Context, r *core.Result) { r.Machines, r.Outcome = n.cloud.List(ctx, e.After) })
+	}
+}
+
+// askWorker sends a worker commands or a question directly.
+func (n *Node) askWorker(ctx context.Context, e core.Effect) {
+	switch e := e.(type) {
+	case core.WorkerOrders:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
+			r.Outcome = n.workers.Do(ctx, http.MethodPost, "http://"+e.Addr+"/orders",
+				wire.Orders{Token: e.Token, Session: e.Session, Commands: e.Commands}, &r.Report)
+		})
+	case core.WorkerInspect:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
+			r.Outcome = n.workers.Do(ctx, http.MethodGet, "http://"+e.Addr+"/inspect", nil, &r.Report)
+		})
+	}
+}
+
+// askPeer asks another node for its status.
+func (n *Node) askPeer(ctx context.Context, e core.PeerAsk) {
+	n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
+		if p := n.peers[e.Node]; p != nil {
+			r.Peer, r.Outcome = p.Status(ctx, e.Cancellations)
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,7 +20,6 @@
 	"bitternwing/internal/peer"
 	"bitternwing/internal/server"
 	"bitternwing/internal/state"
-	"bitternwing/internal/wire"
 )
 
 // Node is a running controller node.
@@ -228,69 +227,3 @@
 		n.inputs <- arrival{in: r} // the loop may be behind; it still has to learn of this
 	}()
 }
-
-// carryOut does one effect.
-func (n *Node) carryOut(ctx context.Context, e core.Effect) {
-	switch e := e.(type) {
-	case core.Answer:
-		n.reqMu.Lock()
-		ch := n.waiting[e.Req]
-		n.reqMu.Unlock()
-		if ch != nil {
-			ch <- e
-		}
-	case core.Log:
-		level := slog.LevelDebug
-		switch e.Level {
-		case core.Info:
-			level = slog.LevelInfo
-		case core.Error:
-			level = slog.LevelError
-		}
-		n.log.Log(ctx, level, e.Message, e.Pairs...)
-	case core.StateGet:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Item, r.Outcome = n.state.Get(ctx, e.Key) })
-	case core.StateList:
-		n.do(ctx, e.ID, 3*n.patient, func(ctx context.Context, r *core.Result) {
-			r.Page, r.Outcome = n.state.List(ctx, e.Prefix, e.After, 500)
-		})
-	case core.StateTxn:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Txn, r.Outcome = n.state.Txn(ctx, e.Txn) })
-	case core.StateGrant:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Lease, r.Outcome = n.state.Grant(ctx, e.TTL) })
-	case core.StateExtend:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Outcome = n.state.Extend(ctx, e.Lease) })
-	case core.StateRevoke:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Outcome = n.state.Revoke(ctx, e.Lease) })
-	case core.StateWatch:
-		n.do(ctx, e.ID, e.Wait+2*n.patient, func(ctx context.Context, r *core.Result) {
-			r.Changes, r.Outcome = n.state.Watch(ctx, e.Prefix, e.After, e.Wait)
-		})
-	case core.CloudCatalog:
-		n.do(ctx, e.ID, 4*n.patient, func(ctx context.Context, r *core.Result) { r.Catalog, r.Outcome = n.cloud.Catalog(ctx) })
-	case core.CloudRent:
-		n.do(ctx, e.ID, 4*n.patient, func(ctx context.Context, r *core.Result) {
-			names, o := n.cloud.Rent(ctx, e.Request)
-			r.Names, r.Outcome = names.Machines, o
-		})
-	case core.CloudRelease:
-		n.do(ctx, e.ID, 4*n.patient, func(ctx context.Context, r *core.Result) { r.Outcome = n.cloud.Release(ctx, e.Names) })
-	case core.CloudList:
-		n.do(ctx, e.ID, 4*n.patient, func(ctx context.Context, r *core.Result) { r.Machines, r.Outcome = n.cloud.List(ctx, e.After) })
-	case core.WorkerOrders:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
-			r.Outcome = n.workers.Do(ctx, "POST", "http://"+e.Addr+"/orders",
-				wire.Orders{Token: e.Token, Session: e.Session, Commands: e.Commands}, &r.Report)
-		})
-	case core.WorkerInspect:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
-			r.Outcome = n.workers.Do(ctx, "GET", "http://"+e.Addr+"/inspect", nil, &r.Report)
-		})
-	case core.PeerAsk:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
-			if p := n.peers[e.Node]; p != nil {
-				r.Peer, r.Outcome = p.Status(ctx, e.Cancellations)
-			}
-		})
-	}
-}
