--- a/internal/capacity/index_test.go
+++ b/internal/capacity/index_test.go
@@ -49,10 +49,10 @@
 	for _, image := range images {
 		switch number(t, "image", 0, 4) {
 		case 0:
-			d.room.Images.Ready.AddImage(image)
+			d.room.Images.Ready.Add(BitOf(image))
 			d.warmth[image] = Warm
 		case 1:
-			d.room.Images.Fetching.AddImage(image)
+			d.room.Images.Fetching.Add(BitOf(image))
 			d.warmth[image] = Fetching
 			other = Shared
 		}
--- a/internal/capacity/room.go
+++ b/internal/capacity/room.go
@@ -52,11 +52,8 @@
 // ImageSet is a set of images that may seem to hold others.
 type ImageSet [imageWords]uint64
 
-// AddImage puts an image into a set.
-func (s *ImageSet) AddImage(name string) {
-	bit := imageBit(name)
-	s[bit/64] |= 1 << (bit % 64)
-}
+// Add puts an image into a set.
+func (s *ImageSet) Add(bit ImageBit) { s[bit/64] |= 1 << (bit % 64) }
 
 // MayHold is false only if an image is not in the set.
 func (s *ImageSet) MayHold(bit ImageBit) bool { return s[bit/64]&(1<<(bit%64)) != 0 }
@@ -65,9 +62,7 @@
 type ImageBit uint
 
 // BitOf gives the place of an image.
-func BitOf(name string) ImageBit { return ImageBit(imageBit(name)) }
-
-func imageBit(name string) uint { return uint(hash(name) % (64 * imageWords)) }
+func BitOf(name string) ImageBit { return ImageBit(hash(name) % (64 * imageWords)) }
 
 func hash(text string) uint64 {
 	h := fnv.New64a()
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -62,10 +62,10 @@
 		}
 	}
 	for i := range h.m.images {
-		if h.m.images[i].ready {
-			room.Images.Ready.AddImage(h.m.images[i].name)
+		if img := &h.m.images[i]; img.ready {
+			room.Images.Ready.Add(img.bit)
 		} else {
-			room.Images.Fetching.AddImage(h.m.images[i].name)
+			room.Images.Fetching.Add(img.bit)
 		}
 	}
 	return room
--- a/internal/core/images.go
+++ b/internal/core/images.go
@@ -101,7 +101,9 @@
 func (l *leader) hint(m *machine) {
 	for _, shard := range l.c.dir.images {
 		for _, name := range shard[m.name] {
-			m.images = append(m.images, image{name: name, gb: l.imageGB(name), ready: true})
+			img := newImage(name, l.imageGB(name))
+			img.ready = true
+			m.images = append(m.images, img)
 			m.roomChanged = true
 		}
 	}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -69,10 +69,15 @@
 
 type image struct {
 	name  string
+	bit   capacity.ImageBit
 	gb    float64
 	ready bool
 }
 
+func newImage(name string, gb float64) image {
+	return image{name: name, bit: capacity.BitOf(name), gb: gb}
+}
+
 func (m *machine) add(p *placement) {
 	m.roomChanged = true
 	m.runs[p.name()] = p
@@ -208,14 +213,10 @@
 // touch notes that a machine will have an image; the least recently used make way.
 func (m *machine) touch(name string, gb float64) {
 	m.roomChanged = true
-	img := image{name: name, gb: gb}
 	sum := gb
-	for i := range m.images {
-		if m.images[i].name == name {
-			img = m.images[i]
-			m.images = append(m.images[:i], m.images[i+1:]...)
-			break
-		}
+	img, found := m.takeImage(name)
+	if !found {
+		img = newImage(name, gb)
 	}
 	m.images = append(m.images, img)
 	if m.mt == nil {
@@ -230,6 +231,17 @@
 	}
 }
 
+// takeImage takes an image out of the list of those that a machine has.
+func (m *machine) takeImage(name string) (image, bool) {
+	for i, img := range m.images {
+		if img.name == name {
+			m.images = append(m.images[:i], m.images[i+1:]...)
+			return img, true
+		}
+	}
+	return image{}, false
+}
+
 // cached is how much a machine has in its cache, as far as known.
 func (m *machine) cached() float64 {
 	sum := 0.0
--- a/internal/core/provisioning.go
+++ b/internal/core/provisioning.go
@@ -28,8 +28,6 @@
 	count map[offer]int
 	zones map[*job]map[string]int // where a job's tasks are or will be
 	work  float64                 // array work not yet worth a machine, in machines
-
-	hostRoom float64 // see headroomOnHosts; negative: not worked out yet
 }
 
 // plan rents and returns machines after a round.
@@ -40,7 +38,7 @@
 	}
 	now := l.c.now.Steady
 	t.unask()
-	p := &planner{r: r, t: t, count: map[offer]int{}, zones: map[*job]map[string]int{}, hostRoom: -1}
+	p := &planner{r: r, t: t, count: map[offer]int{}, zones: map[*job]map[string]int{}}
 	for _, m := range l.fleet {
 		if m.mt == nil || m.releasing {
 			continue
@@ -205,7 +203,7 @@
 	}
 }
 
-// spareWanted is the room on ordinary machines to keep free for services to come.
+// headroomWanted is the room on ordinary machines to keep free for services to come.
 func (p *planner) headroomWanted() float64 {
 	inUse, largest := 0.0, 0.0
 	for _, j := range p.r.l.order {
@@ -221,31 +219,25 @@
 	return max(largest, inUse*p.r.l.c.op.SpareShare)
 }
 
-// spareNow is the room on ordinary machines that services could have: free, to
+// headroom is the room on ordinary machines that services could have: free, to
 // come, or held by elastic jobs above their minimum (half of it, since those have
-// to stop first).
-func (p *planner) headroomNow() float64 {
-	sum := p.headroomOnHosts()
+// to stop first). It is added up no further than to an amount that is enough.
+func (p *planner) headroom(enough float64) float64 {
+	sum := 0.0
 	for _, b := range p.bins {
 		if !b.spot {
 			sum += max(0, b.room.GPUs)
 		}
 	}
-	return sum
-}
-
-// headroomOnHosts is the part of it on machines that are up. It is worked out once for a plan.
-func (p *planner) headroomOnHosts() float64 {
-	if p.hostRoom >= 0 {
-		return p.hostRoom
-	}
-	p.hostRoom = 0
 	for _, m := range p.r.l.fleet {
+		if sum >= enough {
+			break
+		}
 		if m.host != nil && !m.spot {
-			p.hostRoom += p.headroomOn(m.host)
+			sum += p.headroomOn(m.host)
 		}
 	}
-	return p.hostRoom
+	return sum
 }
 
 func (p *planner) headroomOn(h *host) float64 {
@@ -261,7 +253,7 @@
 func (p *planner) ensureHeadroom() {
 	l := p.r.l
 	wanted := p.headroomWanted()
-	for i := 0; i < 4 && p.headroomNow() < wanted; i++ {
+	for i := 0; i < 4 && p.headroom(wanted) < wanted; i++ {
 		var any *job
 		for _, j := range l.order {
 			if !j.array() && !j.cancelled && j.team != nil && !j.spec.Spread && !j.spec.OneZone {
@@ -302,7 +294,6 @@
 func (p *planner) giveBack() {
 	l := p.r.l
 	now := l.c.now.Steady
-	surplus := p.headroomNow() - p.headroomWanted()
 	var idle []*machine
 	for _, m := range l.fleet {
 		if m.host != nil && len(m.list) == 0 && len(m.orphanedTasks) == 0 && !m.releasing &&
@@ -310,6 +301,10 @@
 			idle = append(idle, m)
 		}
 	}
+	if len(idle) == 0 {
+		return
+	}
+	surplus := p.headroom(math.Inf(1)) - p.headroomWanted()
 	sort.SliceStable(idle, func(a, b int) bool { return idle[a].cached() < idle[b].cached() })
 	for _, m := range idle {
 		if !m.spot {
--- a/internal/hollow/worker.go
+++ b/internal/hollow/worker.go
@@ -19,6 +19,7 @@
 	answerPatience = 4 * time.Second        // no answer to a report for so long: it tries another controller
 	nextPause      = time.Second            // before that
 	leastInterval  = 500 * time.Millisecond // between reports of changes
+	deadListed     = 30 * time.Second       // a machine that has died is still listed as running for so long
 )
 
 // Worker runs a machine on the clock and on the network: it reports to one controller at a time, takes
@@ -36,6 +37,7 @@
 	machine  *Machine
 	silent   bool // it reaches nobody, and nobody reaches it
 	dead     bool
+	diedAt   time.Duration
 	renewed  time.Duration // when the report was sent that was answered last
 	reportAt time.Duration
 	sentAt   time.Duration
@@ -294,7 +296,7 @@
 // Die ends the machine and all that is on it, without a word to anybody.
 func (w *Worker) Die() {
 	w.mu.Lock()
-	w.dead = true
+	w.dead, w.diedAt = true, w.fleet.now()
 	w.machine.Clear()
 	w.mu.Unlock()
 	w.stop()
@@ -304,7 +306,7 @@
 func (w *Worker) State() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.dead {
+	if w.dead && w.fleet.now() > w.diedAt+deadListed {
 		return wire.MachineFailed
 	}
 	return wire.MachineRunning
