One hollow machine for the scale tests too; the stand-ins' servers in one place; tests of load and measure

That no task is held by two machines is checked as before. Its machines report changes as the protocol has it, no more often than each half second, where they did so at times before.

--- a/internal/core/room_test.go
+++ b/internal/core/room_test.go
@@ -51,10 +51,7 @@
 // afterwards.
 func TestRoomOfSilentZone(t *testing.T) {
 	y := newLargeScaleCluster(t, 3, 0)
-	y.have(100)
-	for i, w := range y.workers {
-		w.zone = []string{"z1", "z2"}[i%2]
-	}
+	y.have(100, "z1", "z2")
 	y.day(20, 0, 10)
 	y.checkRoom()
 	y.apart = "z2"
--- /dev/null
+++ b/internal/core/scale_calls_test.go
@@ -0,0 +1,162 @@
+package core_test
+
+import (
+	"encoding/json"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/core"
+	"bitternwing/internal/wire"
+)
+
+// carryOut does an effect of a node; true if it has a result.
+func (y *scaleCluster) carryOut(n *scaleNode, e core.Effect) (core.Result, bool) {
+	switch e := e.(type) {
+	case core.Answer:
+		y.answer(e)
+	case core.StateWatch:
+		n.watches = append(n.watches, scaleWatch{e, y.now})
+	case core.StateGet, core.StateList, core.StateTxn, core.StateGrant, core.StateExtend, core.StateRevoke:
+		return y.askState(e), true
+	case core.CloudCatalog, core.CloudRent, core.CloudRelease, core.CloudList:
+		return y.askCloud(e), true
+	case core.WorkerOrders, core.WorkerInspect:
+		n.asked++
+		y.counted.atOnce = max(y.counted.atOnce, n.asked)
+		return y.askWorker(n, e), true
+	case core.PeerAsk:
+		for _, p := range y.nodes {
+			if p.name == e.Node {
+				return core.Result{ID: e.ID, Outcome: call.OK, Peer: p.core.PeerStatus()}, true
+			}
+		}
+	}
+	return core.Result{}, false
+}
+
+// answer hands an answer to the worker or the user that waits for it.
+func (y *scaleCluster) answer(e core.Answer) {
+	switch b := e.Body.(type) {
+	case wire.ReportAnswer:
+		y.workers[e.Req&0xffff].machine.Answered(y.now, 1, b)
+	case wire.Redirect:
+		w := y.workers[e.Req&0xffff]
+		w.node = (w.node + 1) % len(y.nodes)
+		for i, x := range y.nodes {
+			if x.name == b.Leader {
+				w.node = i
+			}
+		}
+	default:
+		y.polled = e.Body
+	}
+}
+
+// askState makes a call to the state service.
+func (y *scaleCluster) askState(e core.Effect) core.Result {
+	switch e := e.(type) {
+	case core.StateTxn:
+		y.countTxn(e)
+		r := core.Result{ID: e.ID}
+		r.Txn, r.Outcome = y.store.Txn(e.Txn)
+		return r
+	case core.StateGet:
+		y.counted.gets++
+		it, o := y.store.Get(e.Key)
+		return core.Result{ID: e.ID, Outcome: o, Item: it}
+	case core.StateList:
+		y.counted.lists++
+		return core.Result{ID: e.ID, Outcome: call.OK, Page: y.store.List(e.Prefix, e.After, 500)}
+	case core.StateGrant:
+		return core.Result{ID: e.ID, Outcome: call.OK, Lease: y.store.Grant(e.TTL)}
+	case core.StateExtend:
+		return core.Result{ID: e.ID, Outcome: y.store.Extend(e.Lease)}
+	case core.StateRevoke:
+		return core.Result{ID: e.ID, Outcome: y.store.Revoke(e.Lease)}
+	}
+	return core.Result{}
+}
+
+func (y *scaleCluster) countTxn(e core.StateTxn) {
+	c := &y.counted
+	c.txns++
+	c.writes += len(e.Txn.Then)
+	c.largest = max(c.largest, len(e.Txn.Then))
+	for _, op := range e.Txn.Then {
+		c.bytes += len(op.Value)
+	}
+	body, err := json.Marshal(e.Txn)
+	if err != nil || len(body) > wire.MaxBody || len(e.Txn.If) > 4*y.set.Params.State.TxnOps {
+		y.t.Errorf("a transaction of %d bytes, %d conditions: %v", len(body), len(e.Txn.If), err)
+	}
+	c.body = max(c.body, len(body))
+}
+
+// askCloud makes a call to the cloud.
+func (y *scaleCluster) askCloud(e core.Effect) core.Result {
+	switch e := e.(type) {
+	case core.CloudCatalog:
+		return core.Result{ID: e.ID, Outcome: call.OK, Catalog: catalog}
+	case core.CloudRent:
+		return y.rent(e)
+	case core.CloudRelease:
+		for _, name := range e.Names {
+			y.release(y.byName[name])
+		}
+		return core.Result{ID: e.ID, Outcome: call.OK}
+	case core.CloudList:
+		y.counted.pages++
+		return y.list(e)
+	}
+	return core.Result{}
+}
+
+func (y *scaleCluster) release(w *scaleWorker) {
+	if w == nil || w.dead {
+		return
+	}
+	w.dead = true
+	y.rented--
+	if w.machine.Tasks() > 0 {
+		y.counted.released++
+	}
+}
+
+func (y *scaleCluster) list(e core.CloudList) core.Result {
+	r := core.Result{ID: e.ID, Outcome: call.OK}
+	for _, w := range y.workers {
+		if w.dead || w.name <= e.After {
+			continue
+		}
+		if len(r.Machines.Machines) == wire.MaxList {
+			r.Machines.More = true
+			break
+		}
+		about := w.machine.About()
+		r.Machines.Machines = append(r.Machines.Machines, wire.Machine{Name: w.name, Addr: w.addr, Type: about.Type.Name,
+			Zone: w.zone, Spot: about.Spot, State: wire.MachineRunning})
+	}
+	return r
+}
+
+// askWorker sends a worker commands or a question.
+func (y *scaleCluster) askWorker(n *scaleNode, e core.Effect) core.Result {
+	switch e := e.(type) {
+	case core.WorkerOrders:
+		y.counted.orders++
+		if w := y.direct(n, e.Addr); w != nil {
+			r := core.Result{ID: e.ID, Outcome: call.Conflict}
+			if w.machine.Ordered(y.now, wire.Orders{Token: e.Token, Session: e.Session, Commands: e.Commands}) {
+				r.Outcome = call.OK
+			}
+			r.Report = *w.machine.Report(y.now)
+			return r
+		}
+		return core.Result{ID: e.ID, Outcome: call.Unknown}
+	case core.WorkerInspect:
+		if w := y.direct(n, e.Addr); w != nil {
+			return core.Result{ID: e.ID, Outcome: call.OK, Report: *w.machine.Report(y.now)}
+		}
+		return core.Result{ID: e.ID, Outcome: call.Unknown}
+	}
+	return core.Result{}
+}
--- a/internal/core/scale_cluster_test.go
+++ b/internal/core/scale_cluster_test.go
@@ -1,15 +1,11 @@
 package core_test
 
 import (
-	"encoding/json"
 	"fmt"
-	"maps"
 	"math/rand"
-	"slices"
 	"testing"
 	"time"
 
-	"bitternwing/internal/call"
 	"bitternwing/internal/config"
 	"bitternwing/internal/core"
 	"bitternwing/internal/standin"
@@ -32,13 +28,14 @@
 	adjust         func(*config.Params) // changes the settings; nil: they stay
 	measured       bool                 // steps take what they really take, and are counted in spent and longest
 	spent, longest time.Duration
-	holders        map[string]*scaleWorker // of tasks that have not exited
+	specs          map[string]*wire.Job
+	holders        map[string]*scaleWorker // of tasks, from their start to their end
 	started        int
 	apart          string // workers of this zone can't reach nodes of the first one, nor they them
 	polled         any    // the last answer to a user
 	nodes          []*scaleNode
 	workers        []*scaleWorker
-	byAddr         map[string]*scaleWorker
+	byAddr, byName map[string]*scaleWorker
 	rented         int
 	most           int // machines that the cloud has
 	jobs           int
@@ -70,28 +67,11 @@
 	opened time.Duration
 }
 
-type scaleWorker struct {
-	index            int
-	name, addr, zone string
-	spot             bool
-	up               time.Duration
-	due, next        time.Duration // its next report; when a task goes on
-	node             int
-	seq, token       uint64
-	tasks            map[string]*scaleTask
-	dead             bool
-}
-
-type scaleTask struct {
-	wire.TaskReport
-	at time.Duration // when it goes on
-}
-
 const scaleStep = 10 * time.Millisecond
 
 func newScaleCluster(t testing.TB, nodes, machines int) *scaleCluster {
 	y := &scaleCluster{t: t, now: time.Second, rnd: rand.New(rand.NewSource(1)), store: standin.NewStore(),
-		byAddr: map[string]*scaleWorker{}, holders: map[string]*scaleWorker{}, most: machines, op: config.DefaultOperator(), memory: 98}
+		byAddr: map[string]*scaleWorker{}, byName: map[string]*scaleWorker{}, specs: map[string]*wire.Job{}, holders: map[string]*scaleWorker{}, most: machines, op: config.DefaultOperator(), memory: 98}
 	for i := 0; i < nodes; i++ {
 		y.nodes = append(y.nodes, &scaleNode{name: fmt.Sprintf("n%d", i), zone: []string{"z1", "z2"}[i%2]})
 	}
@@ -202,222 +182,6 @@
 	}
 }
 
-// live lets a worker's tasks go on and has it report.
-func (w *scaleWorker) live(y *scaleCluster) {
-	if y.now < w.due && y.now < w.next {
-		return
-	}
-	w.next = y.now + time.Hour
-	changed := false
-	for _, name := range w.names() {
-		t := w.tasks[name]
-		if t.at > y.now {
-			w.next = min(w.next, t.at)
-		}
-		if t.at == 0 || y.now < t.at {
-			continue
-		}
-		changed = true
-		switch t.State {
-		case wire.TaskFetching:
-			t.State, t.at = wire.TaskRunning, 0
-			if t.Task[4] == 'a' { // an array's
-				t.at = y.now + time.Duration(30+y.rnd.Intn(60))*time.Second
-				w.next = min(w.next, t.at)
-			}
-		case wire.TaskRunning:
-			t.State, t.Why, t.at = wire.TaskExited, wire.WhyDone, 0
-			delete(y.holders, name)
-		}
-	}
-	if early := w.due - y.now; early > 0 && (!changed || early >= 500*time.Millisecond) {
-		return
-	}
-	report := config.Seconds(y.set.Params.Workers.ReportS)
-	w.due = y.now + report*3/4 + time.Duration(y.rnd.Int63n(int64(report/2)))
-	if y.blocked(y.nodes[w.node], w) {
-		// No answer in 4 s: the next node, after 1 s.
-		w.node = (w.node + 1) % len(y.nodes)
-		w.due = y.now + 5*time.Second
-		return
-	}
-	y.counted.checkins++
-	y.req++
-	y.step(y.nodes[w.node], core.Checkin{Req: y.req<<16 | uint64(w.index), Report: w.report()})
-}
-
-// blocked tells whether a node and a worker can't reach each other.
-func (y *scaleCluster) blocked(n *scaleNode, w *scaleWorker) bool {
-	return y.apart != "" && w.zone == y.apart && n.zone != y.apart
-}
-
-func (w *scaleWorker) names() []string { return slices.Sorted(maps.Keys(w.tasks)) }
-
-func (w *scaleWorker) report() *wire.Report {
-	w.seq++
-	r := &wire.Report{Machine: w.name, Addr: w.addr, Type: "g8", Zone: w.zone, Spot: w.spot, Session: 1, Seq: w.seq, Token: w.token}
-	for _, name := range w.names() {
-		r.Tasks = append(r.Tasks, w.tasks[name].TaskReport)
-	}
-	return r
-}
-
-// obey carries out commands.
-func (w *scaleWorker) obey(y *scaleCluster, token uint64, cmds []wire.Command) {
-	if token < w.token {
-		return
-	}
-	w.token, w.next = token, 0
-	for _, c := range cmds {
-		t := w.tasks[c.Task]
-		switch c.Op {
-		case wire.OpStart:
-			if t != nil {
-				continue
-			}
-			if x := y.holders[c.Task]; x != nil && x != w && !x.dead {
-				y.t.Errorf("%s runs twice", c.Task)
-			}
-			y.holders[c.Task] = w
-			y.started++
-			w.tasks[c.Task] = &scaleTask{wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskFetching},
-				y.now + time.Duration(2+y.rnd.Intn(8))*time.Second}
-		case wire.OpStop:
-			if t != nil && t.Attempt == c.Attempt && t.State != wire.TaskExited {
-				t.State, t.Why, t.at = wire.TaskExited, wire.WhyStopped, 0
-				delete(y.holders, c.Task)
-			}
-		case wire.OpForget:
-			if t != nil && t.Attempt == c.Attempt && t.State == wire.TaskExited {
-				delete(w.tasks, c.Task)
-			}
-		}
-	}
-}
-
-func (y *scaleCluster) carryOut(n *scaleNode, e core.Effect) (core.Result, bool) {
-	c := &y.counted
-	switch e := e.(type) {
-	case core.Answer:
-		switch b := e.Body.(type) {
-		case wire.ReportAnswer:
-			y.workers[e.Req&0xffff].obey(y, b.Token, b.Commands)
-		case wire.Redirect:
-			w := y.workers[e.Req&0xffff]
-			w.node = (w.node + 1) % len(y.nodes)
-			for i, x := range y.nodes {
-				if x.name == b.Leader {
-					w.node = i
-				}
-			}
-		default:
-			y.polled = e.Body
-		}
-	case core.StateTxn:
-		c.txns++
-		c.writes += len(e.Txn.Then)
-		c.largest = max(c.largest, len(e.Txn.Then))
-		for _, op := range e.Txn.Then {
-			c.bytes += len(op.Value)
-		}
-		if body, err := json.Marshal(e.Txn); err != nil || len(body) > wire.MaxBody || len(e.Txn.If) > 4*y.set.Params.State.TxnOps {
-			y.t.Errorf("a transaction of %d bytes, %d conditions: %v", len(body), len(e.Txn.If), err)
-		} else {
-			c.body = max(c.body, len(body))
-		}
-		r := core.Result{ID: e.ID}
-		r.Txn, r.Outcome = y.store.Txn(e.Txn)
-		return r, true
-	case core.StateGet:
-		c.gets++
-		it, o := y.store.Get(e.Key)
-		return core.Result{ID: e.ID, Outcome: o, Item: it}, true
-	case core.StateList:
-		c.lists++
-		return core.Result{ID: e.ID, Outcome: call.OK, Page: y.store.List(e.Prefix, e.After, 500)}, true
-	case core.StateGrant:
-		return core.Result{ID: e.ID, Outcome: call.OK, Lease: y.store.Grant(e.TTL)}, true
-	case core.StateExtend:
-		return core.Result{ID: e.ID, Outcome: y.store.Extend(e.Lease)}, true
-	case core.StateRevoke:
-		return core.Result{ID: e.ID, Outcome: y.store.Revoke(e.Lease)}, true
-	case core.StateWatch:
-		n.watches = append(n.watches, scaleWatch{e, y.now})
-	case core.CloudCatalog:
-		return core.Result{ID: e.ID, Outcome: call.OK, Catalog: catalog}, true
-	case core.CloudRent:
-		return y.rent(e), true
-	case core.CloudRelease:
-		for _, name := range e.Names {
-			for _, w := range y.workers {
-				if w.name == name && !w.dead {
-					w.dead = true
-					y.rented--
-					if len(w.tasks) > 0 {
-						c.released++
-					}
-				}
-			}
-		}
-		return core.Result{ID: e.ID, Outcome: call.OK}, true
-	case core.CloudList:
-		r := core.Result{ID: e.ID, Outcome: call.OK}
-		for _, w := range y.workers {
-			if w.dead || w.name <= e.After {
-				continue
-			}
-			if len(r.Machines.Machines) == wire.MaxList {
-				r.Machines.More = true
-				break
-			}
-			r.Machines.Machines = append(r.Machines.Machines, wire.Machine{Name: w.name, Addr: w.addr, Type: "g8",
-				Zone: w.zone, Spot: w.spot, State: wire.MachineRunning})
-		}
-		c.pages++
-		return r, true
-	case core.WorkerOrders:
-		c.orders++
-		n.asked++
-		c.atOnce = max(c.atOnce, n.asked)
-		if w := y.byAddr[e.Addr]; w != nil && !w.dead && !y.blocked(n, w) {
-			w.obey(y, e.Token, e.Commands)
-			return core.Result{ID: e.ID, Outcome: call.OK, Report: *w.report()}, true
-		}
-		return core.Result{ID: e.ID, Outcome: call.Unknown}, true
-	case core.WorkerInspect:
-		n.asked++
-		c.atOnce = max(c.atOnce, n.asked)
-		if w := y.byAddr[e.Addr]; w != nil && !w.dead && !y.blocked(n, w) {
-			return core.Result{ID: e.ID, Outcome: call.OK, Report: *w.report()}, true
-		}
-		return core.Result{ID: e.ID, Outcome: call.Unknown}, true
-	case core.PeerAsk:
-		for _, p := range y.nodes {
-			if p.name == e.Node {
-				return core.Result{ID: e.ID, Outcome: call.OK, Peer: p.core.PeerStatus()}, true
-			}
-		}
-	}
-	return core.Result{}, false
-}
-
-func (y *scaleCluster) rent(e core.CloudRent) core.Result {
-	r := core.Result{ID: e.ID, Outcome: call.OK}
-	for i := 0; i < e.Request.Count && y.rented < y.most; i++ {
-		y.rented++
-		w := &scaleWorker{index: len(y.workers), name: fmt.Sprintf("m%04d", len(y.workers)+1), zone: e.Request.Zone, spot: e.Request.Spot,
-			up: y.now + 5*time.Second + time.Duration(y.rnd.Intn(3000))*time.Millisecond, tasks: map[string]*scaleTask{}}
-		w.addr = w.name + ":9000"
-		y.byAddr[w.addr] = w
-		y.workers = append(y.workers, w)
-		r.Names = append(r.Names, w.name)
-	}
-	if len(r.Names) == 0 {
-		r.Outcome = call.Refused
-	}
-	return r
-}
-
 // submit hands in a job. The first letter of its number tells what it is.
 func (y *scaleCluster) submit(j wire.Job) {
 	y.jobs++
@@ -431,13 +195,25 @@
 	} else {
 		j.EstimateS, j.Spot, j.Checkpoint, j.SaveS = 60, true, 15, 3
 	}
-	y.step(y.nodes[y.jobs%len(y.nodes)], core.Submit{Req: y.req << 16, Job: &j})
+	y.hand(y.nodes[y.jobs%len(y.nodes)], &j)
 }
 
-// have brings machines up that were there before.
-func (y *scaleCluster) have(n int) {
+// hand has a user upload a job and submit it at a node.
+func (y *scaleCluster) hand(n *scaleNode, j *wire.Job) {
+	y.req++
+	y.specs[j.ID] = j
+	y.step(n, core.Submit{Req: y.req << 16, Job: j})
+}
+
+// have brings machines up that were there before, in some zones in turn, or in the first one.
+func (y *scaleCluster) have(n int, zones ...string) {
+	if len(zones) == 0 {
+		zones = []string{"z1"}
+	}
 	y.most += n
-	y.rent(core.CloudRent{Request: wire.RentRequest{Count: n, Zone: "z1"}})
+	for i := range n {
+		y.rent(core.CloudRent{Request: wire.RentRequest{Count: 1, Zone: zones[i%len(zones)]}})
+	}
 	for _, w := range y.workers {
 		w.up = 0
 	}
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -50,10 +50,7 @@
 // none of them, however long it lasts.
 func TestZoneKept(t *testing.T) {
 	y := newLargeScaleCluster(t, 3, 0)
-	y.have(400)
-	for i, w := range y.workers {
-		w.zone = []string{"z1", "z2"}[i%2]
-	}
+	y.have(400, "z1", "z2")
 	y.day(400, 0, 20)
 	y.counted = scaleCounts{}
 	y.apart = "z2"
@@ -110,11 +107,9 @@
 	}
 	for _, kind := range []string{"run-0", "run-a"} {
 		late := 0
-		for _, w := range y.workers {
-			for task := range w.tasks {
-				if strings.HasPrefix(task, kind) && task[5:10] > "00175" {
-					late++
-				}
+		for task := range y.holders {
+			if strings.HasPrefix(task, kind) && task[5:10] > "00175" {
+				late++
 			}
 		}
 		if late == 0 {
--- a/internal/core/write_rate_test.go
+++ b/internal/core/write_rate_test.go
@@ -1,8 +1,6 @@
 package core_test
 
 import (
-	"fmt"
-	"strings"
 	"testing"
 	"time"
 
@@ -21,7 +19,7 @@
 	y.pass(3 * time.Second)
 	sweep := wire.Job{ID: "run-a00001", Class: "sweep", Team: "t0", Kind: wire.KindArray, Priority: wire.PriorityIdle,
 		Tasks: 25000, CPUs: 0.25, MemoryGB: 1, Image: "img-0", ImageGB: 1, EstimateS: 60}
-	y.step(y.nodes[0], core.Submit{Req: 1 << 16, Job: &sweep})
+	y.hand(y.nodes[0], &sweep)
 	for range 6 {
 		y.submit(wire.Job{Kind: wire.KindService, Tasks: 1, GPUs: 1})
 	}
@@ -47,15 +45,3 @@
 		t.Errorf("%d writes in 90 s: the array does not use up what it may", n)
 	}
 }
-
-// holds tells whether a machine holds a task of a job.
-func (y *scaleCluster) holds(id string) bool {
-	for _, w := range y.workers {
-		for task := range w.tasks {
-			if strings.HasPrefix(task, fmt.Sprint(id, "/")) {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/internal/hollow/machine.go
+++ b/internal/hollow/machine.go
@@ -231,7 +231,7 @@
 	switch {
 	case !known:
 		refusal = wire.WhyUnknown
-	case m.busy(name.task):
+	case m.Holds(name.task):
 		refusal = wire.WhyBusy
 	case !m.free().Holds(resource.OfTask(job)):
 		refusal = wire.WhyNoRoom
@@ -247,8 +247,14 @@
 	m.next = min(m.next, t.until)
 }
 
-// busy tells whether another attempt of a task is here.
-func (m *Machine) busy(name string) bool {
+// Tasks counts the tasks in its reports.
+func (m *Machine) Tasks() int { return len(m.tasks) }
+
+// About says what machine it is.
+func (m *Machine) About() Description { return m.about }
+
+// Holds tells whether an attempt of a task is here that has not exited.
+func (m *Machine) Holds(name string) bool {
 	for _, t := range m.tasks {
 		if t.Task == name && t.State != wire.TaskExited {
 			return true
--- a/internal/scalerun/measure/histogram.go
+++ b/internal/scalerun/measure/histogram.go
@@ -48,14 +48,3 @@
 	defer h.mu.Unlock()
 	return Summary{Count: h.h.TotalCount(), Mean: h.h.Mean(), P50: h.h.ValueAtQuantile(50), P99: h.h.ValueAtQuantile(99), Max: h.h.Max()}
 }
-
-// Quantiles gives the values at some quantiles, in percent.
-func (h *Histogram) Quantiles(percent []float64) []int64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	values := make([]int64, len(percent))
-	for i, p := range percent {
-		values[i] = h.h.ValueAtQuantile(p)
-	}
-	return values
-}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -40,6 +39,7 @@
 // Cloud rents machines. Each type has a capacity, and a machine is up after its type's boot time. Its list
 // does not lag.
 type Cloud struct {
+	clientServers
 	mu       sync.Mutex
 	types    []wire.MachineType
 	capacity map[string]int // by type; a type that is not there has no bound
@@ -52,9 +52,6 @@
 	cut      map[string]bool // clients that get no answer
 
 	requests *rate.Limiter // nil: no limit
-	observe  Observe
-	servers  []*http.Server
-	addr     string
 }
 
 // rental is a machine that was rented. It has no worker until it is up.
@@ -70,17 +67,10 @@
 func NewCloud(types []wire.MachineType, launch Launch) *Cloud {
 	c := &Cloud{types: types, capacity: map[string]int{}, launch: launch,
 		machines: map[string]*rental{}, answers: map[string]wire.Names{}, cut: map[string]bool{}}
-	addr, err := c.AddClient("")
-	if err != nil {
-		panic(err) // no port on loopback: nothing can be tested
-	}
-	c.addr = addr
+	c.clientServers.serve(c.serve)
 	return c
 }
 
-// SetObserver has requests counted from now on. It is called before the first client is added.
-func (c *Cloud) SetObserver(observe Observe) { c.observe = observe }
-
 // SetBoots has machines take their type's boot time to come up from now on.
 func (c *Cloud) SetBoots() {
 	c.mu.Lock()
@@ -102,25 +92,6 @@
 	c.capacity[machineType] = most
 }
 
-// AddClient gives an address for a client.
-func (c *Cloud) AddClient(name string) (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	server := serveObserved(l, name, c.observeRequest, func(w http.ResponseWriter, r *http.Request) {
-		if c.isCut(name) {
-			<-r.Context().Done() // nothing comes back
-			return
-		}
-		c.serve(w, r)
-	})
-	c.mu.Lock()
-	c.servers = append(c.servers, server)
-	c.mu.Unlock()
-	return l.Addr().String(), nil
-}
-
 // SetCut cuts a client off: what it asks for is lost until that ends.
 func (c *Cloud) SetCut(client string, cut bool) {
 	c.mu.Lock()
@@ -134,15 +105,6 @@
 	return c.cut[client]
 }
 
-func (c *Cloud) observeRequest(client, method, path string, received, sent int) {
-	if c.observe != nil {
-		c.observe(client, method, path, received, sent)
-	}
-}
-
-// Addr is where the client without a name is served.
-func (c *Cloud) Addr() string { return c.addr }
-
 // Have brings machines up that were rented before.
 func (c *Cloud) Have(machineType, zone string, count int) {
 	c.mu.Lock()
@@ -157,7 +119,6 @@
 func (c *Cloud) Close() {
 	c.mu.Lock()
 	c.closed = true
-	servers := c.servers
 	var ended []Machine
 	for _, r := range c.machines {
 		if m := r.end(); m != nil {
@@ -168,9 +129,7 @@
 	for _, m := range ended {
 		m.Stop()
 	}
-	for _, s := range servers {
-		_ = s.Close()
-	}
+	c.close()
 }
 
 // end stops a boot and gives the machine, if it is up.
@@ -214,7 +173,11 @@
 	})
 }
 
-func (c *Cloud) serve(w http.ResponseWriter, r *http.Request) {
+func (c *Cloud) serve(client string, w http.ResponseWriter, r *http.Request) {
+	if c.isCut(client) {
+		<-r.Context().Done() // nothing comes back
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.requests != nil && !c.requests.Allow() {
@@ -322,13 +285,3 @@
 		}
 	}
 }
-
-// FreeAddr finds a free address on loopback.
-func FreeAddr() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
--- a/internal/standin/state_server.go
+++ b/internal/standin/state_server.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,9 +15,9 @@
 	"bitternwing/internal/wire"
 )
 
-// StateServer serves a Store over HTTP. Each client can have an address of its own, so that what each asks
-// for can be counted, and each can be cut off by itself.
+// StateServer serves a Store over HTTP. Each client can have an address of its own, and be cut off by itself.
 type StateServer struct {
+	clientServers
 	mu      sync.Mutex
 	store   *Store
 	start   time.Time
@@ -28,58 +27,19 @@
 	ended   chan struct{}
 
 	requests, writes *rate.Limiter // nil: no limit
-	observe          Observe
-	servers          []*http.Server
-	addr             string // of the client without a name
 }
 
-// Observe is told of each request that a stand-in answers: whose it is, and the sizes of the bodies.
-type Observe func(client, method, path string, received, sent int)
-
-// NewStateServer starts a state service on loopback, with an address for a client without a name.
+// NewStateServer starts a state service on loopback.
 func NewStateServer() *StateServer {
 	s := &StateServer{store: NewStore(), start: time.Now(), cut: map[string]bool{}, changed: make(chan struct{}), ended: make(chan struct{})}
-	addr, err := s.AddClient("")
-	if err != nil {
-		panic(err) // no port on loopback: nothing can be tested
-	}
-	s.addr = addr
+	s.clientServers.serve(s.serve)
 	return s
 }
 
-// SetObserver has requests counted from now on. It is called before the first client is added.
-func (s *StateServer) SetObserver(observe Observe) { s.observe = observe }
-
-// AddClient gives an address for a client.
-func (s *StateServer) AddClient(name string) (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	server := serveObserved(l, name, s.observeRequest, func(w http.ResponseWriter, r *http.Request) { s.serve(name, w, r) })
-	s.mu.Lock()
-	s.servers = append(s.servers, server)
-	s.mu.Unlock()
-	return l.Addr().String(), nil
-}
-
-func (s *StateServer) observeRequest(client, method, path string, received, sent int) {
-	if s.observe != nil {
-		s.observe(client, method, path, received, sent)
-	}
-}
-
-// Addr is where the client without a name is served.
-func (s *StateServer) Addr() string { return s.addr }
-
 // Close ends it.
 func (s *StateServer) Close() {
 	close(s.ended)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, server := range s.servers {
-		_ = server.Close()
-	}
+	s.close()
 }
 
 // SetDown begins or ends an outage.
