--- a/internal/scalerun/page.go
+++ b/internal/scalerun/page.go
@@ -118,6 +118,7 @@
 	if _, err := canvas.WriteTo(&out); err != nil {
 		return "", err
 	}
-	// The picture is drawn from numbers and the names of processes alone.
-	return template.HTML(out.String()), nil
+	// Within a page a picture has no prologue. It is drawn from numbers and the names of processes alone.
+	picture := out.Bytes()
+	return template.HTML(picture[max(0, bytes.Index(picture, []byte("<svg"))):]), nil
 }
