Stand-in of the state service: an open watch sees the end of a lease

Cause: found on rereading. With watches that are woken by changes, the end of a lease woke none of them: the store was moved on before the revision was compared, and an open watch looked again only at its own time or at the next change by somebody else.

Change: moving the store on tells of what it ended; an open watch looks every 50 ms for what only time changes. Test: TestWatchSeesLeaseEnd fails without it (no answer in 20 s).

--- a/internal/standin/state_server.go
+++ b/internal/standin/state_server.go
@@ -91,6 +91,16 @@
 
 var statusOf = map[call.Outcome]int{call.OK: 200, call.Conflict: 409, call.Missing: 404, call.Invalid: 400, call.TooOld: 410}
 
+// catchUp brings the store to the present time; a lease that has ended is a change like any other. The caller
+// holds the lock.
+func (s *StateServer) catchUp() {
+	before := s.store.Revision()
+	s.store.At(time.Since(s.start))
+	if s.store.Revision() != before {
+		s.notify()
+	}
+}
+
 // notify wakes the watches. The caller holds the lock.
 func (s *StateServer) notify() {
 	close(s.changed)
@@ -110,7 +120,7 @@
 	case s.requests != nil && !s.requests.Allow():
 		status = http.StatusTooManyRequests
 	default:
-		s.store.At(time.Since(s.start))
+		s.catchUp()
 		return http.StatusOK
 	}
 	s.mu.Unlock()
@@ -229,24 +239,25 @@
 	ms, _ := strconv.Atoi(q.Get("block_ms"))
 	for end := time.Now().Add(time.Duration(ms) * time.Millisecond); ; {
 		s.mu.Lock()
-		changed, served := s.changed, !s.down && !s.cut[client]
+		served := !s.down && !s.cut[client]
 		var c wire.Changes
 		outcome := call.OK
 		if served {
-			s.store.At(time.Since(s.start))
+			s.catchUp()
 			c, outcome = s.store.Changes(q.Get("under"), after)
 		}
+		changed := s.changed
 		s.mu.Unlock()
-		left := time.Until(end)
-		if served && (outcome != call.OK || len(c.Events) > 0 || left <= 0) {
+		if served && (outcome != call.OK || len(c.Events) > 0 || time.Now().After(end)) {
 			answer(w, statusOf[outcome], c)
 			return
 		}
-		if !s.wait(r, changed, max(left, leaseCheck)) {
+		if !s.wait(r, changed, leaseCheck) {
 			return
 		}
 	}
 }
 
-// leaseCheck is how long after a watch's time, or in an outage, it is looked at again.
+// leaseCheck is how often an open watch looks for what only time changes: ends of leases, and its own. The protocol
+// lets the end of a lease come up to 100 ms late.
 const leaseCheck = 50 * time.Millisecond
--- /dev/null
+++ b/internal/standin/state_server_test.go
@@ -0,0 +1,36 @@
+package standin
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/state"
+	"bitternwing/internal/wire"
+)
+
+// patience bounds how long a test waits for what has to happen.
+const patience = 20 * time.Second
+
+// TestWatchSeesLeaseEnd has a lease end while nothing else happens: an open watch is told that its key is gone, and does
+// not wait for its own time.
+func TestWatchSeesLeaseEnd(t *testing.T) {
+	s := NewStateServer()
+	defer s.Close()
+	client := state.New(s.Addr(), 1000, 4, 1<<20)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	lease, o := client.Grant(ctx, 200*time.Millisecond)
+	if o != call.OK {
+		t.Fatal(o)
+	}
+	put, o := client.Txn(ctx, wire.Txn{Then: []wire.Op{{Put: "w/lead", Value: []byte(`1`), Lease: lease}}})
+	if o != call.OK {
+		t.Fatal(o)
+	}
+	changes, o := client.Watch(ctx, "w/", put.Revision, 3*patience)
+	if o != call.OK || len(changes.Events) != 1 || changes.Events[0].Delete != "w/lead" {
+		t.Errorf("%+v, %v", changes, o)
+	}
+}
