Rereading: derived bounds, a machine's group, paths and seconds in one place each

Nothing behaves otherwise. The bound on room that comes free by itself was kept twice in each node of the index; the most that a penalty may be was a constant in two packages that had to agree; a machine's group was put together in three places. The paths of the workers' protocol are constants of package wire, for the server, the node and the hollow workers; config.Seconds serves where its like had been written again. What a scenario comes to in settings has a file of its own; small loops gave way to slices.Contains, slices.Clone and strings.Cut.

--- a/internal/capacity/bounds.go
+++ b/internal/capacity/bounds.go
@@ -21,10 +21,9 @@
 
 // Bounds bound what the machines below a node could have for a task if work on them were stopped.
 type Bounds struct {
-	First  string          // the first of their names
-	soon   resource.Amount // the most that will be free without stopping anything
+	First  string // the first of their names
 	images imageBounds
-	// most is what could be free once all work below a rank was stopped; largest is the largest task of
+	// most is what could be free once all work below a rank was stopped, so the first is what will be free anyway; largest is the largest task of
 	// such work that has a rank above 0, largestIdle that of rank 0.
 	most        [Ranks + 1]resource.Amount
 	largest     [Ranks + 1]resource.Amount
@@ -32,7 +31,7 @@
 }
 
 func boundsOf(r *Room) Bounds {
-	b := Bounds{First: r.Name, soon: r.Soon, images: imageBoundsOf(r), largestIdle: r.Stoppable[0].Largest}
+	b := Bounds{First: r.Name, images: imageBoundsOf(r), largestIdle: r.Stoppable[0].Largest}
 	b.most[0] = r.Soon
 	for rank := range Ranks {
 		b.most[rank+1] = b.most[rank]
@@ -49,7 +48,6 @@
 	if before {
 		into.First = other.First
 	}
-	into.soon = larger(into.soon, other.soon)
 	into.largestIdle = larger(into.largestIdle, other.largestIdle)
 	into.images.join(&other.images)
 	for i := range into.most {
@@ -88,9 +86,9 @@
 	}
 	cost := Cost{Warmth: b.images.best(bit)}
 	switch {
-	case b.soon.Holds(need):
+	case b.most[0].Holds(need):
 	case below > 0 && b.most[1].Holds(need):
-		cost.IdleStops = leastTasks(need, b.soon, b.largestIdle)
+		cost.IdleStops = leastTasks(need, b.most[0], b.largestIdle)
 	case below > 0:
 		cost.Stops = leastTasks(need, b.most[1], b.largest[below])
 	}
--- a/internal/capacity/index.go
+++ b/internal/capacity/index.go
@@ -192,8 +192,8 @@
 	Suits func(T) (Warmth, bool)
 }
 
-// mostPenalty bounds the penalties.
-const mostPenalty = 2
+// MostPenalty is the most that a penalty may be.
+const MostPenalty = 2
 
 // Tightest finds the machine for a task: the warmest, counting penalties, and of these the one that has the
 // least left, and of these the first by name. It gives the number of machines looked at.
@@ -209,7 +209,7 @@
 			groups = append(groups, open{g, penalty})
 		}
 	}
-	for degree := Warm; degree < Degrees+mostPenalty; degree++ {
+	for degree := Warm; degree < Degrees+MostPenalty; degree++ {
 		var best *entry[T]
 		for _, o := range groups {
 			warmth := degree - o.penalty
--- a/internal/capacity/index_test.go
+++ b/internal/capacity/index_test.go
@@ -153,7 +153,7 @@
 		q := Request[string]{Need: amount(t, "need", 8), Image: image,
 			Penalty: func(g Group) (Warmth, bool) {
 				if prefersSpot && !g.Spot {
-					return mostPenalty, !spotOnly
+					return MostPenalty, !spotOnly
 				}
 				return 0, g.Spot || !spotOnly
 			},
--- a/internal/core/export_test.go
+++ b/internal/core/export_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"maps"
-
-	"bitternwing/internal/capacity"
 )
 
 // Evaluations is how many the rounds of this node's present term took.
@@ -43,7 +41,7 @@
 		free, soon := l.freeOf(m)
 		want := (&host{m: m, free: free, soon: soon}).room()
 		group, got, ok := l.room.Room(m.name)
-		if !ok || got != want || group != (capacity.Group{Type: m.kind, Zone: m.zone, Spot: m.spot}) {
+		if !ok || got != want || group != m.group() {
 			return fmt.Errorf("%s: %+v %+v in the index, %+v built anew", m.name, group, got, want)
 		}
 	}
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -42,8 +42,12 @@
 
 // updateHost has the index know of a change of a host's room.
 func (l *leader) updateHost(h *host) {
-	m := h.m
-	l.room.Put(capacity.Group{Type: m.kind, Zone: m.zone, Spot: m.spot}, resource.OfMachine(m.mt), h.room(), h)
+	l.room.Put(h.m.group(), resource.OfMachine(h.m.mt), h.room(), h)
+}
+
+// group is the machines among which the index has this one.
+func (m *machine) group() capacity.Group {
+	return capacity.Group{Type: m.kind, Zone: m.zone, Spot: m.spot}
 }
 
 // dropHost takes a machine out of those that may take tasks.
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -40,7 +40,7 @@
 
 // ordinaryPenalty is by how many degrees of warmth an ordinary machine is behind a cheap one, for what may
 // run on both.
-const ordinaryPenalty = 2
+const ordinaryPenalty = capacity.MostPenalty
 
 // fit finds the machine for a job's next task: warm images first, except that what
 // may run on cheap machines prefers those; then the tightest, so that others empty
--- a/internal/core/preemption.go
+++ b/internal/core/preemption.go
@@ -100,7 +100,7 @@
 	looked := s.round.l.room.Walk(s.allowed, func(b *capacity.Bounds) bool {
 		least, possible := b.LeastCost(s.need, below, s.image)
 		return !possible || !s.better(least, b.First)
-	}, func(h *host) { s.evaluate(h) })
+	}, s.evaluate)
 	s.round.evaluations -= max(1, looked)
 }
 
@@ -115,7 +115,7 @@
 // consider evaluates a machine if a task of the job may run there.
 func (s *shrinkSearch) consider(m *machine) {
 	s.round.evaluations--
-	if m.host != nil && s.allowed(capacity.Group{Type: m.kind, Zone: m.zone, Spot: m.spot}) {
+	if m.host != nil && s.allowed(m.group()) {
 		s.evaluate(m.host)
 	}
 }
--- a/internal/hollow/machine.go
+++ b/internal/hollow/machine.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"bitternwing/internal/config"
 	"bitternwing/internal/resource"
 	"bitternwing/internal/wire"
 )
@@ -267,7 +268,7 @@
 func (m *Machine) fetch(now time.Duration, job *wire.Job) time.Duration {
 	at, known := m.images[job.Image]
 	if !known {
-		at = now + seconds(job.ImageGB/m.about.Type.FetchGBPerS)
+		at = now + config.Seconds(job.ImageGB/m.about.Type.FetchGBPerS)
 		m.images[job.Image] = at
 	}
 	return max(now, at)
@@ -284,7 +285,7 @@
 	case t.State == wire.TaskSaving && grace > 0:
 	case t.State == wire.TaskRunning && t.job.Checkpoint > 0 && grace >= t.job.SaveS:
 		t.State = wire.TaskSaving
-		t.until = now + seconds(t.job.SaveS)
+		t.until = now + config.Seconds(t.job.SaveS)
 		m.next = min(m.next, t.until)
 		m.changed = true
 	default:
@@ -309,5 +310,3 @@
 		return cmp.Or(strings.Compare(a.Task, b.Task), cmp.Compare(a.Attempt, b.Attempt))
 	})
 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/hollow/worker.go
+++ b/internal/hollow/worker.go
@@ -154,7 +154,7 @@
 	if err != nil {
 		return
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.Addr+"/checkin", bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.Addr+wire.ReportPath, bytes.NewReader(body))
 	if err != nil {
 		return
 	}
@@ -228,9 +228,9 @@
 	var status int
 	var kind Kind
 	switch r.Method + " " + r.URL.Path {
-	case "GET /inspect":
+	case http.MethodGet + " " + wire.InspectPath:
 		kind, status = KindInspect, http.StatusOK
-	case "POST /orders":
+	case http.MethodPost + " " + wire.OrdersPath:
 		kind, status = KindOrders, w.ordered(body)
 	default:
 		status = http.StatusNotFound
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -98,12 +98,12 @@
 	switch e := e.(type) {
 	case core.WorkerOrders:
 		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
-			r.Outcome = n.workers.Do(ctx, http.MethodPost, "http://"+e.Addr+"/orders",
+			r.Outcome = n.workers.Do(ctx, http.MethodPost, "http://"+e.Addr+wire.OrdersPath,
 				wire.Orders{Token: e.Token, Session: e.Session, Commands: e.Commands}, &r.Report)
 		})
 	case core.WorkerInspect:
 		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
-			r.Outcome = n.workers.Do(ctx, http.MethodGet, "http://"+e.Addr+"/inspect", nil, &r.Report)
+			r.Outcome = n.workers.Do(ctx, http.MethodGet, "http://"+e.Addr+wire.InspectPath, nil, &r.Report)
 		})
 	}
 }
--- a/internal/scalerun/load/generator.go
+++ b/internal/scalerun/load/generator.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"bitternwing/internal/config"
 	"bitternwing/internal/wire"
 )
 
@@ -82,7 +83,7 @@
 	if perSecond <= 0 {
 		return math.MaxInt64 / 2
 	}
-	return time.Duration(g.rnd.ExpFloat64() / perSecond * float64(time.Second))
+	return config.Seconds(g.rnd.ExpFloat64() / perSecond)
 }
 
 // AtStart gives the jobs that are there at the start.
--- a/internal/scalerun/load/run_time.go
+++ b/internal/scalerun/load/run_time.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"time"
 
+	"bitternwing/internal/config"
 	"bitternwing/internal/hollow"
 	"bitternwing/internal/wire"
 )
@@ -31,5 +32,5 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(wire.TaskName(job.ID, task))) // a hash takes all
 	part := float64(h.Sum32()) / (1 << 32)
-	return time.Duration(job.EstimateS * (1 - spread + 2*spread*part) * float64(time.Second))
+	return config.Seconds(job.EstimateS * (1 - spread + 2*spread*part))
 }
--- a/internal/scalerun/load/users.go
+++ b/internal/scalerun/load/users.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"bitternwing/internal/config"
 	"bitternwing/internal/hollow"
 	"bitternwing/internal/scalerun/measure"
 	"bitternwing/internal/userclient"
@@ -83,7 +84,7 @@
 	}
 	var cancelAt <-chan time.Time
 	if a.Job.Kind == wire.KindService && a.Class.RunS > 0 {
-		cancelAt = time.After(time.Duration(a.Class.RunS * float64(time.Second)))
+		cancelAt = time.After(config.Seconds(a.Class.RunS))
 	}
 	for {
 		select {
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"os"
-	"slices"
 
 	"bitternwing/internal/hollow"
 	"bitternwing/internal/scalerun/measure"
@@ -147,16 +146,11 @@
 	for _, s := range res.Seconds {
 		led[s.Leader]++
 	}
-	i := slices.IndexFunc(res.Processes, func(p ProcessResult) bool {
-		for _, n := range led {
-			if n > led[p.Name] {
-				return false
-			}
+	var longest *ProcessResult
+	for i := range res.Processes {
+		if p := &res.Processes[i]; led[p.Name] > 0 && (longest == nil || led[p.Name] > led[longest.Name]) {
+			longest = p
 		}
-		return led[p.Name] > 0
-	})
-	if i < 0 {
-		return nil
 	}
-	return &res.Processes[i]
+	return longest
 }
--- a/internal/scalerun/run.go
+++ b/internal/scalerun/run.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"bitternwing/internal/config"
@@ -21,7 +22,6 @@
 	"bitternwing/internal/scalerun/measure"
 	"bitternwing/internal/scalerun/rules"
 	"bitternwing/internal/standin"
-	"bitternwing/internal/wire"
 )
 
 // Options say where and with what a scenario is played.
@@ -52,7 +52,6 @@
 	start    time.Time
 	memoryMB float64 // that all processes may use
 
-	teams       []string
 	traffic     *measure.Traffic
 	ledger      *rules.Ledger
 	recorder    *recorder
@@ -117,8 +116,9 @@
 func (r *run) setUp() error {
 	s := r.scenario
 	params := s.params()
+	var teams []string
 	for _, t := range params.Teams {
-		r.teams = append(r.teams, t.Name)
+		teams = append(teams, t.Name)
 	}
 	r.traffic = measure.NewTraffic()
 	r.ledger = rules.NewLedger(params.Teams, config.Seconds(s.Workers.CancelS), r.now)
@@ -137,7 +137,7 @@
 	addresses, names := r.controllers.addresses()
 	r.users = load.NewUsers(addresses, r.ledger, r.traffic, names)
 	warmUp := config.Seconds(s.WarmUpS)
-	r.generator = load.NewGenerator(s.Seed, s.Classes, r.teams, s.StartsPerS, warmUp)
+	r.generator = load.NewGenerator(s.Seed, s.Classes, teams, s.StartsPerS, warmUp)
 	r.faults = r.schedule()
 	return r.controllers.startAll()
 }
@@ -181,15 +181,6 @@
 	return nil
 }
 
-// share gives one of so many equal shares of a count; the first ones have what is left over.
-func share(count, parts, index int) int {
-	n := count / parts
-	if index < count%parts {
-		n++
-	}
-	return n
-}
-
 // countService counts the requests of controllers to a service, by what they ask for.
 func (r *run) countService(service string) standin.Observe {
 	return func(client, method, path string, received, sent int) {
@@ -200,43 +191,8 @@
 
 // resourceOf gives the first part of a path.
 func resourceOf(path string) string {
-	for i := 1; i < len(path); i++ {
-		if path[i] == '/' {
-			return path[:i]
-		}
-	}
-	return path
-}
-
-// catalog gives the machine types.
-func (s *Scenario) catalog() []wire.MachineType {
-	var types []wire.MachineType
-	for _, g := range s.Machines {
-		types = append(types, wire.MachineType{Name: g.Type, CPUs: g.CPUs, GPUs: g.GPUs, MemoryGB: g.MemoryGB, CacheGB: g.CacheGB,
-			FetchGBPerS: g.FetchGBPerS, Price: g.GPUs + 1, SpotPrice: g.GPUs + 1, BootS: g.BootS, Zones: s.Zones})
-	}
-	return types
-}
-
-// params gives the controllers' settings.
-func (s *Scenario) params() config.Params {
-	gpus, cpus := 0.0, 0.0
-	for _, g := range s.Machines {
-		gpus += float64(g.Count) * g.GPUs
-		cpus += float64(g.Count) * g.CPUs
-	}
-	p := config.Params{Nodes: s.Controllers.Count, Zones: s.Zones, ClockOffMS: 5,
-		Workers: config.Workers{ReportS: s.Workers.ReportS, LeaseS: s.Workers.LeaseS, CancelS: s.Workers.CancelS},
-		State:   config.State{RPS: s.State.RPS, WriteRPS: s.State.WriteRPS, ValueKB: s.State.ValueKB, TxnOps: s.State.TxnOps},
-		Cloud:   config.Cloud{RPS: s.Cloud.RPS, ListLagS: s.Cloud.ListLagS},
-		Limits: config.Limits{CPUShare: s.Controllers.Cores, MemoryMB: s.Controllers.MemoryMB,
-			MaxConnections: s.Controllers.MaxConnections}}
-	for i := range s.Teams.Count {
-		p.Teams = append(p.Teams, config.Team{Name: fmt.Sprintf("team-%03d", i),
-			GPUs: gpus * s.Teams.GuaranteedShare, GPUsMax: gpus * s.Teams.LimitShare,
-			CPUs: cpus * s.Teams.GuaranteedShare, CPUsMax: cpus * s.Teams.LimitShare})
-	}
-	return p
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return "/" + first
 }
 
 // play lets the time of the scenario pass.
--- a/internal/scalerun/scenario.go
+++ b/internal/scalerun/scenario.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 
 	"bitternwing/internal/scalerun/load"
 	"bitternwing/internal/schema"
@@ -137,22 +138,13 @@
 		if f.AtS >= s.DurationS {
 			return fmt.Errorf("/faults/%d/at_s: %g is not before the end of the run at %g", i, f.AtS, s.DurationS)
 		}
-		if f.Kind == ZoneCut && !s.hasZone(f.Zone) {
+		if f.Kind == ZoneCut && !slices.Contains(s.Zones, f.Zone) {
 			return fmt.Errorf("/faults/%d/zone: there is no zone %q", i, f.Zone)
 		}
 	}
 	return nil
 }
 
-func (s *Scenario) hasZone(name string) bool {
-	for _, z := range s.Zones {
-		if z == name {
-			return true
-		}
-	}
-	return false
-}
-
 // workers counts the machines of all groups.
 func (s *Scenario) workers() int {
 	n := 0
@@ -167,11 +159,11 @@
 func (s *Scenario) Scale(share float64) *Scenario {
 	scaled := *s
 	scaled.Name = fmt.Sprintf("%s x %g", s.Name, share)
-	scaled.Machines = append([]MachineGroup(nil), s.Machines...)
+	scaled.Machines = slices.Clone(s.Machines)
 	for i := range scaled.Machines {
 		scaled.Machines[i].Count = max(1, int(share*float64(s.Machines[i].Count)))
 	}
-	scaled.Classes = append([]load.Class(nil), s.Classes...)
+	scaled.Classes = slices.Clone(s.Classes)
 	for i := range scaled.Classes {
 		scaled.Classes[i].AtStart = int(share * float64(s.Classes[i].AtStart))
 	}
--- /dev/null
+++ b/internal/scalerun/settings.go
@@ -0,0 +1,48 @@
+package scalerun
+
+import (
+	"fmt"
+
+	"bitternwing/internal/config"
+	"bitternwing/internal/wire"
+)
+
+// catalog gives the machine types.
+func (s *Scenario) catalog() []wire.MachineType {
+	var types []wire.MachineType
+	for _, g := range s.Machines {
+		types = append(types, wire.MachineType{Name: g.Type, CPUs: g.CPUs, GPUs: g.GPUs, MemoryGB: g.MemoryGB, CacheGB: g.CacheGB,
+			FetchGBPerS: g.FetchGBPerS, Price: g.GPUs + 1, SpotPrice: g.GPUs + 1, BootS: g.BootS, Zones: s.Zones})
+	}
+	return types
+}
+
+// params gives the controllers' settings.
+func (s *Scenario) params() config.Params {
+	gpus, cpus := 0.0, 0.0
+	for _, g := range s.Machines {
+		gpus += float64(g.Count) * g.GPUs
+		cpus += float64(g.Count) * g.CPUs
+	}
+	p := config.Params{Nodes: s.Controllers.Count, Zones: s.Zones, ClockOffMS: 5,
+		Workers: config.Workers{ReportS: s.Workers.ReportS, LeaseS: s.Workers.LeaseS, CancelS: s.Workers.CancelS},
+		State:   config.State{RPS: s.State.RPS, WriteRPS: s.State.WriteRPS, ValueKB: s.State.ValueKB, TxnOps: s.State.TxnOps},
+		Cloud:   config.Cloud{RPS: s.Cloud.RPS, ListLagS: s.Cloud.ListLagS},
+		Limits: config.Limits{CPUShare: s.Controllers.Cores, MemoryMB: s.Controllers.MemoryMB,
+			MaxConnections: s.Controllers.MaxConnections}}
+	for i := range s.Teams.Count {
+		p.Teams = append(p.Teams, config.Team{Name: fmt.Sprintf("team-%03d", i),
+			GPUs: gpus * s.Teams.GuaranteedShare, GPUsMax: gpus * s.Teams.LimitShare,
+			CPUs: cpus * s.Teams.GuaranteedShare, CPUsMax: cpus * s.Teams.LimitShare})
+	}
+	return p
+}
+
+// share gives one of so many equal shares of a count; the first ones have what is left over.
+func share(count, parts, index int) int {
+	n := count / parts
+	if index < count%parts {
+		n++
+	}
+	return n
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -51,7 +51,7 @@
 	mux.HandleFunc("POST "+wire.JobsPath, s.forUsers(s.submit))
 	mux.HandleFunc("GET "+wire.JobsPath+"/{id}", s.forUsers(s.poll))
 	mux.HandleFunc("POST "+wire.JobsPath+"/{id}"+wire.CancelSuffix, s.forUsers(s.cancel))
-	mux.HandleFunc("POST /checkin", s.checkin)
+	mux.HandleFunc("POST "+wire.ReportPath, s.checkin)
 	s.http = &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: 10 * time.Second,
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/time/rate"
 
+	"bitternwing/internal/config"
 	"bitternwing/internal/wire"
 )
 
@@ -164,7 +165,7 @@
 		c.bringUp(r)
 		return
 	}
-	r.boot = time.AfterFunc(time.Duration(r.spec.Type.BootS*float64(time.Second)), func() {
+	r.boot = time.AfterFunc(config.Seconds(r.spec.Type.BootS), func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if !c.closed && c.machines[r.spec.Name] == r {
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -5,6 +5,13 @@
 	"errors"
 )
 
+// The paths of the workers' protocol: reports to a controller, direct commands and questions to a worker.
+const (
+	ReportPath  = "/checkin"
+	OrdersPath  = "/orders"
+	InspectPath = "/inspect"
+)
+
 // TaskState is the state of a task in a worker's report.
 type TaskState string
 
