No fixed limit below 4,000 machines: hints, counts, lists, sockets and statuses grow with the fleet

Cause: bounds that the sizes before never met.

Change: hints and counts take further keys (older versions read the first ones); pages of the list wait for the rate and are repeated; workers beyond nine tenths of the sockets connect anew for each report; a status lists what 32 KiB hold and says when there is more, in which case no cancellation is told; the queue of inputs has room for each public socket; direct calls follow the sockets, not the state service's rate. check and the log name the settings that are too small (internal/sizing, expected_machines).

--- a/cmd/bitternwing/main.go
+++ b/cmd/bitternwing/main.go
@@ -15,6 +15,7 @@
 
 	"bitternwing/internal/config"
 	"bitternwing/internal/node"
+	"bitternwing/internal/sizing"
 )
 
 // version is the program's version.
@@ -100,6 +101,9 @@
 		return err
 	}
 	fmt.Printf("settings are good: node %s, %d peers, %d teams\n", s.Node, len(s.Peers), len(s.Params.Teams))
+	for _, short := range sizing.Check(&s.Params, s.Operator.ExpectedMachines) {
+		fmt.Printf("warning: for %d machines: %s\n", s.Operator.ExpectedMachines, short)
+	}
 	return nil
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -22,6 +22,8 @@
 	CutLeases          float64 `json:"cut_leases"`
 	LeaderTTLLeases    float64 `json:"leader_ttl_leases"`
 	MaxPendingRequests int     `json:"max_pending_requests"`
+	// ExpectedMachines is the size of the fleet that the settings are checked for; 0: what is there.
+	ExpectedMachines int `json:"expected_machines"`
 }
 
 // DefaultOperator gives the built-in settings.
--- a/internal/core/cancellations.go
+++ b/internal/core/cancellations.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -46,6 +47,13 @@
 // maxCancellationBytes bounds the cancellations in a message to another node, in bytes.
 const maxCancellationBytes = 32 << 10
 
+// maxUnsettledBytes bounds the unsettled jobs in a node's status, in bytes, and listedJobBytes is what each
+// takes beside its id.
+const (
+	maxUnsettledBytes = 32 << 10
+	listedJobBytes    = 2
+)
+
 // maxPendingCancellations bounds the pending cancellations that are remembered. Beyond it the oldest goes: its
 // users have had their 503, and asking again begins anew.
 func (c *Core) maxPendingCancellations() int { return 4 * c.op.MaxPendingRequests }
@@ -102,7 +110,7 @@
 			continue
 		}
 		led = true
-		if slices.Contains(p.status.Unsettled, id) {
+		if p.status.UnsettledMore || p.unsettled[id] {
 			return false
 		}
 	}
@@ -129,25 +137,31 @@
 	return inside && outside
 }
 
-// unsettledJobs gives the cancelled jobs that are not settled, up to a bound. Before a leader has
-// read the records it can't say so of any.
-func (l *leader) unsettledJobs() []string {
-	var ids []string
+// unsettledJobs gives the cancelled jobs that are not settled, as many as a message to another node holds, and
+// whether there are more. Before a leader has read the records it can't say so of any.
+func (l *leader) unsettledJobs() (listed []string, more bool) {
+	size := 0
+	add := func(id string) {
+		if size += len(id) + listedJobBytes; size > maxUnsettledBytes {
+			more = true
+			return
+		}
+		listed = append(listed, id)
+	}
 	if !l.loaded {
-		for id, e := range l.c.dir.jobs {
-			if e.CancelledMS != 0 && len(ids) < l.c.maxPendingCancellations() {
-				ids = append(ids, id)
+		for _, id := range slices.Sorted(maps.Keys(l.c.dir.jobs)) {
+			if l.c.dir.jobs[id].CancelledMS != 0 {
+				add(id)
 			}
 		}
-		slices.Sort(ids)
-		return ids
+		return listed, more
 	}
 	for _, j := range l.order {
-		if j.cancelled && len(ids) < l.c.maxPendingCancellations() && l.unsettled(j) {
-			ids = append(ids, j.id)
+		if j.cancelled && l.unsettled(j) {
+			add(j.id)
 		}
 	}
-	return ids
+	return listed, more
 }
 
 // patience is how long a user waits until a leader's stops have settled a job. They take a
@@ -242,6 +256,18 @@
 	c.noticeJob(keyActive + id)
 }
 
+// setOf gives the set of some names; nil for none.
+func setOf(names []string) map[string]bool {
+	if len(names) == 0 {
+		return nil
+	}
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
+	}
+	return set
+}
+
 // askPeer asks another node for its status and sends the cancellations that it may not know.
 func (c *Core) askPeer(p *peer) {
 	as := c.cancels.unacknowledgedBy(p)
@@ -257,6 +283,7 @@
 			}
 			p.heardAt = c.now.Steady
 			p.status = r.Peer
+			p.unsettled = setOf(r.Peer.Unsettled)
 			p.revision = max(p.revision, r.Peer.Revision)
 			p.layouts = max(p.layouts, r.Peer.Layouts)
 			for _, a := range as {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,7 @@
 	lastReport  time.Duration // when a worker last reported here; negative: never
 	wake        time.Duration
 	evaluations budget.Cost
+	sized       sizeWarnings
 }
 
 // times are the durations derived from the settings, each a ratio of one of them.
@@ -266,7 +267,7 @@
 	if c.lead != nil {
 		s.Leads = true
 		s.ZonesApart = c.lead.apart
-		s.Unsettled = c.lead.unsettledJobs()
+		s.Unsettled, s.UnsettledMore = c.lead.unsettledJobs()
 		s.Term = max(s.Term, c.lead.term)
 	}
 	if c.lastReport >= 0 {
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -90,18 +90,17 @@
 	ready    bool
 	revision uint64
 
-	jobs             map[string]*entry
-	lead             leadValue
-	leadVersion      uint64
-	term             termValue
-	termVersion      uint64
-	catalog          []wire.MachineType
-	layout           record.Layout // the zero value: the first one
-	layoutAt         uint64        // version of its key
-	countShards      map[string]map[string]counts
-	images           map[string]map[string][]string // by key, by machine
-	unreachableSince map[string]int64               // time of day when these machines were last heard
-	unreachableText  string                         // the same, as written
+	jobs        map[string]*entry
+	lead        leadValue
+	leadVersion uint64
+	term        termValue
+	termVersion uint64
+	catalog     []wire.MachineType
+	layout      record.Layout // the zero value: the first one
+	layoutAt    uint64        // version of its key
+	countShards map[string]map[string]counts
+	images      map[string]map[string][]string // by key, by machine
+	unreachable map[string]unreachablePart     // by key
 
 	// finals are final states seen here; they never change, so they need no
 	// confirmation. The oldest makes way.
@@ -116,7 +115,7 @@
 
 func newDirectory() *directory {
 	return &directory{jobs: map[string]*entry{}, countShards: map[string]map[string]counts{}, images: map[string]map[string][]string{},
-		finals: map[string]finalValue{}}
+		unreachable: map[string]unreachablePart{}, finals: map[string]finalValue{}}
 }
 
 func (d *directory) leadCond() wire.Cond { return wire.Cond{Key: keyLead, Version: d.leadVersion} }
@@ -138,10 +137,10 @@
 		if layout, ok := decode[record.Layout](value); ok {
 			d.layout, d.layoutAt = layout, version
 		}
-	case key == keyUnreachable:
-		d.unreachableSince, d.unreachableText = nil, ""
+	case isUnreachableKey(key):
+		delete(d.unreachable, key)
 		if since, ok := decode[map[string]int64](value); ok {
-			d.unreachableSince, d.unreachableText = since, string(value)
+			d.unreachable[key] = unreachablePart{since: since, text: string(value)}
 		}
 	case strings.HasPrefix(key, keyImages):
 		d.images[key], _ = decode[map[string][]string](value)
@@ -323,7 +322,7 @@
 			d.term, d.termVersion = l.term, l.termVersion
 		}
 		d.countShards, d.images, d.revision = l.countShards, l.images, l.revision
-		d.unreachableSince, d.unreachableText = l.unreachableSince, l.unreachableText
+		d.unreachable = l.unreachable
 		if l.catalog != nil {
 			d.catalog = l.catalog
 		}
--- a/internal/core/display.go
+++ b/internal/core/display.go
@@ -2,12 +2,68 @@
 
 import (
 	"encoding/json"
+	"hash/fnv"
 	"strconv"
 
 	"bitternwing/internal/call"
 	"bitternwing/internal/wire"
 )
 
+// The counts of jobs are spread over shards by their ids. A shard that has outgrown a value goes on in a
+// further one, so that there are as many as the jobs need: shard 3 goes on in shard 3+countShards, and so on.
+// Versions that know the first ones only show what is in these.
+const countShards = 8
+
+// firstCountShard gives the first shard in which the counts of a job may be.
+func firstCountShard(id string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // a hash takes all
+	return int(h.Sum32() % countShards)
+}
+
+// countKey is the key of a shard.
+func countKey(shard int) string { return keyCounts + strconv.Itoa(shard) }
+
+// countsOf finds the counts of a job among the shards.
+func (d *directory) countsOf(id string) counts {
+	for shard := firstCountShard(id); ; shard += countShards {
+		jobs, used := d.countShards[countKey(shard)]
+		if n, ok := jobs[id]; ok || !used {
+			return n
+		}
+	}
+}
+
+// countShards gives the counts of all jobs that have any, by shard. Each is within the limit of a value.
+func (l *leader) countShards() []map[string]counts {
+	var shards []map[string]counts
+	last := [countShards]int{} // by first shard, the one that is being filled
+	sizes := [countShards]int{}
+	for i := range last {
+		last[i] = i
+	}
+	for _, j := range l.order {
+		n := j.counts()
+		if n == (counts{}) {
+			continue
+		}
+		first, size := firstCountShard(j.id), len(j.id)+countBytes
+		if sizes[first] += size; sizes[first] >= l.c.mostValue() {
+			last[first] += countShards
+			sizes[first] = size
+		}
+		shard := last[first]
+		for len(shards) <= shard {
+			shards = append(shards, nil)
+		}
+		if shards[shard] == nil {
+			shards[shard] = map[string]counts{}
+		}
+		shards[shard][j.id] = n
+	}
+	return shards
+}
+
 // countBytes is what the counts of a job take at most, beside its id.
 const countBytes = len(`"":[100000,100000],`)
 
@@ -26,27 +82,18 @@
 		return
 	}
 	w.countsAt = c.now.Steady
-	shards, sizes := map[string]map[string]counts{}, map[string]int{}
-	for _, j := range l.order {
-		if n := j.counts(); n != (counts{}) {
-			k := countShard(j.id)
-			if shards[k] == nil {
-				shards[k] = map[string]counts{}
-			}
-			if sizes[k] += len(j.id) + countBytes; sizes[k] < c.mostValue() {
-				shards[k][j.id] = n
-			}
-		}
-	}
+	shards := l.countShards()
+	w.countsInUse = max(w.countsInUse, len(shards))
 	txn := wire.Txn{If: []wire.Cond{{Key: keyTerm, Version: l.version}}}
 	keys := map[string]string{}
-	for i := 0; i < countShards; i++ {
-		k := keyCounts + strconv.Itoa(i)
-		if shards[k] == nil {
-			shards[k] = map[string]counts{}
+	for i := range w.countsInUse {
+		shard := map[string]counts{} // one that is not needed any more is emptied
+		if i < len(shards) && shards[i] != nil {
+			shard = shards[i]
 		}
-		value, err := json.Marshal(shards[k])
-		if err != nil || string(value) == w.countsLast[k] || len(shards[k]) == 0 && w.countsLast[k] == "" {
+		k := countKey(i)
+		value, err := json.Marshal(shard)
+		if err != nil || string(value) == w.countsLast[k] || len(shard) == 0 && w.countsLast[k] == "" {
 			continue
 		}
 		keys[k] = string(value)
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -87,6 +87,8 @@
 	ZonesApart []string
 	// Unsettled are cancelled jobs of which a leader says that users may not be told yet.
 	Unsettled []string
+	// UnsettledMore tells that there are more of them than are listed.
+	UnsettledMore bool
 	// Revision is how far it has read the changes of jobs; 0: not yet.
 	Revision uint64
 	// Layouts is the newest layout of run records that its version knows; 0 in version 1, which does
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -3,11 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"sort"
-	"strconv"
 	"time"
 
 	"bitternwing/internal/capacity"
@@ -287,11 +285,3 @@
 		}
 	}
 }
-
-func countShard(id string) string {
-	h := fnv.New32a()
-	h.Write([]byte(id))
-	return keyCounts + strconv.Itoa(int(h.Sum32()%countShards))
-}
-
-const countShards = 8
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -59,7 +59,7 @@
 	l.writes.init(l)
 	l.rentals.init(l)
 	l.rounds.at = c.now.Steady
-	l.unreachable = unreachableHints{l: l, at: c.now.Steady + c.t.heartbeat, last: c.dir.unreachableText}
+	l.unreachable = unreachableHints{l: l, at: c.now.Steady + c.t.heartbeat}
 	l.images = imageHints{l: l, at: c.now.Steady, last: map[string]string{}}
 	return l
 }
@@ -94,6 +94,7 @@
 		l.watchMachines()
 		l.cancels()
 		l.rentals.stuck()
+		l.c.warnOfSize(len(l.fleet))
 	}
 	l.c.at(l.tendAt)
 	l.round()
@@ -124,6 +125,7 @@
 		return
 	}
 	l.layout = l.c.layout()
+	l.unreachable.last = l.c.dir.unreachableTexts()
 	ids := make([]string, 0, len(l.c.dir.jobs))
 	for id := range l.c.dir.jobs {
 		ids = append(ids, id)
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -13,6 +13,8 @@
 	tried   bool          // a question was answered, or had its time
 	reached bool          // the last one was answered
 	status  PeerStatus
+	// unsettled are the cancelled jobs of the same name in its status.
+	unsettled map[string]bool
 
 	revision uint64 // it has said that it knows all changes of jobs up to here
 	layouts  uint32 // the newest layout of run records that it has said it knows
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -23,8 +23,9 @@
 	relBusy  bool
 
 	listAt    time.Duration
-	listBusy  bool
+	listBusy  bool          // a page is being read
 	listSent  time.Duration // when the list being read was asked for
+	nextPage  string        // of the list being read, the machine after which the next page begins; "": none is due
 	page      map[string]bool
 	everRead  bool
 	exhausted map[offer]time.Duration // refused lately; not asked before this
@@ -90,15 +91,26 @@
 		}
 		t.sendRent(q)
 	}
-	if !t.listBusy {
-		if now < t.listAt {
-			c.at(t.listAt)
-		} else if t.spend() {
-			t.listAt = now + c.t.listLag
-			t.listBusy, t.listSent = true, now
-			t.page = map[string]bool{}
-			t.list("")
+	t.runList()
+}
+
+// runList begins to read the cloud's list when that is due, and goes on with its pages as the cloud's rate
+// allows: a large fleet has more of them than may be asked for in a second.
+func (t *rentals) runList() {
+	now := t.l.c.now.Steady
+	switch {
+	case t.listBusy:
+	case t.nextPage != "":
+		if t.spend() {
+			t.list(t.nextPage)
 		}
+	case now < t.listAt:
+		t.l.c.at(t.listAt)
+	case t.spend():
+		t.listAt = now + t.l.c.t.listLag
+		t.listSent = now
+		t.page = map[string]bool{}
+		t.list("")
 	}
 }
 
@@ -236,12 +248,19 @@
 	}
 }
 
-// list reads the cloud's list, page by page.
+// list reads a page of the cloud's list. One above the cloud's rate is asked for again; after any other
+// failure the list is read anew when the next one is due.
 func (t *rentals) list(after string) {
 	l, c := t.l, t.l.c
+	t.listBusy = true
 	id := l.call(func(r Result) {
+		t.listBusy = false
+		if r.Outcome == call.Dropped && after != "" {
+			t.nextPage = after
+			return
+		}
+		t.nextPage = ""
 		if r.Outcome != call.OK {
-			t.listBusy = false
 			return
 		}
 		for i := range r.Machines.Machines {
@@ -250,10 +269,9 @@
 			t.listed(e)
 		}
 		if n := len(r.Machines.Machines); r.Machines.More && n > 0 {
-			t.list(r.Machines.Machines[n-1].Name)
+			t.nextPage = r.Machines.Machines[n-1].Name
 			return
 		}
-		t.listBusy = false
 		t.everRead = true
 		t.absent()
 		l.wantRound()
--- a/internal/core/scale_calls_test.go
+++ b/internal/core/scale_calls_test.go
@@ -23,6 +23,10 @@
 		n.asked++
 		y.counted.atOnce = max(y.counted.atOnce, n.asked)
 		return y.askWorker(n, e), true
+	case core.Log:
+		if len(e.Pairs) > 1 && e.Pairs[0] == "field" {
+			y.logged[e.Pairs[1].(string)]++
+		}
 	case core.PeerAsk:
 		for _, p := range y.nodes {
 			if p.name == e.Node {
@@ -48,6 +52,9 @@
 		}
 	default:
 		y.polled = e.Body
+		if y.told != nil {
+			y.told[e.Req] = e.Status
+		}
 	}
 }
 
@@ -93,6 +100,10 @@
 
 // askCloud makes a call to the cloud.
 func (y *scaleCluster) askCloud(e core.Effect) core.Result {
+	if !y.cloudTakes() {
+		y.tooMany++
+		return core.Result{ID: idOf(e), Outcome: call.Dropped}
+	}
 	switch e := e.(type) {
 	case core.CloudCatalog:
 		return core.Result{ID: e.ID, Outcome: call.OK, Catalog: catalog}
@@ -110,6 +121,35 @@
 	return core.Result{}
 }
 
+// cloudTakes tells whether a request is within the cloud's rate, with bursts of a second's worth.
+func (y *scaleCluster) cloudTakes() bool {
+	if y.cloudRate == 0 {
+		return true
+	}
+	y.cloudTokens = min(y.cloudRate, y.cloudTokens+y.cloudRate*(y.now-y.cloudAt).Seconds())
+	y.cloudAt = y.now
+	if y.cloudTokens < 1 {
+		return false
+	}
+	y.cloudTokens--
+	return true
+}
+
+// idOf gives the id of a call to the cloud.
+func idOf(e core.Effect) uint64 {
+	switch e := e.(type) {
+	case core.CloudCatalog:
+		return e.ID
+	case core.CloudRent:
+		return e.ID
+	case core.CloudRelease:
+		return e.ID
+	case core.CloudList:
+		return e.ID
+	}
+	return 0
+}
+
 func (y *scaleCluster) release(w *scaleWorker) {
 	if w == nil || w.dead {
 		return
--- a/internal/core/scale_cluster_test.go
+++ b/internal/core/scale_cluster_test.go
@@ -31,8 +31,14 @@
 	specs          map[string]*wire.Job
 	holders        map[string]*scaleWorker // of tasks, from their start to their end
 	started        int
-	apart          string // workers of this zone can't reach nodes of the first one, nor they them
-	polled         any    // the last answer to a user
+	apart          string         // workers of this zone can't reach nodes of the first one, nor they them
+	polled         any            // the last answer to a user
+	told           map[uint64]int // statuses of answers to users by request; nil: they are not kept
+	logged         map[string]int // settings that are too small, by field
+	cloudRate      float64        // requests a second that the cloud takes; 0: all
+	cloudTokens    float64
+	cloudAt        time.Duration
+	tooMany        int // requests above that
 	nodes          []*scaleNode
 	workers        []*scaleWorker
 	byAddr, byName map[string]*scaleWorker
@@ -71,7 +77,7 @@
 
 func newScaleCluster(t testing.TB, nodes, machines int) *scaleCluster {
 	y := &scaleCluster{t: t, now: time.Second, rnd: rand.New(rand.NewSource(1)), store: standin.NewStore(),
-		byAddr: map[string]*scaleWorker{}, byName: map[string]*scaleWorker{}, specs: map[string]*wire.Job{}, holders: map[string]*scaleWorker{}, most: machines, op: config.DefaultOperator(), memory: 98}
+		byAddr: map[string]*scaleWorker{}, byName: map[string]*scaleWorker{}, specs: map[string]*wire.Job{}, logged: map[string]int{}, holders: map[string]*scaleWorker{}, most: machines, op: config.DefaultOperator(), memory: 98}
 	for i := 0; i < nodes; i++ {
 		y.nodes = append(y.nodes, &scaleNode{name: fmt.Sprintf("n%d", i), zone: []string{"z1", "z2"}[i%2]})
 	}
--- a/internal/core/unreachable_hints.go
+++ b/internal/core/unreachable_hints.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"slices"
+	"strconv"
 	"time"
 
 	"bitternwing/internal/call"
@@ -12,18 +14,69 @@
 // have been, in the state service: else each change of leaders would begin their time anew, although their tasks
 // were long gone with their leases. It is a hint and no evidence: being wrong, it has a
 // machine released sooner, and only the cloud's word ends what is on it.
-const keyUnreachable = "w/s"
+//
+// One value holds some 500 machines, so a large fleet's hints take several keys: the first one, which is
+// all that older versions read, and more below it.
+const (
+	keyUnreachable     = "w/s"
+	keyUnreachableMore = keyUnreachable + "/"
+)
+
+// unreachableEntryBytes is what a machine takes in a hint at most, beside its name.
+const unreachableEntryBytes = 20
 
 type unreachableHints struct {
 	l    *leader
 	at   time.Duration
 	busy bool
-	last string // as written; "": none
+	last []string // as written, a value for each key
+}
+
+// unreachableKey is the key of a part of the hints.
+func unreachableKey(part int) string {
+	if part == 0 {
+		return keyUnreachable
+	}
+	return keyUnreachableMore + strconv.Itoa(part)
+}
+
+// unreachablePart is a part of the hints as a node has read it.
+type unreachablePart struct {
+	since map[string]int64 // time of day when these machines were last heard
+	text  string           // the same, as written
+}
+
+// isUnreachableKey tells whether a key holds a part of the hints.
+func isUnreachableKey(key string) bool {
+	return key == keyUnreachable || below(key, keyUnreachableMore)
+}
+
+// lastHeardMS gives the time of day when the last leader last heard a machine, if it told. Of two parts that
+// name the machine, one was to be written anew.
+func (d *directory) lastHeardMS(machine string) (at int64, told bool) {
+	for _, part := range d.unreachable {
+		if heard, named := part.since[machine]; named {
+			at, told = max(at, heard), true
+		}
+	}
+	return at, told
+}
+
+// unreachableTexts gives the parts of the hints as they are written.
+func (d *directory) unreachableTexts() []string {
+	var texts []string
+	for part := 0; ; part++ {
+		p, ok := d.unreachable[unreachableKey(part)]
+		if !ok {
+			return texts
+		}
+		texts = append(texts, p.text)
+	}
 }
 
 func (s *unreachableHints) run() {
 	l, c := s.l, s.l.c
-	if s.busy || c.stateDown || !l.entitled() || len(l.cutZones) == 0 && s.last == "" {
+	if s.busy || c.stateDown || !l.entitled() || len(l.cutZones) == 0 && len(s.last) == 0 {
 		return
 	}
 	if c.now.Steady < s.at {
@@ -31,44 +84,81 @@
 		return
 	}
 	s.at = c.now.Steady + c.t.heartbeat
-	since, size := map[string]int64{}, 0
-	for _, m := range l.fleet {
-		quiet := c.now.Steady - m.lastHeard()
-		if _, many := l.cutZones[m.zone]; !many || m.releasing || quiet < l.c.t.lease/3 {
-			continue
-		}
-		if size += len(m.name) + 20; size > c.mostValue() {
-			break
-		}
-		since[m.name] = (c.now.WallMS - quiet.Milliseconds()) / 100 * 100 // it is to stay the same
-	}
-	value, err := json.Marshal(since)
+	next, err := s.texts()
 	if err != nil {
 		return
 	}
-	op, text := wire.Op{Put: keyUnreachable, Value: value}, string(value)
-	if len(since) == 0 {
-		op, text = wire.Op{Delete: keyUnreachable}, ""
-	}
-	if text == s.last {
+	ops, after := s.changes(next)
+	if len(ops) == 0 {
 		return
 	}
-	l.writes.tokens--
+	l.writes.tokens -= float64(len(ops))
 	s.busy = true
 	id := l.stateCall(func(r Result) {
 		s.busy = false
 		if r.Outcome == call.OK {
-			s.last = text
+			s.last = after
 		}
 	})
-	c.send(StateTxn{ID: id, Txn: wire.Txn{If: []wire.Cond{{Key: keyTerm, Version: l.version}}, Then: []wire.Op{op}}})
+	c.send(StateTxn{ID: id, Txn: wire.Txn{If: []wire.Cond{{Key: keyTerm, Version: l.version}}, Then: ops}})
+}
+
+// texts gives the hints as they are to be written, a value for each key.
+func (s *unreachableHints) texts() ([]string, error) {
+	l, c := s.l, s.l.c
+	var parts []map[string]int64
+	size := c.mostValue()
+	for _, m := range l.fleet {
+		quiet := c.now.Steady - m.lastHeard()
+		if _, many := l.cutZones[m.zone]; !many || m.releasing || quiet < c.t.lease/3 {
+			continue
+		}
+		entry := len(m.name) + unreachableEntryBytes
+		if size += entry; size > c.mostValue() {
+			parts = append(parts, map[string]int64{})
+			size = entry
+		}
+		parts[len(parts)-1][m.name] = (c.now.WallMS - quiet.Milliseconds()) / 100 * 100 // it is to stay the same
+	}
+	texts := make([]string, len(parts))
+	for i, part := range parts {
+		value, err := json.Marshal(part)
+		if err != nil {
+			return nil, err
+		}
+		texts[i] = string(value)
+	}
+	return texts, nil
+}
+
+// changes gives what has to be written, as much as a transaction holds, and what stands in the state service
+// after it: the rest goes with the next one. Keys are added from the first on and taken away from the last on, so
+// that those in use have no gap.
+func (s *unreachableHints) changes(next []string) (ops []wire.Op, after []string) {
+	after = slices.Clone(s.last)
+	most := s.l.c.mostValues()
+	for len(after) > len(next) && len(ops) < most {
+		after = after[:len(after)-1]
+		ops = append(ops, wire.Op{Delete: unreachableKey(len(after))})
+	}
+	for part, text := range next {
+		if len(ops) >= most || part < len(after) && after[part] == text {
+			continue
+		}
+		if part == len(after) {
+			after = append(after, "")
+		}
+		after[part] = text
+		ops = append(ops, wire.Op{Put: unreachableKey(part), Value: json.RawMessage(text)})
+	}
+	return ops, after
 }
 
 // heardBefore gives when a machine that is new to this leader was last heard, as far as
 // the last one told.
 func (l *leader) heardBefore(name string) time.Duration {
 	now := l.c.now
-	at, told := l.c.dir.unreachableSince[name]
+	at, told := l.c.dir.lastHeardMS(name)
 	if !told {
 		return now.Steady
 	}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -198,5 +198,5 @@
 			return j.counts()
 		}
 	}
-	return c.dir.countShards[countShard(id)][id]
+	return c.dir.countsOf(id)
 }
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -25,10 +25,11 @@
 	tokens   float64
 	tokensAt time.Duration
 
-	countsAt   time.Duration
-	countsBusy bool
-	countsLast map[string]string
-	catalogOut bool
+	countsAt    time.Duration
+	countsBusy  bool
+	countsLast  map[string]string
+	countsInUse int // shards that were needed at some time
+	catalogOut  bool
 }
 
 func (w *writer) init(l *leader) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,14 +63,15 @@
 	n := &Node{
 		set: set, log: log, start: time.Now(),
 		core:    core.New(set, hex.EncodeToString(inc[:])),
-		inputs:  make(chan arrival, 4*set.Operator.MaxPendingRequests),
+		inputs:  make(chan arrival, max(4*set.Operator.MaxPendingRequests, publicSockets(set))),
 		waiting: map[uint64]chan core.Answer{},
 		// The leader needs more than the others; all of them never need all.
 		state: state.New(set.Services.State, p.State.Next.Within(p.State).RPS*math.Min(1, 2/nodes), max(4, p.Limits.MaxConnections/40),
 			int64(p.Limits.MemoryMB*(1<<20)/32)),
 		cloud: cloud.New(set.Services.Cloud, p.Cloud.RPS, 4),
 		// One connection a worker; the core bounds how many are in use at once.
-		workers: call.Any(p.State.RPS, 1, max(4, p.Limits.MaxConnections/12), 1<<20),
+		// As many calls a second as it may hold sockets, which follows the number of workers.
+		workers: call.Any(float64(p.Limits.MaxConnections), 1, max(4, p.Limits.MaxConnections/12), 1<<20),
 		peers:   map[string]*peer.Client{},
 		// Workers wait four seconds at the most, users two for a poll, and a leader's lease
 		// is twice as long.
@@ -86,6 +87,10 @@
 	return n, nil
 }
 
+// publicSockets is how many sockets users and workers may have open. Each holds one request at most, and
+// finds room for it among the inputs: after a leader's end all workers report at once.
+func publicSockets(set *config.Settings) int { return set.Params.Limits.MaxConnections * 3 / 4 }
+
 // Run serves until the context ends.
 func (n *Node) Run(ctx context.Context) error {
 	var lc net.ListenConfig
@@ -101,7 +106,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ps := peer.NewServer(n.set.Node, n.heard, n.peerStatus)
-	hs := server.New(n, n.set.Params.Limits.MaxConnections*3/4)
+	hs := server.New(n, publicSockets(n.set))
 	errs := make(chan error, 2)
 	go func() { errs <- ps.Serve(inner) }()
 	go func() { errs <- hs.Serve(public) }()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -41,11 +41,16 @@
 	// that workers, which keep theirs, always find one.
 	userShare int64
 	users     atomic.Int64
+
+	// Workers keep theirs while there are some to spare. Beyond that each connection is closed with its
+	// answer, so that all of a fleet with more workers than sockets are served in turn.
+	keepUntil int64
+	open      atomic.Int64
 }
 
 // New makes a server that holds at most conns connections open, a third of them for users.
 func New(c Core, conns int) *Server {
-	s := &Server{core: c, conns: conns, userShare: int64(max(1, conns/3))}
+	s := &Server{core: c, conns: conns, userShare: int64(max(1, conns/3)), keepUntil: int64(conns - conns/10)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", s.health)
 	mux.HandleFunc("POST "+wire.JobsPath, s.forUsers(s.submit))
@@ -81,18 +86,23 @@
 	if err != nil {
 		return nil, err
 	}
+	l.s.open.Add(1)
 	return &conn{Conn: c, s: l.s}, nil
 }
 
 type conn struct {
 	net.Conn
-	s    *Server
-	user atomic.Bool
+	s      *Server
+	user   atomic.Bool
+	closed atomic.Bool
 }
 
 type connKey struct{}
 
 func (c *conn) Close() error {
+	if !c.closed.Swap(true) {
+		c.s.open.Add(-1)
+	}
 	if c.user.Swap(false) {
 		c.s.users.Add(-1)
 	}
@@ -185,6 +195,9 @@
 }
 
 func (s *Server) checkin(w http.ResponseWriter, r *http.Request) {
+	if s.open.Load() > s.keepUntil {
+		w.Header().Set("Connection", "close")
+	}
 	data, ok := body(w, r)
 	if !ok {
 		return
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"bitternwing/internal/core"
+	"bitternwing/internal/wire"
 )
 
 type fixed struct{}
@@ -60,3 +62,36 @@
 		}
 	}
 }
+
+// TestMoreWorkersThanSockets has more workers, each of which keeps its connection, than the server has sockets.
+// All of them are answered, again and again.
+func TestMoreWorkersThanSockets(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(fixed{}, 20)
+	go func() { _ = s.Serve(l) }()
+	defer func() { _ = s.Close() }()
+	workers := make([]*http.Client, 40)
+	for i := range workers {
+		workers[i] = &http.Client{Transport: &http.Transport{}, Timeout: 20 * time.Second}
+	}
+	closed := 0
+	for range 3 {
+		for i, worker := range workers {
+			r, err := worker.Post("http://"+l.Addr().String()+wire.ReportPath, "application/json", strings.NewReader(`{"host":"h","shift":1,"tally":1}`))
+			if err != nil {
+				t.Fatalf("worker %d: %v", i, err)
+			}
+			if r.Close {
+				closed++
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_ = r.Body.Close()
+		}
+	}
+	if closed == 0 || closed == 3*len(workers) {
+		t.Errorf("%d connections were closed, of %d", closed, 3*len(workers))
+	}
+}
