--- /dev/null
+++ b/internal/answercheck/answercheck.go
@@ -0,0 +1,100 @@
+// Package answercheck judges answers of model servers with checks that operators write in Starlark. A check is
+// bounded in steps and time, reaches nothing outside itself, and passes only if it says so.
+package answercheck
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	starlarkjson "go.starlark.net/lib/json"
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+)
+
+// mostSteps bounds what a check computes, and functionName is what it defines.
+const (
+	mostSteps    = 1_000_000
+	functionName = "check"
+	parameters   = 3
+)
+
+// Check is a compiled check.
+type Check struct{ program *starlark.Program }
+
+// options allow what a bounded computation may use.
+var options = &syntax.FileOptions{Set: true, While: true, TopLevelControl: true, GlobalReassign: true}
+
+// Compile compiles a check. The error is one line.
+func Compile(script string) (*Check, error) {
+	predeclared := func(string) bool { return false }
+	_, program, err := starlark.SourceProgramOptions(options, "check.star", script, predeclared)
+	if err != nil {
+		return nil, fmt.Errorf("does not compile: %w", err)
+	}
+	c := &Check{program}
+	if _, err := c.function(newThread()); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func newThread() *starlark.Thread {
+	thread := &starlark.Thread{Name: functionName, Print: func(*starlark.Thread, string) {}}
+	thread.SetMaxExecutionSteps(mostSteps)
+	return thread
+}
+
+// function runs the script and gives the function that it defines.
+func (c *Check) function(thread *starlark.Thread) (starlark.Callable, error) {
+	globals, err := c.program.Init(thread, nil)
+	if err != nil {
+		return nil, fmt.Errorf("does not run: %w", err)
+	}
+	function, ok := globals[functionName].(*starlark.Function)
+	if !ok || function.NumParams() != parameters {
+		return nil, fmt.Errorf("defines no function %s(request, answer, expected)", functionName)
+	}
+	return function, nil
+}
+
+// ErrNoVerdict says that a check has failed, or gave neither True nor False.
+var ErrNoVerdict = errors.New("the check gave no verdict")
+
+// Passes tells whether an answer is right. Each of the three is JSON. An error tells nothing of the answer; it
+// comes as well when the context ends.
+func (c *Check) Passes(ctx context.Context, request, answer, expected json.RawMessage) (bool, error) {
+	thread := newThread()
+	stop := context.AfterFunc(ctx, func() { thread.Cancel("it took too long") })
+	defer stop()
+	function, err := c.function(thread)
+	if err != nil {
+		return false, fmt.Errorf("%w: %v", ErrNoVerdict, err)
+	}
+	args := make(starlark.Tuple, 0, parameters)
+	for _, text := range []json.RawMessage{request, answer, expected} {
+		value, err := decode(thread, text)
+		if err != nil {
+			return false, fmt.Errorf("%w: %v", ErrNoVerdict, err)
+		}
+		args = append(args, value)
+	}
+	result, err := starlark.Call(thread, function, args, nil)
+	if err != nil {
+		return false, fmt.Errorf("%w: %v", ErrNoVerdict, err)
+	}
+	passed, ok := result.(starlark.Bool)
+	if !ok {
+		return false, fmt.Errorf("%w: it gave a %s", ErrNoVerdict, result.Type())
+	}
+	return bool(passed), nil
+}
+
+// decode gives a JSON text as a Starlark value.
+func decode(thread *starlark.Thread, text json.RawMessage) (starlark.Value, error) {
+	if len(text) == 0 {
+		return starlark.None, nil
+	}
+	return starlark.Call(thread, starlarkjson.Module.Members["decode"], starlark.Tuple{starlark.String(text)}, nil)
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -24,6 +24,19 @@
 	MaxPendingRequests int     `json:"max_pending_requests"`
 	// ExpectedMachines is the size of the fleet that the settings are checked for; 0: what is there.
 	ExpectedMachines int `json:"expected_machines"`
+	// Rollouts are the settings of stepwise rollouts.
+	Rollouts Rollouts `json:"rollouts"`
+}
+
+// Rollouts are the settings of stepwise rollouts.
+type Rollouts struct {
+	Enabled        bool    `json:"enabled"`
+	ModelPort      int     `json:"model_port"`
+	RouterLeaseS   float64 `json:"router_lease_s"`
+	CheckIntervalS float64 `json:"check_interval_s"`
+	CheckTimeoutS  float64 `json:"check_timeout_s"`
+	MostPlans      int     `json:"most_plans"`
+	MostRouters    int     `json:"most_routers"`
 }
 
 // DefaultOperator gives the built-in settings.
@@ -40,6 +53,8 @@
 		CutLeases:          12,
 		LeaderTTLLeases:    0.2,
 		MaxPendingRequests: 256,
+		Rollouts: Rollouts{ModelPort: 8000, RouterLeaseS: 15, CheckIntervalS: 2, CheckTimeoutS: 5,
+			MostPlans: 100, MostRouters: 100},
 	}
 }
 
--- a/internal/core/cancellations.go
+++ b/internal/core/cancellations.go
@@ -286,6 +286,7 @@
 			p.unsettled = setOf(r.Peer.Unsettled)
 			p.revision = max(p.revision, r.Peer.Revision)
 			p.layouts = max(p.layouts, r.Peer.Layouts)
+			p.knowsPlans = p.knowsPlans || r.Peer.KnowsPlans
 			for _, a := range as {
 				a.known[p] = true
 			}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -129,6 +129,14 @@
 	case CancellationsReceived:
 		c.receiveCancellations(in.Cancellations)
 		c.answer(in.Req, 200, nil)
+	case ApplyPlan:
+		c.applyPlanRequest(in)
+	case ChangePlan:
+		c.changePlan(in)
+	case ShowPlan:
+		c.showPlan(in)
+	case RoutePlan:
+		c.routePlan(in)
 	case Result:
 		if f := c.pending[in.ID]; f != nil {
 			delete(c.pending, in.ID)
@@ -260,7 +268,7 @@
 
 // PeerStatus is what this node tells the others of itself.
 func (c *Core) PeerStatus() PeerStatus {
-	s := PeerStatus{StateDown: c.stateDown || !c.dir.ready, Term: c.dir.term.Term, ReportAge: -1, Layouts: layoutByTask}
+	s := PeerStatus{StateDown: c.stateDown || !c.dir.ready, Term: c.dir.term.Term, ReportAge: -1, Layouts: layoutByTask, KnowsPlans: true}
 	if c.dir.ready {
 		s.Revision = c.dir.revision
 	}
--- a/internal/core/dependencies.go
+++ b/internal/core/dependencies.go
@@ -155,5 +155,7 @@
 	if status.State == dependency.Ready {
 		j.queuedAt = max(j.at, status.ReadyMS)
 	}
-	l.enqueue(j)
+	if !j.held {
+		l.enqueue(j)
+	}
 }
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -72,8 +72,10 @@
 	if t, ok := decode[termValue](value); ok {
 		return t, true
 	}
-	t, ok := decode[fencedTerm](value)
-	return termValue(t), ok
+	if t, ok := decode[fencedTerm](value); ok {
+		return termValue(t), true
+	}
+	return decodeGuardedTerm(value)
 }
 
 // counts of a job: running, done.
@@ -95,7 +97,9 @@
 	leadVersion uint64
 	term        termValue
 	termVersion uint64
+	termGuarded bool // older versions than those that know plans can't read it
 	catalog     []wire.MachineType
+	plans       plansOf
 	layout      record.Layout // the zero value: the first one
 	layoutAt    uint64        // version of its key
 	countShards map[string]map[string]counts
@@ -115,7 +119,7 @@
 
 func newDirectory() *directory {
 	return &directory{jobs: map[string]*entry{}, countShards: map[string]map[string]counts{}, images: map[string]map[string][]string{},
-		unreachable: map[string]unreachablePart{}, finals: map[string]finalValue{}}
+		plans: newPlansOf(), unreachable: map[string]unreachablePart{}, finals: map[string]finalValue{}}
 }
 
 func (d *directory) leadCond() wire.Cond { return wire.Cond{Key: keyLead, Version: d.leadVersion} }
@@ -129,6 +133,8 @@
 		d.applyLead(value, version)
 	case key == keyTerm:
 		d.applyTerm(value, version)
+	case below(key, keyPlans):
+		d.plans.apply(key[len(keyPlans):], value, version)
 	case key == keyCatalog:
 		if types, ok := decode[[]wire.MachineType](value); ok {
 			d.catalog = types
@@ -184,6 +190,7 @@
 func (d *directory) applyTerm(value json.RawMessage, version uint64) {
 	if v, ok := decodeTerm(value); ok && version > d.termVersion {
 		d.term, d.termVersion = v, version
+		_, d.termGuarded = decodeGuardedTerm(value)
 	}
 }
 
@@ -252,6 +259,10 @@
 			key, value = e.Delete, nil
 			c.noticeEnd(key)
 		}
+		if below(key, keyPlans) {
+			c.applyPlan(key, value, e.Version)
+			continue
+		}
 		c.dir.apply(key, value, e.Version)
 		c.noticeJob(key)
 		c.noticeRelayed(key, value)
@@ -319,10 +330,11 @@
 		}
 		d.jobs, d.lead, d.leadVersion = l.jobs, l.lead, l.leadVersion
 		if l.termVersion > d.termVersion {
-			d.term, d.termVersion = l.term, l.termVersion
+			d.term, d.termVersion, d.termGuarded = l.term, l.termVersion, l.termGuarded
 		}
 		d.countShards, d.images, d.revision = l.countShards, l.images, l.revision
 		d.unreachable = l.unreachable
+		d.plans.reread(l.plans, l.revision)
 		if l.catalog != nil {
 			d.catalog = l.catalog
 		}
@@ -340,6 +352,7 @@
 			for id := range d.jobs {
 				c.lead.jobChanged(id)
 			}
+			c.lead.holdAll()
 		}
 	})
 	c.send(StateList{ID: id, Prefix: watched, After: after})
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -206,7 +206,7 @@
 		}
 		term := c.dir.term.Term + 1
 		lead, err1 := json.Marshal(leadValue{c.set.Node, c.incarnation, g.Lease, term})
-		tv, err2 := encodeTerm(termValue{term, c.set.Node}, c.layout())
+		tv, err2 := c.encodeTermIn(termValue{term, c.set.Node}, c.layout())
 		if err1 != nil || err2 != nil {
 			fail()
 			return
--- a/internal/core/export_test.go
+++ b/internal/core/export_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 )
@@ -59,3 +60,10 @@
 	}
 	return nil
 }
+
+// ReadableBefore tells whether the version before plans can read a term.
+func ReadableBefore(value json.RawMessage) bool {
+	_, plain := decode[termValue](value)
+	_, fenced := decode[fencedTerm](value)
+	return plain || fenced
+}
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bitternwing/internal/call"
+	"bitternwing/internal/rollout"
 	"bitternwing/internal/wire"
 )
 
@@ -75,6 +76,7 @@
 	Machines wire.MachineList
 	Report   wire.Report
 	Peer     PeerStatus
+	Probe    rollout.Answer
 }
 
 // PeerStatus is what another node says of itself.
@@ -94,6 +96,8 @@
 	// Layouts is the newest layout of run records that its version knows; 0 in version 1, which does
 	// not say.
 	Layouts uint32
+	// KnowsPlans tells that its version knows plans of rollouts.
+	KnowsPlans bool
 }
 
 func (Tick) input()                  {}
@@ -182,6 +186,13 @@
 		ID   uint64
 		Addr string
 	}
+	// ProbeReplica asks a replica of a plan whether it is healthy and answers rightly.
+	ProbeReplica struct {
+		ID      uint64
+		Probe   rollout.Probe
+		Checks  []rollout.Check
+		Timeout time.Duration
+	}
 	// PeerAsk asks another node for its status and hands it cancellations, as Heard: an OK
 	// means that it has taken them in.
 	PeerAsk struct {
@@ -223,4 +234,5 @@
 func (WorkerOrders) effect()  {}
 func (WorkerInspect) effect() {}
 func (PeerAsk) effect()       {}
+func (ProbeReplica) effect()  {}
 func (Log) effect()           {}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -21,6 +21,8 @@
 	at          int64  // time of day of its acceptance, in milliseconds
 	queuedAt    int64  // the same, or of the end of the last job that it needed: its waits count from here
 	waiting     bool   // for jobs that it needs: it is in no order and holds nothing
+	held        bool   // by the plan of a rollout: nothing of it may be started
+	queued      bool   // it is in the order
 	rank        int    // its priority, or the highest of the jobs that need it
 	latestEnd   int64  // time of day by which deadlines need it to be done
 	version     uint64 // of its key
@@ -262,9 +264,9 @@
 	j := &job{id: id, spec: e.Job, at: e.AtMS, queuedAt: e.AtMS, version: e.version, team: l.c.team(e.Job.Team),
 		rank: status.Priority, latestEnd: status.LatestEndMS, chunks: map[int]*chunk{}, placed: map[int]*placement{}, zones: map[string]int{}}
 	l.jobs[id] = j
-	if len(e.Job.Needs) > 0 {
-		j.waiting = true
-	} else {
+	j.waiting = len(e.Job.Needs) > 0
+	j.held = l.planHolds(id, e.Job)
+	if !j.waiting && !j.held {
 		l.enqueue(j)
 	}
 	return j
@@ -274,14 +276,18 @@
 func (l *leader) enqueue(j *job) {
 	i := sort.Search(len(l.order), func(i int) bool { return j.before(l.order[i]) })
 	l.order = slices.Insert(l.order, i, j)
+	j.queued = true
+}
+
+// dequeue takes a job out of the order, if it is in there.
+func (l *leader) dequeue(j *job) {
+	if i := slices.Index(l.order, j); i >= 0 {
+		l.order = slices.Delete(l.order, i, i+1)
+	}
+	j.queued = false
 }
 
 func (l *leader) dropJob(j *job) {
 	delete(l.jobs, j.id)
-	for i, k := range l.order {
-		if k == j {
-			l.order = append(l.order[:i], l.order[i+1:]...)
-			break
-		}
-	}
+	l.dequeue(j)
 }
--- a/internal/core/layout.go
+++ b/internal/core/layout.go
@@ -64,7 +64,7 @@
 	}
 	next := record.Layout{ByIndex: l.layout.ByIndex, ByTask: record.ByTaskFor(c.limits.valueBytes())}
 	layout, err1 := json.Marshal(next)
-	term, err2 := encodeTerm(termValue{l.term, c.set.Node}, next)
+	term, err2 := c.encodeTermIn(termValue{l.term, c.set.Node}, next)
 	if err1 != nil || err2 != nil {
 		return
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -35,6 +35,8 @@
 	due        []*machine    // with starts that were just committed
 	layout     record.Layout // of the run records
 	change     layoutChange
+	guard      termGuard
+	plans      *planRuns
 	evaluated  uint64                   // evaluations of the dependency graph that are taken in
 	released   map[string]time.Duration // names given back, so that late reports of them don't count
 	inspecting int
@@ -56,6 +58,7 @@
 	l := &leader{c: c, term: term, version: version, since: c.now.Steady,
 		runs: map[string]wire.Item{}, jobs: map[string]*job{}, machines: map[string]*machine{},
 		room: capacity.NewIndex[*host](), released: map[string]time.Duration{}, cutZones: map[string]bool{}, outAt: map[string]time.Duration{}}
+	l.plans = newPlanRuns(l)
 	l.writes.init(l)
 	l.rentals.init(l)
 	l.rounds.at = c.now.Steady
@@ -99,6 +102,8 @@
 	l.c.at(l.tendAt)
 	l.round()
 	l.changeLayout()
+	l.guardTerm()
+	l.plans.run()
 	l.writes.run()
 	l.orders()
 	l.rentals.run()
@@ -201,6 +206,9 @@
 		// A job has a record only if an earlier leader found it ready.
 		l.admit(j)
 	}
+	if !j.queued {
+		l.enqueue(j) // held by a plan that goes back, after it was placed
+	}
 	for _, s := range found {
 		if l.layout.ByTask > 0 && !s.Key.ByTask {
 			j.supersede(keyRuns+s.Key.String(), s.Version)
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -18,6 +18,8 @@
 
 	revision uint64 // it has said that it knows all changes of jobs up to here
 	layouts  uint32 // the newest layout of run records that it has said it knows
+	// knowsPlans tells that it has said that its version knows plans of rollouts.
+	knowsPlans bool
 }
 
 func (c *Core) runPeers() {
--- /dev/null
+++ b/internal/core/plan_holds.go
@@ -0,0 +1,66 @@
+package core
+
+import (
+	"maps"
+	"slices"
+
+	"bitternwing/internal/rollout"
+	"bitternwing/internal/wire"
+)
+
+// planMayOwn tells whether a plan may decide about a job: it is a service of the plan's team. An id that
+// somebody else has taken is none of its business.
+func planMayOwn(plan *rollout.Plan, spec *wire.Job) bool {
+	return spec.Team == plan.Team && spec.Kind == wire.KindService
+}
+
+// planHolds tells whether a job may not be started because of a plan.
+func (l *leader) planHolds(id string, spec *wire.Job) bool {
+	records := make([]*rollout.Record, 0, 2)
+	if stored := l.c.dir.plans.byName[l.c.dir.plans.byJob[id]]; stored != nil {
+		records = append(records, stored.record)
+	}
+	for _, applying := range l.plans.applying {
+		records = append(records, applying)
+	}
+	return slices.ContainsFunc(records, func(r *rollout.Record) bool {
+		return r != nil && planMayOwn(&r.Plan, spec) && r.Holds(id)
+	})
+}
+
+// holdJobs brings up to date which of some jobs are held.
+func (l *leader) holdJobs(ids []string) {
+	for _, id := range ids {
+		if j := l.jobs[id]; j != nil {
+			l.holdJob(j)
+		}
+	}
+}
+
+// holdAll brings up to date which jobs are held.
+func (l *leader) holdAll() {
+	if l.loaded {
+		l.holdJobs(slices.Sorted(maps.Keys(l.jobs)))
+	}
+}
+
+// holdJob takes a job that is held out of the order, as long as nothing of it was placed, and puts one that is
+// no longer held into it. Its waits count from then.
+func (l *leader) holdJob(j *job) {
+	held := l.planHolds(j.id, j.spec)
+	if held == j.held {
+		return
+	}
+	j.held = held
+	if held {
+		if len(j.placed) == 0 {
+			l.dequeue(j)
+		}
+		return
+	}
+	if !j.waiting && !j.queued {
+		j.queuedAt = max(j.queuedAt, l.c.now.WallMS)
+		l.enqueue(j)
+	}
+	l.wantRound()
+}
--- /dev/null
+++ b/internal/core/plan_runs.go
@@ -0,0 +1,393 @@
+package core
+
+import (
+	"encoding/json"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/config"
+	"bitternwing/internal/rollout"
+	"bitternwing/internal/wire"
+)
+
+// planRuns carries out the plans of rollouts on the node that leads. What a plan is to do is decided by package
+// rollout, committed, and only then done.
+type planRuns struct {
+	l        *leader
+	at       time.Duration
+	runs     map[string]*planRun
+	applying map[string]*rollout.Record // accepted in memory, their commit is on its way: they hold already
+	probing  int
+}
+
+// planRun is a plan while a leader carries it out.
+type planRun struct {
+	name    string
+	since   time.Duration // when this leader began with it
+	proofs  *rollout.Proofs
+	routers *rollout.Routers
+	routing rollout.Routing
+	settled bool
+	phase   rollout.Phase // as it was last seen, and since when
+	phaseAt time.Duration
+	writing bool
+	retryAt time.Duration
+	changes []planChange // of operators, to be committed
+}
+
+// planChange is a change that an operator waits for.
+type planChange struct {
+	req    uint64
+	change rollout.Change
+}
+
+func newPlanRuns(l *leader) *planRuns {
+	return &planRuns{l: l, at: l.c.now.Steady, runs: map[string]*planRun{}, applying: map[string]*rollout.Record{}}
+}
+
+// The times of rollouts, from the operators' settings.
+func (c *Core) probeInterval() time.Duration { return config.Seconds(c.op.Rollouts.CheckIntervalS) }
+func (c *Core) probeTimeout() time.Duration  { return config.Seconds(c.op.Rollouts.CheckTimeoutS) }
+
+// routerLease is how long a router may go by a routing, by its own clock; heldLease by this node's.
+func (c *Core) routerLease() time.Duration { return config.Seconds(c.op.Rollouts.RouterLeaseS) }
+func (c *Core) heldLease() time.Duration {
+	return time.Duration(float64(c.routerLease()) * (1 + drift))
+}
+
+// mostProbes bounds the sockets that questions to replicas take.
+func (c *Core) mostProbes() int { return max(4, c.set.Params.Limits.MaxConnections/40) }
+
+// run looks after all plans.
+func (t *planRuns) run() {
+	l, c := t.l, t.l.c
+	if len(c.dir.plans.byName) == 0 && len(t.runs) == 0 {
+		return
+	}
+	if c.now.Steady < t.at {
+		c.at(t.at)
+		return
+	}
+	t.at = c.now.Steady + c.t.eventGap
+	c.at(t.at)
+	for _, name := range slices.Sorted(maps.Keys(t.runs)) {
+		if c.dir.plans.byName[name] == nil {
+			t.end(t.runs[name])
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.dir.plans.byName)) {
+		stored := c.dir.plans.byName[name]
+		run := t.runs[name]
+		if run == nil {
+			run = t.begin(name, stored)
+		}
+		if stored.problem == nil {
+			l.carryOutPlan(run, stored)
+		}
+	}
+}
+
+// begin takes a plan up. Nothing that an earlier leader knew of its replicas and routers counts.
+func (t *planRuns) begin(name string, stored *storedPlan) *planRun {
+	c := t.l.c
+	run := &planRun{name: name, since: c.now.Steady, proofs: rollout.NewProofs(c.probeInterval()),
+		routers: rollout.NewRouters(c.heldLease(), c.now.Steady, c.op.Rollouts.MostRouters),
+		routing: rollout.Routing{Generation: rollout.Generation{Term: t.l.term}}}
+	t.runs[name] = run
+	if stored.problem != nil {
+		c.log(Error, "a rollout plan can't be read and is left alone", "plan", name, "error", stored.problem.Error())
+	}
+	return run
+}
+
+func (t *planRuns) end(run *planRun) {
+	delete(t.runs, run.name)
+	for _, x := range run.changes {
+		t.l.c.answer(x.req, 404, wire.ErrorBody{Error: noSuchPlan})
+	}
+}
+
+// planChanged brings up to date which jobs are held after a plan has changed.
+func (l *leader) planChanged(before, after *storedPlan) {
+	if !l.loaded {
+		return
+	}
+	for _, stored := range []*storedPlan{before, after} {
+		if stored != nil && stored.record != nil {
+			l.holdJobs(stored.record.Plan.New.Jobs)
+		}
+	}
+}
+
+// carryOutPlan does what a plan is due to do.
+func (l *leader) carryOutPlan(run *planRun, stored *storedPlan) {
+	c, r := l.c, stored.record
+	replicas := l.replicasOf(&r.Plan)
+	run.proofs.Track(replicas)
+	run.settle(l, &r.Plan)
+	if run.phase != r.Phase {
+		run.phase, run.phaseAt = r.Phase, c.now.Steady
+	}
+	if !r.Phase.Over() {
+		l.probe(run, &r.Plan)
+	}
+	o := l.observe(run, r)
+	if run.mayRoute(r, o) && l.entitled() {
+		run.route(r, o, c.now.Steady)
+		l.takeRoutersIn(run, r, o)
+	}
+	for _, id := range r.Cancels(o) {
+		if j := l.jobs[id]; j != nil && !j.cancelled {
+			l.writes.cancel(j)
+		}
+	}
+	if run.writing || c.now.Steady < run.retryAt || c.stateDown || !c.elect.inTime() {
+		return
+	}
+	switch {
+	case len(run.changes) > 0:
+		l.commitChange(run, stored)
+	case r.Expired(o):
+		l.removePlan(run, stored)
+	default:
+		if next := r.Next(o); next != nil {
+			l.commitPlan(run, stored, next, func(Result) {})
+		}
+	}
+}
+
+// settle notes when this leader has heard of all machines with tasks of the plan and has asked all replicas. A worker
+// that has not found it within a lease has lost its tasks.
+func (run *planRun) settle(l *leader, plan *rollout.Plan) {
+	c := l.c
+	if run.settled {
+		return
+	}
+	late := run.since + c.t.lease + 2*c.probeInterval() + c.probeTimeout()
+	heard := c.now.Steady >= run.since+c.t.quiet && l.heardOfAll(plan)
+	run.settled = c.now.Steady >= late || heard && run.proofs.AllAnswered()
+}
+
+// heardOfAll tells whether each machine with a task of a plan has reported in this term.
+func (l *leader) heardOfAll(plan *rollout.Plan) bool {
+	for _, id := range plan.Jobs() {
+		j := l.jobs[id]
+		if j == nil {
+			continue
+		}
+		for _, p := range j.placed {
+			if !p.machine.up {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// replicasOf gives the running tasks of a plan's jobs.
+func (l *leader) replicasOf(plan *rollout.Plan) []rollout.Replica {
+	var replicas []rollout.Replica
+	add := func(ids []string, version rollout.Version) {
+		for _, id := range ids {
+			j := l.jobs[id]
+			if j == nil || j.cancelled || !planMayOwn(plan, j.spec) {
+				continue
+			}
+			for _, p := range j.byTask() {
+				address, ok := l.c.modelAddress(p.machine.addr)
+				if p.state == wire.TaskRunning && p.stop == keep && ok {
+					replicas = append(replicas, rollout.Replica{Job: id, Task: p.name(), Attempt: p.attempt, Address: address, Version: version})
+				}
+			}
+		}
+	}
+	add(plan.Old.Jobs, rollout.OldVersion)
+	add(plan.New.Jobs, rollout.NewVersion)
+	return replicas
+}
+
+// modelAddress gives where the model server of a machine's tasks is.
+func (c *Core) modelAddress(machine string) (string, bool) {
+	host, _, err := net.SplitHostPort(machine)
+	if err != nil {
+		return "", false
+	}
+	return net.JoinHostPort(host, strconv.Itoa(c.op.Rollouts.ModelPort)), true
+}
+
+// observe gives what is seen of a plan. Until the leader has settled nothing is known of the routers.
+func (l *leader) observe(run *planRun, r *rollout.Record) *rollout.Observation {
+	c := l.c
+	o := &rollout.Observation{NowMS: c.now.WallMS, ClockErrorMS: c.clockError().Milliseconds(), Settled: run.settled,
+		Jobs: map[string]rollout.Job{}, ProvedAnew: run.proofs.NewProvedSince(run.phaseAt, c.now.Steady), Wrong: run.proofs.Wrong(), NewServes: true, RoutersMissing: true}
+	for _, id := range r.Plan.Old.Jobs {
+		o.Jobs[id] = l.observeJob(&r.Plan, id, true)
+	}
+	for _, id := range r.Plan.New.Jobs {
+		o.Jobs[id] = l.observeJob(&r.Plan, id, false)
+	}
+	for _, s := range run.proofs.States(c.now.Steady) {
+		j := o.Jobs[s.Replica.Job]
+		j.Running++
+		if s.Proved {
+			j.Proved++
+		}
+		o.Jobs[s.Replica.Job] = j
+	}
+	return o
+}
+
+// observeJob gives what is seen of a job. One that was accepted, as all old jobs were, and is not there any more is
+// over.
+func (l *leader) observeJob(plan *rollout.Plan, id string, wasAccepted bool) rollout.Job {
+	e := l.c.dir.jobs[id]
+	if e == nil {
+		_, ended := l.c.dir.finals[id]
+		over := wasAccepted || ended
+		return rollout.Job{Accepted: over, Cancelled: over, Over: over}
+	}
+	if !planMayOwn(plan, e.Job) {
+		return rollout.Job{}
+	}
+	return rollout.Job{Accepted: true, Cancelled: e.CancelledMS != 0, Replicas: e.Job.Tasks}
+}
+
+// mayRoute tells whether enough is known to share traffic by. A plan that goes back does not wait for proofs once so
+// much of the old version runs that it can serve: each moment more is one with wrong answers.
+func (run *planRun) mayRoute(r *rollout.Record, o *rollout.Observation) bool {
+	return run.settled || r.Phase == rollout.RollingBack && r.Plan.OldRuns(o)
+}
+
+// route brings a plan's routing up to date with what its replicas have proved.
+func (run *planRun) route(r *rollout.Record, o *rollout.Observation, now time.Duration) {
+	capacity := r.Plan.CapacityOf(o)
+	if !run.settled {
+		capacity.New = 0 // the old version runs, and has yet to prove it
+	}
+	routing := rollout.RoutingOf(r, capacity, run.proofs.States(now))
+	routing.Generation = run.routing.Generation
+	if routing.Generation.Revision == 0 || !routing.SameAs(&run.routing) {
+		routing.Generation.Revision++
+		run.routing = routing
+	}
+}
+
+// takeRoutersIn adds to an observation what is known of the routers.
+func (l *leader) takeRoutersIn(run *planRun, r *rollout.Record, o *rollout.Observation) {
+	now, generation := l.c.now.Steady, run.routing.Generation
+	gone := config.Seconds(r.Plan.Limits.RouterGoneS)
+	if !run.settled {
+		return
+	}
+	o.NewServes = run.routing.NewServes()
+	o.RoutersKnow = run.routers.Know(generation, now)
+	o.Routers = run.routers.Present(r.Routers, gone, now)
+	o.RoutersMissing = run.routers.Missing(o.Routers, generation, gone, now)
+}
+
+// probe asks the replicas whose time it is.
+func (l *leader) probe(run *planRun, plan *rollout.Plan) {
+	t := l.plans
+	for _, probe := range run.proofs.Due(l.c.now.Steady, l.c.mostProbes()-t.probing) {
+		t.probing++
+		id := l.call(func(r Result) {
+			t.probing--
+			if r.Outcome == call.Dropped {
+				run.proofs.Missed(probe.Replica)
+				return
+			}
+			run.proofs.Take(probe.Replica, r.Probe, l.c.now.Steady)
+			if r.Probe.Verdict != rollout.Right {
+				l.c.log(Debug, "replica not proved", "plan", run.name, "task", probe.Replica.Task, "verdict", r.Probe.Verdict.String(),
+					"check", r.Probe.Check)
+			}
+		})
+		effect := ProbeReplica{ID: id, Probe: probe, Timeout: l.c.probeTimeout()}
+		if probe.Replica.Version == rollout.NewVersion {
+			effect.Checks = plan.Checks
+		}
+		l.c.send(effect)
+	}
+}
+
+// planTxn is a change of a plan, conditional on the term and on the plan's version.
+func (l *leader) planTxn(name string, version uint64, op wire.Op) wire.Txn {
+	return wire.Txn{If: []wire.Cond{{Key: keyTerm, Version: l.version}, {Key: keyPlans + name, Version: version}}, Then: []wire.Op{op}}
+}
+
+// commitPlan writes a plan's next record. Nothing is done by it before that is known to be written.
+func (l *leader) commitPlan(run *planRun, stored *storedPlan, next *rollout.Record, then func(Result)) {
+	c := l.c
+	value, err := json.Marshal(next)
+	if err != nil {
+		return
+	}
+	run.writing = true
+	l.writes.tokens--
+	id := l.stateCall(func(r Result) {
+		run.writing = false
+		l.planWritten(run, r, value)
+		if r.Outcome == call.OK {
+			c.log(Info, "rollout", "plan", run.name, "phase", string(next.Phase), "step", next.Step, "share", next.Share,
+				"reason", string(next.Reason), "detail", next.Detail, "paused", next.PausedMS != 0)
+		}
+		then(r)
+	})
+	c.send(StateTxn{ID: id, Txn: l.planTxn(run.name, stored.version, wire.Op{Put: keyPlans + run.name, Value: value})})
+}
+
+// planWritten takes what became of a write of a plan; value is nil if it was removed.
+func (l *leader) planWritten(run *planRun, r Result, value json.RawMessage) {
+	c := l.c
+	switch {
+	case r.Outcome == call.OK:
+		c.applyPlan(keyPlans+run.name, value, r.Txn.Revision)
+	case r.Outcome == call.Conflict && slices.Contains(r.Txn.Failed, keyTerm):
+		c.elect.stepDown("the term moved on")
+	case r.Outcome == call.Conflict, r.Outcome == call.Unknown:
+		// A write of before was applied after all, or this one may be yet: what is there counts.
+		l.rereadPlan(run)
+	default:
+		run.retryAt = c.now.Steady + c.t.retry
+		c.at(run.retryAt)
+	}
+}
+
+// rereadPlan finds out how a plan stands.
+func (l *leader) rereadPlan(run *planRun) {
+	c := l.c
+	run.writing = true
+	id := l.stateCall(func(r Result) {
+		run.writing = false
+		run.retryAt = c.now.Steady + c.t.retry
+		if r.Outcome == call.OK {
+			c.applyPlan(keyPlans+run.name, r.Item.Value, r.Item.Version)
+		}
+	})
+	c.send(StateGet{ID: id, Key: keyPlans + run.name})
+}
+
+// removePlan forgets a plan that has ended a while ago.
+func (l *leader) removePlan(run *planRun, stored *storedPlan) {
+	run.writing = true
+	l.writes.tokens--
+	id := l.stateCall(func(r Result) {
+		run.writing = false
+		l.planWritten(run, r, nil)
+	})
+	l.c.send(StateTxn{ID: id, Txn: l.planTxn(run.name, stored.version, wire.Op{Delete: keyPlans + run.name})})
+}
+
+// applyPlan takes a plan's key as it was read, written or heard of.
+func (c *Core) applyPlan(key string, value json.RawMessage, version uint64) {
+	name := key[len(keyPlans):]
+	before := c.dir.plans.byName[name]
+	c.dir.apply(key, value, version)
+	if c.lead != nil {
+		c.lead.planChanged(before, c.dir.plans.byName[name])
+	}
+}
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -61,7 +61,7 @@
 
 // ready tells whether a job may be given tasks now.
 func (r *round) ready(j *job) bool {
-	return !j.cancelled && !j.final && j.team != nil && r.l.c.now.Steady >= j.waitFor
+	return !j.cancelled && !j.final && !j.held && j.team != nil && r.l.c.now.Steady >= j.waitFor
 }
 
 // round decides what starts and what stops.
--- a/internal/core/scale_calls_test.go
+++ b/internal/core/scale_calls_test.go
@@ -10,9 +10,16 @@
 
 // carryOut does an effect of a node; true if it has a result.
 func (y *scaleCluster) carryOut(n *scaleNode, e core.Effect) (core.Result, bool) {
+	if y.intercept != nil {
+		if r, ok := y.intercept(n, e); ok {
+			return r, true
+		}
+	}
 	switch e := e.(type) {
 	case core.Answer:
-		y.answer(e)
+		if y.onAnswer == nil || !y.onAnswer(e) {
+			y.answer(e)
+		}
 	case core.StateWatch:
 		n.watches = append(n.watches, scaleWatch{e, y.now})
 	case core.StateGet, core.StateList, core.StateTxn, core.StateGrant, core.StateExtend, core.StateRevoke:
--- a/internal/core/scale_cluster_test.go
+++ b/internal/core/scale_cluster_test.go
@@ -12,11 +12,19 @@
 	"bitternwing/internal/wire"
 )
 
+// reporter is what the harnesses need of a test.
+type reporter interface {
+	Helper()
+	Errorf(format string, args ...any)
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // scaleCluster is a large deployment around pure cores: a state service, a cloud and workers
 // that report, fetch, run and obey. Time goes in steps; what is asked for in one is
 // answered in the next. It counts what the nodes ask for.
 type scaleCluster struct {
-	t              testing.TB
+	t              reporter
 	now            time.Duration
 	rnd            *rand.Rand
 	store          *standin.Store
@@ -37,6 +45,9 @@
 	logged         map[string]int // settings that are too small, by field
 	cloudRate      float64        // requests a second that the cloud takes; 0: all
 	cloudTokens    float64
+	// intercept may give the result of a call in place of the world, and onAnswer take an answer.
+	intercept      func(*scaleNode, core.Effect) (core.Result, bool)
+	onAnswer       func(core.Answer) bool
 	cloudAt        time.Duration
 	tooMany        int // requests above that
 	nodes          []*scaleNode
@@ -75,7 +86,7 @@
 
 const scaleStep = 10 * time.Millisecond
 
-func newScaleCluster(t testing.TB, nodes, machines int) *scaleCluster {
+func newScaleCluster(t reporter, nodes, machines int) *scaleCluster {
 	y := &scaleCluster{t: t, now: time.Second, rnd: rand.New(rand.NewSource(1)), store: standin.NewStore(),
 		byAddr: map[string]*scaleWorker{}, byName: map[string]*scaleWorker{}, specs: map[string]*wire.Job{}, logged: map[string]int{}, holders: map[string]*scaleWorker{}, most: machines, op: config.DefaultOperator(), memory: 98}
 	for i := 0; i < nodes; i++ {
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -71,7 +71,7 @@
 		c.at(w.notBefore)
 		return
 	}
-	if w.l.change.wanted {
+	if w.l.change.wanted || w.l.guard.wanted {
 		return
 	}
 	for w.inFlight < 2 && !c.stateDown {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -63,7 +63,8 @@
 		age = st.ReportAge.Milliseconds()
 	}
 	return &peerpb.StatusReply{Node: s.node, StateDown: st.StateDown, Term: st.Term, Leads: st.Leads, ReportAgeMs: age, ZonesApart: st.ZonesApart,
-		Revision: st.Revision, Unsettled: st.Unsettled, UnsettledMore: st.UnsettledMore, Layouts: st.Layouts}, nil
+		Revision: st.Revision, Unsettled: st.Unsettled, UnsettledMore: st.UnsettledMore, Layouts: st.Layouts,
+		KnowsPlans: st.KnowsPlans}, nil
 }
 
 // Client asks one other node.
@@ -103,7 +104,8 @@
 		return core.PeerStatus{}, call.Unknown
 	}
 	st := core.PeerStatus{StateDown: r.GetStateDown(), Term: r.GetTerm(), Leads: r.GetLeads(), ReportAge: -1, ZonesApart: r.GetZonesApart(),
-		Revision: r.GetRevision(), Unsettled: r.GetUnsettled(), UnsettledMore: r.GetUnsettledMore(), Layouts: r.GetLayouts()}
+		Revision: r.GetRevision(), Unsettled: r.GetUnsettled(), UnsettledMore: r.GetUnsettledMore(), Layouts: r.GetLayouts(),
+		KnowsPlans: r.GetKnowsPlans()}
 	if r.GetReportAgeMs() >= 0 {
 		st.ReportAge = time.Duration(r.GetReportAgeMs()) * time.Millisecond
 	}
--- /dev/null
+++ b/internal/rollout/record.go
@@ -0,0 +1,163 @@
+package rollout
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+// Phase is where a plan stands.
+type Phase string
+
+// The phases, in order. A step goes through starting, checking, shifting and baking; any phase before
+// retiring may turn into rolling back.
+const (
+	Pending     Phase = "pending"    // the old version has to be whole, and the first new jobs accepted
+	Starting    Phase = "starting"   // the step's jobs may run
+	Checking    Phase = "checking"   // their replicas have to prove themselves
+	Shifting    Phase = "shifting"   // routers learn of the step's share
+	Baking      Phase = "baking"     // it has to serve that share for a while
+	Completing  Phase = "completing" // all routers have to be in touch
+	Retiring    Phase = "retiring"   // routers fall back to the new version; then the old jobs are cancelled
+	Completed   Phase = "completed"
+	RollingBack Phase = "rolling_back" // traffic goes back, then the new jobs are cancelled
+	RolledBack  Phase = "rolled_back"
+)
+
+// Reason is why a plan rolled back.
+type Reason string
+
+// The reasons.
+const (
+	WrongAnswer  Reason = "wrong_answer"
+	Unreachable  Reason = "unreachable"
+	WaitedOut    Reason = "waited_out"
+	NewCancelled Reason = "new_job_cancelled"
+	Aborted      Reason = "aborted"
+)
+
+// Record is a plan as the state service holds it.
+type Record struct {
+	Plan    Plan    `json:"plan"`
+	Phase   Phase   `json:"phase"`
+	Step    int     `json:"step"`
+	Share   float64 `json:"share"` // of traffic that the new version is to get
+	SinceMS int64   `json:"since"` // time of day when the phase began
+	Reason  Reason  `json:"reason,omitempty"`
+	// Detail names the replica and the check of a wrong answer, or the job.
+	Detail string `json:"detail,omitempty"`
+	// PausedMS is the time of day since when the plan is paused; 0: it is not.
+	PausedMS int64 `json:"paused,omitempty"`
+	// Routers are those that were not gone when the phase began. They have to know of the completion before the
+	// old version goes.
+	Routers []string `json:"routers,omitempty"`
+}
+
+// NewRecord gives the record of a plan that is applied now.
+func NewRecord(plan *Plan, nowMS int64) *Record {
+	return &Record{Plan: *plan, Phase: Pending, SinceMS: nowMS}
+}
+
+// ErrUnreadable says that a stored record is not one that this version understands.
+var ErrUnreadable = errors.New("the record of a plan can't be read")
+
+// Decode reads a stored record. Where only the phase is unknown the record is given with the error, so that
+// its jobs can be left as they are.
+func Decode(data []byte) (*Record, error) {
+	r := &Record{}
+	if err := json.Unmarshal(data, r); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrUnreadable, err)
+	}
+	if r.Plan.Name == "" || r.Step < 0 || r.Step >= len(r.Plan.Steps) {
+		return nil, fmt.Errorf("%w: it holds no plan", ErrUnreadable)
+	}
+	if !r.Phase.known() {
+		return r, fmt.Errorf("%w: phase %q", ErrUnreadable, r.Phase)
+	}
+	return r, nil
+}
+
+func (p Phase) known() bool {
+	switch p {
+	case Pending, Starting, Checking, Shifting, Baking, Completing, Retiring, Completed, RollingBack, RolledBack:
+		return true
+	}
+	return false
+}
+
+// Over tells whether a plan has ended.
+func (p Phase) Over() bool { return p == Completed || p == RolledBack }
+
+// final tells whether a plan can't be rolled back any more, or is.
+func (p Phase) final() bool {
+	return p == Retiring || p == Completed || p == RollingBack || p == RolledBack
+}
+
+// Holds tells whether a job may not be started: it is a new one whose step has not come, or the plan goes or
+// went back.
+func (r *Record) Holds(job string) bool {
+	step := r.Plan.stepOf(job)
+	if step < 0 {
+		return false
+	}
+	switch r.Phase {
+	case Pending, RollingBack, RolledBack:
+		return true
+	case Completed, Retiring:
+		return false
+	}
+	return step > r.Step
+}
+
+// to gives the record in another phase.
+func (r *Record) to(phase Phase, nowMS int64) *Record {
+	next := *r
+	next.Phase, next.SinceMS = phase, nowMS
+	return &next
+}
+
+// back gives the record as it begins to roll back.
+func (r *Record) back(reason Reason, detail string, nowMS int64) *Record {
+	next := r.to(RollingBack, nowMS)
+	next.Reason, next.Detail = reason, detail
+	next.Share, next.PausedMS = 0, 0
+	return next
+}
+
+// Change is what an operator asks of a plan.
+type Change string
+
+// The changes.
+const (
+	Pause  Change = "pause"
+	Resume Change = "resume"
+	Abort  Change = "abort"
+)
+
+// RefusedError says why a plan can't be changed, or applied, now or ever.
+type RefusedError struct{ Why string }
+
+func (e *RefusedError) Error() string { return e.Why }
+
+// Change gives the record after a change; the same one if there is nothing to do.
+func (r *Record) Change(change Change, nowMS int64) (*Record, error) {
+	next := *r
+	switch {
+	case change == Abort && (r.Phase == RollingBack || r.Phase == RolledBack):
+		return r, nil
+	case change == Abort && r.Phase.final():
+		return nil, &RefusedError{fmt.Sprintf("the plan is %s: the old version is being cancelled", r.Phase)}
+	case change == Abort:
+		return r.back(Aborted, "", nowMS), nil
+	case r.Phase.final():
+		return nil, &RefusedError{fmt.Sprintf("the plan is %s", r.Phase)}
+	case change == Pause && r.PausedMS == 0:
+		next.PausedMS = nowMS
+	case change == Resume && r.PausedMS != 0:
+		next.SinceMS += max(0, nowMS-r.PausedMS) // what the phase had used stays used
+		next.PausedMS = 0
+	default:
+		return r, nil
+	}
+	return &next, nil
+}
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,346 @@
+package rollout
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodPlan = `{"name":"reader-v2","team":"vision","old":{"jobs":["run-000001","run-000002"],"replica_capacity":10},
+ "new":{"jobs":["run-000011","run-000012"],"replica_capacity":10},"promised_capacity":30,
+ "steps":[{"jobs":["run-000011"],"share":0.25,"bake_s":20},{"jobs":["run-000012"],"share":1,"bake_s":30}],
+ "checks":[{"name":"sum","request":{"prompt":"2+2"},"expected":"4","script":"def check(request, answer, expected):\n  return answer == expected"}],
+ "limits":{"wait_s":100,"unreachable_s":30,"router_gone_s":60,"keep_s":600}}`
+
+// TestBadPlans names the field of each mistake.
+func TestBadPlans(t *testing.T) {
+	if _, err := ParsePlan([]byte(goodPlan), 4096); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct{ from, to, field string }{
+		{`"team":"vision"`, `"team":7`, "/team"},
+		{`"team":"vision"`, `"team":"vision","colour":"red"`, "colour"},
+		{`"run-000001","run-000002"`, `"run-000001","job-2"`, "/old/jobs/1"},
+		{`"run-000001","run-000002"`, `"run-000001","run-000011"`, "/new/jobs/0"},
+		{`"share":0.25`, `"share":1.25`, "/steps/0/share"},
+		{`"share":1,`, `"share":0.2,`, "/steps/1/share"},
+		{`"share":1,`, `"share":0.9,`, "/steps/1/share"},
+		{`"bake_s":30`, `"bake_s":-1`, "/steps/1/bake_s"},
+		{`,"bake_s":30`, ``, "bake_s"},
+		{`"wait_s":100,`, ``, "wait_s"},
+		{`"wait_s":100`, `"wait_s":"soon"`, "/limits/wait_s"},
+		{`{"jobs":["run-000012"],"share":1`, `{"jobs":["run-000011"],"share":1`, "/steps/1/jobs/0"},
+		{`{"jobs":["run-000012"],"share":1`, `{"jobs":["run-000013"],"share":1`, "/steps/1/jobs/0"},
+		{`"new":{"jobs":["run-000011","run-000012"]`, `"new":{"jobs":["run-000011","run-000012","run-000013"]`, "/new/jobs/2"},
+		{`"promised_capacity":30`, `"promised_capacity":0`, "/promised_capacity"},
+		{`"expected":"4",`, ``, "/checks/0/expected"},
+		{`"expected":"4",`, `"expected":"4","compare_with_old":true,`, "/checks/0/expected"},
+	} {
+		text := strings.Replace(goodPlan, x.from, x.to, 1)
+		if text == goodPlan {
+			t.Fatalf("%s is not in the plan", x.from)
+		}
+		_, err := ParsePlan([]byte(text), 4096)
+		if err == nil || !strings.Contains(err.Error(), x.field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, not one line that names %s", x.to, err, x.field)
+		}
+	}
+	var field *FieldError
+	if _, err := ParsePlan([]byte(goodPlan), 100); !errors.As(err, &field) || field.Field != "/" {
+		t.Errorf("a plan that is too large: %v", err)
+	}
+}
+
+func plan(t testing.TB) *Plan {
+	p, err := ParsePlan([]byte(goodPlan), 4096)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// whole is an observation in which all of both versions is there and proved, the new version as far as it is released.
+func whole(r *Record) *Observation {
+	o := &Observation{NowMS: r.SinceMS, Settled: true, Jobs: map[string]Job{}, RoutersKnow: true, ProvedAnew: true}
+	for _, id := range r.Plan.Jobs() {
+		j := Job{Accepted: true, Replicas: 2}
+		if !r.Holds(id) {
+			j.Running, j.Proved = 2, 2
+		}
+		o.Jobs[id] = j
+	}
+	return o
+}
+
+// follow applies transitions until the plan stays, or reaches a phase of a step.
+func follow(t *testing.T, r *Record, phase Phase, step int) *Record {
+	for range 50 {
+		if r.Phase == phase && r.Step == step {
+			return r
+		}
+		o := whole(r)
+		o.NowMS += 40_000
+		if r.Phase == Retiring {
+			for _, id := range r.Plan.Old.Jobs {
+				o.Jobs[id] = Job{Accepted: true, Replicas: 2, Cancelled: true, Over: true}
+			}
+		}
+		next := r.Next(o)
+		if next == nil {
+			t.Fatalf("%s of step %d stays", r.Phase, r.Step)
+		}
+		r = next
+	}
+	t.Fatalf("%s of step %d is not reached", phase, step)
+	return nil
+}
+
+// TestPhases walks through a plan without trouble.
+func TestPhases(t *testing.T) {
+	r := NewRecord(plan(t), 0)
+	var walked []string
+	for r.Phase != Completed {
+		walked = append(walked, fmt.Sprintf("%s %d %g", r.Phase, r.Step, r.Aim()))
+		o := whole(r)
+		o.NowMS += 40_000
+		if r.Phase == Retiring {
+			for _, id := range r.Plan.Old.Jobs {
+				o.Jobs[id] = Job{Accepted: true, Replicas: 2, Cancelled: true, Over: true}
+			}
+		}
+		if r = r.Next(o); r == nil {
+			t.Fatal("the plan stays after", walked)
+		}
+	}
+	want := "pending 0 0, starting 0 0, checking 0 0, shifting 0 0.25, baking 0 0.25, starting 1 0.25, checking 1 0.25, shifting 1 1, baking 1 1, completing 1 1, retiring 1 1"
+	if got := strings.Join(walked, ", "); got != want {
+		t.Errorf("walked\n%s, not\n%s", got, want)
+	}
+}
+
+// TestFaults has something go wrong in each phase.
+func TestFaults(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		phase Phase
+		step  int
+		fault func(o *Observation)
+		want  Phase // "": it stays
+		why   Reason
+	}{
+		{"wrong at once", Checking, 0, func(o *Observation) { o.Wrong = "run-000011/0, check sum" }, RollingBack, WrongAnswer},
+		{"wrong while baking", Baking, 1, func(o *Observation) { o.Wrong = "run-000011/1, check sum" }, RollingBack, WrongAnswer},
+		{"wrong when complete", Completing, 1, func(o *Observation) { o.Wrong = "run-000011/1, check sum" }, RollingBack, WrongAnswer},
+		{"wrong once the old version goes", Retiring, 1, func(o *Observation) { o.Wrong = "run-000011/1, check sum" }, "", ""},
+		{"wrong before the leader has settled", Baking, 1, func(o *Observation) { o.Settled, o.Wrong = false, "run-000011/1, check sum" }, RollingBack, WrongAnswer},
+		{"not proved while baking", Baking, 0, func(o *Observation) { o.Jobs["run-000011"] = Job{Accepted: true, Replicas: 2, Running: 2, Proved: 1} }, Checking, ""},
+		{"not proved, leader not settled", Baking, 0, func(o *Observation) { o.Settled = false; o.Jobs["run-000011"] = Job{Accepted: true, Replicas: 2} }, "", ""},
+		{"not reached for too long", Checking, 0, func(o *Observation) {
+			o.NowMS += 31_000
+			o.Jobs["run-000011"] = Job{Accepted: true, Replicas: 2, Running: 2}
+		}, RollingBack, Unreachable},
+		{"within the clocks' error", Checking, 0, func(o *Observation) {
+			o.NowMS, o.ClockErrorMS = o.NowMS+31_000, 1000
+			o.Jobs["run-000011"] = Job{Accepted: true, Replicas: 2, Running: 2}
+		}, "", ""},
+		{"no room", Starting, 1, func(o *Observation) { o.Jobs["run-000012"] = Job{Accepted: true, Replicas: 2, Running: 1} }, "", ""},
+		{"no room for too long", Starting, 1, func(o *Observation) { o.NowMS += 101_000; o.Jobs["run-000012"] = Job{Accepted: true, Replicas: 2} }, RollingBack, WaitedOut},
+		{"new job not submitted", Pending, 0, func(o *Observation) { o.Jobs["run-000011"] = Job{} }, "", ""},
+		{"new job never submitted", Pending, 0, func(o *Observation) { o.NowMS += 101_000; o.Jobs["run-000011"] = Job{} }, RollingBack, WaitedOut},
+		{"new job cancelled by hand", Baking, 1, func(o *Observation) { o.Jobs["run-000012"] = Job{Accepted: true, Replicas: 2, Cancelled: true} }, RollingBack, NewCancelled},
+		{"old machines lost stop the next step", Baking, 0, func(o *Observation) {
+			o.NowMS += 25_000
+			o.Jobs["run-000001"] = Job{Accepted: true, Replicas: 2, Running: 1}
+		}, "", ""},
+		{"a router does not know", Shifting, 0, func(o *Observation) { o.RoutersKnow = false }, "", ""},
+		{"not proved since all is shifted", Completing, 1, func(o *Observation) { o.ProvedAnew = false }, "", ""},
+		{"a router does not know of the completion", Completing, 1, func(o *Observation) { o.RoutersMissing = true }, "", ""},
+		{"not baked", Baking, 1, func(o *Observation) { o.NowMS += 29_000 }, "", ""},
+	} {
+		r := follow(t, NewRecord(plan(t), 0), x.phase, x.step)
+		o := whole(r)
+		x.fault(o)
+		next := r.Next(o)
+		switch {
+		case next == nil && x.want != "", next != nil && (next.Phase != x.want || next.Reason != x.why):
+			t.Errorf("%s: %+v, not %q %q", x.name, next, x.want, x.why)
+		}
+	}
+}
+
+// TestCancels has jobs cancelled only by a decision, and only once no router needs them.
+func TestCancels(t *testing.T) {
+	r := NewRecord(plan(t), 0)
+	for _, phase := range []Phase{Pending, Starting, Checking, Shifting, Baking, Completing} {
+		r = follow(t, r, phase, r.Step)
+		if jobs := r.Cancels(whole(r)); len(jobs) > 0 {
+			t.Errorf("%s cancels %v", phase, jobs)
+		}
+		if phase == Baking && r.Step == 0 {
+			r = follow(t, r, Baking, 1)
+		}
+	}
+	back, err := r.Change(Abort, 0)
+	if err != nil || back.Phase != RollingBack {
+		t.Fatal(back, err)
+	}
+	for _, x := range []struct {
+		name   string
+		change func(*Observation)
+		want   int
+	}{
+		{"routers know", func(*Observation) {}, 2},
+		{"a router does not", func(o *Observation) { o.RoutersKnow = false }, 0},
+		{"the old version can't serve all", func(o *Observation) { o.NewServes = true }, 0},
+	} {
+		o := whole(back)
+		x.change(o)
+		if jobs := back.Cancels(o); len(jobs) != x.want {
+			t.Errorf("rolling back, %s: %v are cancelled", x.name, jobs)
+		}
+	}
+	retiring := follow(t, r, Retiring, 1)
+	o := whole(retiring)
+	if jobs := retiring.Cancels(o); len(jobs) != 2 || jobs[0] != "run-000001" {
+		t.Errorf("retiring cancels %v", jobs)
+	}
+	o.RoutersMissing = true
+	if jobs := retiring.Cancels(o); len(jobs) > 0 {
+		t.Errorf("retiring cancels %v while a router would fall back to them", jobs)
+	}
+	if _, err := retiring.Change(Abort, 0); err == nil {
+		t.Error("a plan that retires the old version was aborted")
+	}
+}
+
+// TestPause stops the clock of a phase, but not what a wrong answer brings.
+func TestPause(t *testing.T) {
+	r := follow(t, NewRecord(plan(t), 0), Checking, 0)
+	paused, err := r.Change(Pause, r.SinceMS+10_000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := whole(paused)
+	o.NowMS += 500_000
+	if next := paused.Next(o); next != nil {
+		t.Errorf("a paused plan goes on: %+v", next)
+	}
+	o.Wrong = "run-000011/0, check sum"
+	if next := paused.Next(o); next == nil || next.Phase != RollingBack || next.PausedMS != 0 {
+		t.Errorf("a wrong answer in a paused plan: %+v", next)
+	}
+	resumed, err := paused.Change(Resume, r.SinceMS+510_000)
+	if err != nil || resumed.SinceMS != r.SinceMS+500_000 {
+		t.Errorf("resumed: %+v %v", resumed, err)
+	}
+	if again, err := resumed.Change(Resume, 0); err != nil || again != resumed {
+		t.Errorf("resumed twice: %+v %v", again, err)
+	}
+}
+
+// TestNewShare never gives a version more than it can serve while the other can.
+func TestNewShare(t *testing.T) {
+	for _, x := range []struct {
+		old, new, promised, aim, want float64
+	}{
+		{40, 20, 30, 0.25, 0.25},
+		{40, 0, 30, 0.25, 0},
+		{40, 6, 30, 0.25, 0.2},
+		{15, 20, 30, 0, 0.5},
+		{10, 10, 30, 0.1, 0.5},
+		{0, 40, 30, 1, 1},
+		{0, 0, 30, 1, 0},
+		{0, 10, 0, 1, 1},
+	} {
+		if got := (Capacity{Old: x.old, New: x.new, Promised: x.promised}).NewShare(x.aim); got < x.want-1e-9 || got > x.want+1e-9 {
+			t.Errorf("%+v: %g", x, got)
+		}
+	}
+}
+
+// TestProofs counts an attempt only after its own answers.
+func TestProofs(t *testing.T) {
+	p := NewProofs(time.Second)
+	old := Replica{Job: "run-000001", Task: "run-000001/0", Attempt: 1, Version: OldVersion}
+	first := Replica{Job: "run-000011", Task: "run-000011/0", Attempt: 1, Version: NewVersion}
+	second := first
+	second.Attempt = 2
+	p.Track([]Replica{old, first})
+	probes := p.Due(0, 10)
+	if len(probes) != 2 || probes[1].Reference != nil || p.Proved(first, 0) || p.AllAnswered() {
+		t.Fatalf("%+v", probes)
+	}
+	p.Take(old, Answer{Verdict: Right}, 0)
+	p.Take(first, Answer{Verdict: Right}, 0)
+	if !p.Proved(first, 0) || !p.AllAnswered() || len(p.Due(500*time.Millisecond, 10)) > 0 {
+		t.Error("a right answer does not count, or is asked for again at once")
+	}
+	if probes = p.Due(time.Second, 10); len(probes) != 2 || probes[1].Reference == nil {
+		t.Errorf("no old replica to compare with: %+v", probes)
+	}
+	p.Track([]Replica{old, second})
+	if p.Proved(second, 0) || p.Proved(first, 0) {
+		t.Error("a restart begins with credit")
+	}
+	p.Take(first, Answer{Verdict: Wrong, Check: "sum"}, time.Second)
+	if p.Wrong() == "" {
+		t.Error("a late wrong answer of an attempt that is gone is not known")
+	}
+	p.Take(second, Answer{Verdict: Right}, time.Second)
+	if !p.Proved(second, 3*time.Second) || p.Proved(second, 4*time.Second) {
+		t.Error("credit does not run out")
+	}
+	for _, v := range []Verdict{Unproved, NotReached, NotCompared} {
+		p.Take(second, Answer{Verdict: v}, 5*time.Second)
+		if p.Proved(second, 5*time.Second) {
+			t.Errorf("%s counts as a pass", v)
+		}
+	}
+}
+
+// TestRouters has a generation known only once each router has it or has lost its lease.
+func TestRouters(t *testing.T) {
+	const lease = 10 * time.Second
+	older, newer := Generation{Term: 3, Revision: 9}, Generation{Term: 4, Revision: 1}
+	if !older.Before(newer) || newer.Before(older) || newer.Before(newer) {
+		t.Fatal("generations are out of order")
+	}
+	r := NewRouters(lease, 0, 2)
+	if r.Know(newer, lease-1) || !r.Know(newer, lease) {
+		t.Error("what an earlier leader granted is believed to be over too soon, or never")
+	}
+	r.Grant("a", older, newer, lease)
+	if r.Know(newer, lease+1) {
+		t.Error("a router with an older generation is taken to know")
+	}
+	r.Grant("a", newer, newer, lease+2)
+	r.Grant("b", older, newer, lease+3)
+	if r.Know(newer, 2*lease+2) || !r.Know(newer, 2*lease+3) {
+		t.Error("a router's lease does not run out, or too soon")
+	}
+	if r.Grant("c", newer, newer, 2*lease) {
+		t.Error("there are more routers than are kept")
+	}
+	if !r.Grant("c", newer, newer, 20*lease) {
+		t.Error("routers that are long gone are kept")
+	}
+	r = NewRouters(lease, 0, 2)
+	r.Grant("a", newer, newer, lease)
+	if r.Missing([]string{"a"}, newer, lease, lease) || !r.Missing([]string{"a", "b"}, newer, 5*lease, lease) || r.Missing([]string{"b"}, newer, 5*lease, 5*lease) {
+		t.Error("which routers lack a generation is wrong")
+	}
+}
+
+// TestDecode tells a record of another version from one that is broken.
+func TestDecode(t *testing.T) {
+	if r, err := Decode([]byte(`{"plan":` + goodPlan + `,"phase":"dancing","step":0}`)); !errors.Is(err, ErrUnreadable) || r == nil || r.Holds("run-000099") {
+		t.Errorf("an unknown phase: %v %v", r, err)
+	}
+	for _, text := range []string{`{`, `{}`, `{"plan":` + goodPlan + `,"phase":"baking","step":7}`} {
+		if r, err := Decode([]byte(text)); !errors.Is(err, ErrUnreadable) || r != nil {
+			t.Errorf("%s: %v %v", text, r, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rollout/transition.go
@@ -0,0 +1,193 @@
+package rollout
+
+import "fmt"
+
+// Next gives the record that is to follow, by what is seen; nil if the plan stays where it is. The caller
+// commits it before it acts by it.
+func (r *Record) Next(o *Observation) *Record {
+	next := r.next(o)
+	if next != nil && o.Settled {
+		next.Routers = o.Routers
+	}
+	return next
+}
+
+func (r *Record) next(o *Observation) *Record {
+	switch r.Phase {
+	case Completed, RolledBack:
+		return nil
+	case RollingBack:
+		if o.all(r.acceptedNew(o), func(j Job) bool { return j.Over }) && o.RoutersKnow && !o.NewServes {
+			return r.to(RolledBack, o.NowMS)
+		}
+		return nil
+	case Retiring:
+		if o.all(r.Plan.Old.Jobs, func(j Job) bool { return j.Over }) {
+			return r.to(Completed, o.NowMS)
+		}
+		return nil
+	}
+	if next := r.failed(o); next != nil {
+		return next
+	}
+	if !o.Settled || r.PausedMS != 0 {
+		return nil
+	}
+	if next := r.forward(o); next != nil {
+		return next
+	}
+	return r.expired(o)
+}
+
+// failed gives the record that rolls back for a fault that no wait can heal.
+func (r *Record) failed(o *Observation) *Record {
+	if o.Wrong != "" {
+		return r.back(WrongAnswer, o.Wrong, o.NowMS)
+	}
+	for _, id := range r.Plan.New.Jobs {
+		if o.Jobs[id].Cancelled {
+			return r.back(NewCancelled, id, o.NowMS)
+		}
+	}
+	return nil
+}
+
+// forward gives the record of the next phase, once what this one waits for is there.
+func (r *Record) forward(o *Observation) *Record {
+	capacity := r.Plan.CapacityOf(o)
+	proved := o.all(r.released(), func(j Job) bool { return j.Accepted && j.Proved >= j.Replicas })
+	switch r.Phase {
+	case Pending:
+		if capacity.oldWhole() && o.all(r.Plan.Steps[0].Jobs, func(j Job) bool { return j.Accepted }) {
+			return r.to(Starting, o.NowMS)
+		}
+	case Starting:
+		if o.all(r.released(), func(j Job) bool { return j.Accepted && j.Running >= j.Replicas }) {
+			return r.to(Checking, o.NowMS)
+		}
+	case Checking:
+		if proved && capacity.oldWhole() && capacity.newCarries(r.Plan.Steps[r.Step].Share) {
+			next := r.to(Shifting, o.NowMS)
+			next.Share = r.Plan.Steps[r.Step].Share
+			return next
+		}
+	case Shifting, Baking:
+		if !proved {
+			return r.to(Checking, o.NowMS) // what was baked counts no more
+		}
+		return r.serving(o, capacity)
+	case Completing:
+		if proved && o.ProvedAnew && capacity.newCarries(1) && o.RoutersKnow && !o.RoutersMissing {
+			return r.to(Retiring, o.NowMS)
+		}
+	}
+	return nil
+}
+
+// serving gives the record that follows a step whose replicas are all proved: it bakes once routers know its share,
+// and is over once it has baked and the old version can take everything back.
+func (r *Record) serving(o *Observation, capacity Capacity) *Record {
+	switch {
+	case r.Phase == Shifting && o.RoutersKnow:
+		return r.to(Baking, o.NowMS)
+	case r.Phase == Baking && capacity.oldWhole() && r.lasted(o, r.Plan.Steps[r.Step].BakeS):
+		return r.baked(o)
+	}
+	return nil
+}
+
+// baked gives the record after a step has baked: the next step's, or that of completion.
+func (r *Record) baked(o *Observation) *Record {
+	if r.Step+1 < len(r.Plan.Steps) {
+		next := r.to(Starting, o.NowMS)
+		next.Step++
+		return next
+	}
+	return r.to(Completing, o.NowMS)
+}
+
+// expired gives the record that rolls back since a phase has waited for too long.
+func (r *Record) expired(o *Observation) *Record {
+	limits := r.Plan.Limits
+	reason, limit := WaitedOut, limits.WaitS
+	switch r.Phase {
+	case Checking:
+		reason, limit = Unreachable, limits.UnreachableS
+	case Baking:
+		limit += r.Plan.Steps[r.Step].BakeS
+	case Completing:
+		limit += limits.RouterGoneS
+	}
+	if !r.lasted(o, limit) {
+		return nil
+	}
+	return r.back(reason, fmt.Sprintf("%s for %g s", r.Phase, limit), o.NowMS)
+}
+
+// lasted tells whether the phase has certainly lasted for some seconds, whichever clocks were used.
+func (r *Record) lasted(o *Observation, seconds float64) bool {
+	return float64(o.NowMS-r.SinceMS-2*o.ClockErrorMS) >= 1000*seconds
+}
+
+// released gives the new jobs that may run.
+func (r *Record) released() []string {
+	var jobs []string
+	for _, step := range r.Plan.Steps[:r.Step+1] {
+		jobs = append(jobs, step.Jobs...)
+	}
+	return jobs
+}
+
+// acceptedNew gives the new jobs that were accepted.
+func (r *Record) acceptedNew(o *Observation) []string {
+	var jobs []string
+	for _, id := range r.Plan.New.Jobs {
+		if o.Jobs[id].Accepted {
+			jobs = append(jobs, id)
+		}
+	}
+	return jobs
+}
+
+// Cancels gives the jobs that the plan asks to be cancelled now. New jobs go once no router sends them
+// traffic, old ones only after the decision to retire them.
+func (r *Record) Cancels(o *Observation) []string {
+	var jobs []string
+	add := func(ids []string) {
+		for _, id := range ids {
+			if j := o.Jobs[id]; j.Accepted && !j.Cancelled {
+				jobs = append(jobs, id)
+			}
+		}
+	}
+	switch r.Phase {
+	case RollingBack:
+		if o.RoutersKnow && !o.NewServes {
+			add(r.Plan.New.Jobs)
+		}
+	case RolledBack:
+		add(r.Plan.New.Jobs) // submitted since
+	case Retiring:
+		// A router that does not know yet would fall back to them.
+		if o.RoutersKnow && !o.RoutersMissing {
+			add(r.Plan.Old.Jobs)
+		}
+	}
+	return jobs
+}
+
+// Aim gives the share of traffic that the new version is to get by the record.
+func (r *Record) Aim() float64 {
+	switch r.Phase {
+	case Completing, Retiring, Completed:
+		return 1
+	case RollingBack, RolledBack, Pending:
+		return 0
+	}
+	return r.Share
+}
+
+// Expired tells whether the result of a plan that has ended need not be kept any longer.
+func (r *Record) Expired(o *Observation) bool {
+	return r.Phase.Over() && r.lasted(o, r.Plan.Limits.KeepS)
+}
