Rollouts from outside: gRPC service for operators and routers, commands, probes, stand-ins of model server and router

Need: a plan has to be applied, shown, watched, paused, resumed and aborted by people and scripts, and routers have to get their routing, at any controller.

Change: internal/operators (service on the internal address; a controller that does not lead hands a request to the one that does, once), bitternwing rollout apply|show|watch|pause|resume|abort|schema, internal/probe (health and completions of a replica, judged by the plan's checks), and two stand-ins, kept small: internal/modelserver and internal/router.

Measured: three end-to-end tests on real nodes: a plan completes over the end of the leader with each request answered rightly, a version that answers each third request wrongly goes back, and the kinds of errors are told apart.

--- a/cmd/bitternwing/job.go
+++ b/cmd/bitternwing/job.go
@@ -148,5 +148,8 @@
 	case errors.As(err, &unavailable):
 		return exitUnavailable
 	}
+	if status := rolloutExitStatus(err); status != 0 {
+		return status
+	}
 	return exitFailure
 }
--- a/cmd/bitternwing/main.go
+++ b/cmd/bitternwing/main.go
@@ -24,6 +24,7 @@
 type cli struct {
 	Serve   serveCmd   `cmd:"" default:"withargs" help:"Run a controller node (the default)."`
 	Job     jobCmd     `cmd:"" help:"Submit, show and cancel jobs."`
+	Rollout rolloutCmd `cmd:"" help:"Bring a model's new version into service by steps."`
 	Check   checkCmd   `cmd:"" help:"Check the settings and start nothing."`
 	Schema  schemaCmd  `cmd:"" help:"Print the schema of the operators' settings."`
 	Version versionCmd `cmd:"" help:"Print the version."`
--- a/internal/hollow/fleet.go
+++ b/internal/hollow/fleet.go
@@ -82,8 +82,7 @@
 func NewFleet(config Config) (*Fleet, error) {
 	// The socket takes the connections to all loopback addresses, and to no others: it is bound to the
 	// loopback interface.
-	lc := net.ListenConfig{Control: bindToLoopback}
-	listener, err := lc.Listen(context.Background(), "tcp4", "0.0.0.0:0")
+	listener, err := ListenLoopback()
 	if err != nil {
 		return nil, fmt.Errorf("workers' address: %w", err)
 	}
@@ -105,6 +104,12 @@
 	return f, nil
 }
 
+// ListenLoopback listens at a free port of all loopback addresses, and of no others.
+func ListenLoopback() (net.Listener, error) {
+	lc := net.ListenConfig{Control: bindToLoopback}
+	return lc.Listen(context.Background(), "tcp4", "0.0.0.0:0")
+}
+
 // bindToLoopback binds a socket to the loopback interface.
 func bindToLoopback(_, _ string, raw syscall.RawConn) error {
 	var failed error
@@ -218,6 +223,12 @@
 	return n
 }
 
+// Serves tells whether a task runs on the worker with an address, and the worker can be reached.
+func (f *Fleet) Serves(host, task string) bool {
+	w := f.at(host)
+	return w != nil && w.serves(task)
+}
+
 // Followed counts the workers by the controller whose answer they took last.
 func (f *Fleet) Followed() map[string]int {
 	counts := map[string]int{}
--- a/internal/hollow/machine.go
+++ b/internal/hollow/machine.go
@@ -151,6 +151,16 @@
 	return n
 }
 
+// RunsTask tells whether a task runs here: its image is there, and it has not ended.
+func (m *Machine) RunsTask(name string) bool {
+	for _, t := range m.tasks {
+		if t.Task == name && t.State == wire.TaskRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // Session is the number of the present session.
 func (m *Machine) Session() uint64 { return m.session }
 
--- a/internal/hollow/worker.go
+++ b/internal/hollow/worker.go
@@ -286,6 +286,14 @@
 	return w.machine.Running(job)
 }
 
+// serves tells whether a task runs here and the machine can be reached.
+func (w *Worker) serves(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.machine.Advance(w.fleet.now())
+	return !w.dead && !w.silent && w.machine.RunsTask(task)
+}
+
 // SetSilent has the worker reach nobody and nobody reach it, or ends that.
 func (w *Worker) SetSilent(silent bool) {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/modelserver/modelserver.go
@@ -0,0 +1,127 @@
+// Package modelserver is a stand-in of the model servers on the workers' machines: it serves the tasks that run there
+// with the usual form of completions, and answers wrongly or not at all when it is told to. It computes nothing: the
+// answer to a prompt is the prompt in capitals.
+package modelserver
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"bitternwing/internal/probe"
+	"bitternwing/internal/wire"
+)
+
+// Machines tells what runs where.
+type Machines interface {
+	// Serves tells whether a task runs on the machine with an address.
+	Serves(host, task string) bool
+}
+
+// Server serves all machines of a process: each has a loopback address of its own, and all share a port.
+type Server struct {
+	machines Machines
+	listener net.Listener
+	http     *http.Server
+
+	mu    sync.Mutex
+	wrong func(task string, request int64) bool
+	asked atomic.Int64
+}
+
+// Completion is the answer to a request.
+type Completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Choices []Choice `json:"choices"`
+}
+
+// Choice is a text that completes a prompt.
+type Choice struct {
+	Index int    `json:"index"`
+	Text  string `json:"text"`
+}
+
+// Request is what a completion is asked for with.
+type Request struct {
+	Model  string `json:"model"`
+	Prompt string `json:"prompt"`
+}
+
+// New serves machines on a listener until Close.
+func New(listener net.Listener, machines Machines) *Server {
+	s := &Server{machines: machines, listener: listener}
+	s.http = &http.Server{Handler: http.HandlerFunc(s.serve)}
+	go func() { _ = s.http.Serve(listener) }() // ends with Close
+	return s
+}
+
+// Port is where all machines serve.
+func (s *Server) Port() int { return s.listener.Addr().(*net.TCPAddr).Port }
+
+// Close ends the server.
+func (s *Server) Close() { _ = s.http.Close() }
+
+// SetWrong says which tasks answer wrongly from now on, by the number of the request; nil: none.
+func (s *Server) SetWrong(wrong func(task string, request int64) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wrong = wrong
+}
+
+// Right gives the right completion of a prompt.
+func Right(prompt string) string { return strings.ToUpper(prompt) }
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if !ok {
+		http.Error(w, "no address", http.StatusInternalServerError)
+		return
+	}
+	host, _, _ := net.SplitHostPort(local.String())
+	path := strings.TrimPrefix(r.URL.Path, "/")
+	task, health := strings.CutSuffix(path, probe.HealthPath)
+	task, completions := strings.CutSuffix(task, probe.CompletionsPath)
+	if _, _, isTask := wire.ParseTask(task); !isTask || !s.machines.Serves(host, task) {
+		http.Error(w, "no such task here", http.StatusNotFound)
+		return
+	}
+	switch {
+	case health:
+		w.WriteHeader(http.StatusOK)
+	case completions:
+		s.complete(w, r, task)
+	default:
+		http.Error(w, "no such path", http.StatusNotFound)
+	}
+}
+
+func (s *Server) complete(w http.ResponseWriter, r *http.Request, task string) {
+	var q Request
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, wire.MaxBody)).Decode(&q); err != nil {
+		http.Error(w, "no request", http.StatusBadRequest)
+		return
+	}
+	n := s.asked.Add(1)
+	text := Right(q.Prompt)
+	if s.isWrong(task, n) {
+		text = "?" + text
+	}
+	answer, err := json.Marshal(Completion{ID: "cmpl-" + strconv.FormatInt(n, 10), Object: "text_completion", Choices: []Choice{{Text: text}}})
+	if err != nil {
+		http.Error(w, "internal", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(answer) // who has gone away learns nothing
+}
+
+func (s *Server) isWrong(task string, request int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.wrong != nil && s.wrong(task, request)
+}
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 
+	"bitternwing/internal/call"
 	"bitternwing/internal/core"
 	"bitternwing/internal/wire"
 )
@@ -31,6 +32,10 @@
 		n.askCloud(ctx, e)
 	case core.WorkerOrders, core.WorkerInspect:
 		n.askWorker(ctx, e)
+	case core.ProbeReplica:
+		n.do(ctx, e.ID, e.Timeout, func(ctx context.Context, r *core.Result) {
+			r.Probe, r.Outcome = n.probes.Ask(ctx, e.Probe, e.Checks), call.OK
+		})
 	case core.PeerAsk:
 		n.askPeer(ctx, e)
 	default:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,7 +17,10 @@
 	"bitternwing/internal/cloud"
 	"bitternwing/internal/config"
 	"bitternwing/internal/core"
+	"bitternwing/internal/operators"
+	"bitternwing/internal/operators/operatorpb"
 	"bitternwing/internal/peer"
+	"bitternwing/internal/probe"
 	"bitternwing/internal/server"
 	"bitternwing/internal/state"
 )
@@ -42,6 +45,7 @@
 	cloud   *cloud.Client
 	workers *call.Client
 	peers   map[string]*peer.Client
+	probes  *probe.Prober
 	patient time.Duration // how long a call may take
 }
 
@@ -73,6 +77,7 @@
 		// As many calls a second as it may hold sockets, which follows the number of workers.
 		workers: call.Any(float64(p.Limits.MaxConnections), 1, max(4, p.Limits.MaxConnections/12), 1<<20),
 		peers:   map[string]*peer.Client{},
+		probes:  probe.New(max(4, p.Limits.MaxConnections/40)),
 		// Workers wait four seconds at the most, users two for a poll, and a leader's lease
 		// is twice as long.
 		patient: config.HeartbeatInterval(p.Workers),
@@ -106,6 +111,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ps := peer.NewServer(n.set.Node, n.heard, n.peerStatus)
+	operatorpb.RegisterRolloutsServer(ps.Registrar(), operators.NewServer(n, n.rolloutsOf))
 	hs := server.New(n, publicSockets(n.set))
 	errs := make(chan error, 2)
 	go func() { errs <- ps.Serve(inner) }()
@@ -126,6 +132,14 @@
 	return err
 }
 
+// rolloutsOf gives the client of another node's service of rollouts; nil if there is no such node.
+func (n *Node) rolloutsOf(node string) operatorpb.RolloutsClient {
+	if p := n.peers[node]; p != nil {
+		return operatorpb.NewRolloutsClient(p.Conn())
+	}
+	return nil
+}
+
 func (n *Node) now() core.Time {
 	t := time.Now()
 	return core.Time{Steady: t.Sub(n.start) + time.Second, WallMS: t.UnixMilli()}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,6 +15,7 @@
 
 	"bitternwing/internal/config"
 	"bitternwing/internal/hollow"
+	"bitternwing/internal/modelserver"
 	"bitternwing/internal/node"
 	"bitternwing/internal/standin"
 	"bitternwing/internal/wire"
@@ -36,6 +37,7 @@
 	cancel map[string]context.CancelFunc
 	done   map[string]chan struct{}
 	next   *config.NextLimits
+	model  *modelserver.Server // nil: rollouts are off
 
 	mu     sync.Mutex
 	jobs   map[string]*wire.Job
@@ -83,10 +85,10 @@
 // Count counts no messages.
 func (s *site) Count(string, hollow.Kind, int, int) {}
 
-func newSite(t *testing.T) *site { return newSiteWith(t, nil) }
+func newSite(t *testing.T) *site { return newSiteWith(t, nil, false) }
 
-// newSiteWith has limits of the state service to come in the nodes' settings.
-func newSiteWith(t *testing.T, next *config.NextLimits) *site {
+// newSiteWith has limits of the state service to come in the nodes' settings, and rollouts switched on or off.
+func newSiteWith(t *testing.T, next *config.NextLimits, rollouts bool) *site {
 	s := &site{t: t, next: next, state: standin.NewStateServer(), addrs: map[string]string{}, peers: map[string]string{},
 		cancel: map[string]context.CancelFunc{}, done: map[string]chan struct{}{}, jobs: map[string]*wire.Job{}, starts: map[string]int{}}
 	types := []wire.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 512, CacheGB: 300, FetchGBPerS: 4,
@@ -102,6 +104,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if rollouts {
+		listener, err := hollow.ListenLoopback()
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.model = modelserver.New(listener, s.fleet)
+		t.Cleanup(s.model.Close)
+	}
 	s.cloud = standin.NewCloud(types, s.fleet.LaunchMachine)
 	for _, n := range []string{"a", "b", "c"} {
 		s.run(n)
@@ -131,6 +141,10 @@
 		State:   config.State{RPS: 1000, WriteRPS: 500, ValueKB: 16, TxnOps: 12, Next: s.next},
 		Cloud:   config.Cloud{RPS: 20, ListLagS: 0.2},
 		Limits:  config.Limits{CPUShare: 1, MemoryMB: 98, MaxConnections: 400}}
+	if s.model != nil {
+		set.Operator.Rollouts = config.Rollouts{Enabled: true, ModelPort: s.model.Port(), RouterLeaseS: 2, CheckIntervalS: 0.2,
+			CheckTimeoutS: 1, MostPlans: 4, MostRouters: 4}
+	}
 	n, err := node.New(set, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		s.t.Fatal(err)
--- /dev/null
+++ b/internal/node/rollout_test.go
@@ -0,0 +1,157 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"bitternwing/internal/modelserver"
+	"bitternwing/internal/operators"
+	"bitternwing/internal/operators/operatorpb"
+	"bitternwing/internal/rollout"
+	"bitternwing/internal/router"
+	"bitternwing/internal/wire"
+)
+
+// rolloutPlan has two old and two new jobs of a replica each. Answers are compared with the right one and with the old
+// version's.
+const rolloutPlan = `{"name":"reader","team":"red","old":{"jobs":["run-000001","run-000002"],"replica_capacity":1},
+ "new":{"jobs":["run-000011","run-000012"],"replica_capacity":1},"promised_capacity":2,
+ "steps":[{"jobs":["run-000011"],"share":0.5,"bake_s":0.5},{"jobs":["run-000012"],"share":1,"bake_s":0.5}],
+ "checks":[{"name":"given","request":{"prompt":"abc"},"expected":"ABC","script":"def check(request, answer, expected):\n  return answer['choices'][0]['text'] == expected"},
+  {"name":"as before","request":{"prompt":"xyz"},"compare_with_old":true,"script":"def check(request, answer, expected):\n  return answer['choices'] == expected['choices']"}],
+ "limits":{"wait_s":60,"unreachable_s":30,"router_gone_s":10,"keep_s":60}}`
+
+// rolloutSite has the old version serve, a plan applied through a node, and a router.
+func rolloutSite(t *testing.T) (*site, *operators.Client, *router.Router) {
+	s := newSiteWith(t, nil, true)
+	for _, id := range []string{"run-000001", "run-000002"} {
+		s.submit("a", id, wire.KindService, 1, 4)
+		s.eventually(id+" runs", func() bool { return s.fleet.Running(id) == 1 })
+	}
+	client, err := operators.NewClient(s.peers["b"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if status, err := client.Apply(ctx, []byte(rolloutPlan)); err != nil || status.GetPhase() != string(rollout.Pending) {
+		t.Fatal(status, err)
+	}
+	x, err := router.New("north", "reader", []string{s.peers["a"], s.peers["b"], s.peers["c"]}, 200*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); x.Run(ctx) }()
+	t.Cleanup(func() { stop(); <-ended; x.Close(); _ = client.Close() })
+	for _, id := range []string{"run-000011", "run-000012"} {
+		s.submit("a", id, wire.KindService, 1, 4)
+	}
+	return s, client, x
+}
+
+// status gives how the plan stands; nothing while that can't be had.
+func planState(client *operators.Client) *operatorpb.PlanStatus {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	status, _ := client.Show(ctx, "reader") // what can't be had now is asked for again
+	return status
+}
+
+// ask sends a request by the router and tells whether the answer is right.
+func askModel(x *router.Router, prompt string) (bool, error) {
+	body, err := json.Marshal(modelserver.Request{Model: "reader", Prompt: prompt})
+	if err != nil {
+		return false, err
+	}
+	served, err := x.Do(context.Background(), body)
+	if err != nil {
+		return false, err
+	}
+	var answer modelserver.Completion
+	err = json.Unmarshal(served.Answer, &answer)
+	return err == nil && len(answer.Choices) == 1 && answer.Choices[0].Text == modelserver.Right(prompt), err
+}
+
+// TestRolloutOverALeadersEnd brings a new version in, with the leader killed on the way. Each request gets its answer.
+func TestRolloutOverALeadersEnd(t *testing.T) {
+	s, client, x := rolloutSite(t)
+	s.eventually("the first step bakes", func() bool { return planState(client).GetPhase() == string(rollout.Baking) })
+	if leader := s.leader(); leader != "b" {
+		s.kill(leader)
+	}
+	asked := 0
+	s.eventually("it completes", func() bool {
+		right, err := askModel(x, fmt.Sprint("request ", asked))
+		asked++
+		if !right || err != nil {
+			t.Fatalf("request %d: %v, %v", asked, right, err)
+		}
+		return planState(client).GetPhase() == string(rollout.Completed)
+	})
+	s.eventually("the old version is gone", func() bool { return s.fleet.Running("run-000001")+s.fleet.Running("run-000002") == 0 })
+	if n := s.fleet.Running("run-000011") + s.fleet.Running("run-000012"); n != 2 {
+		t.Errorf("%d new replicas run", n)
+	}
+	for _, w := range x.Weights() {
+		if w.GetVersion() != string(rollout.NewVersion) {
+			t.Errorf("the router sends traffic to %s", w.GetTask())
+		}
+	}
+}
+
+// TestWrongVersionGoesBack has a new version answer wrongly to each third request, once it serves.
+func TestWrongVersionGoesBack(t *testing.T) {
+	s, client, x := rolloutSite(t)
+	s.eventually("the first step bakes", func() bool { return planState(client).GetPhase() == string(rollout.Baking) })
+	s.model.SetWrong(func(task string, request int64) bool { return task > "run-000010" && request%3 == 0 })
+	s.eventually("it is rolled back", func() bool { return planState(client).GetPhase() == string(rollout.RolledBack) })
+	if status := planState(client); status.GetReason() != string(rollout.WrongAnswer) {
+		t.Errorf("rolled back for %s", status.GetReason())
+	}
+	for i := range 20 {
+		if right, err := askModel(x, fmt.Sprint("request ", i)); !right || err != nil {
+			t.Errorf("after it request %d: %v, %v", i, right, err)
+		}
+	}
+	if n := s.fleet.Running("run-000001") + s.fleet.Running("run-000002"); n != 2 {
+		t.Errorf("%d old replicas run", n)
+	}
+}
+
+// TestOperatorsErrors tells the kinds of errors apart.
+func TestOperatorsErrors(t *testing.T) {
+	s := newSiteWith(t, nil, true)
+	s.leader()
+	client, err := operators.NewClient(s.peers["c"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var invalid *operators.InvalidError
+	var refused *operators.RefusedError
+	var unavailable *operators.UnavailableError
+	if _, err := client.Show(ctx, "writer"); !errors.Is(err, operators.ErrNotFound) {
+		t.Errorf("an unknown plan: %v", err)
+	}
+	if _, err := client.Apply(ctx, []byte(`{"name":"x"}`)); !errors.As(err, &invalid) {
+		t.Errorf("no plan: %v", err)
+	}
+	if _, err := client.Apply(ctx, []byte(rolloutPlan)); !errors.As(err, &refused) {
+		t.Errorf("a plan of unknown jobs: %v", err)
+	}
+	s.state.SetDown(true)
+	s.eventually("nobody can answer", func() bool {
+		short, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := client.Apply(short, []byte(rolloutPlan))
+		return errors.As(err, &unavailable)
+	})
+}
--- /dev/null
+++ b/internal/operators/client.go
@@ -0,0 +1,119 @@
+package operators
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"bitternwing/internal/operators/operatorpb"
+)
+
+// ErrNotFound says that there is no such plan.
+var ErrNotFound = errors.New("no such plan")
+
+// InvalidError says which field of a plan is wrong.
+type InvalidError struct{ Problem string }
+
+func (e *InvalidError) Error() string { return e.Problem }
+
+// RefusedError says why a plan can't be taken or changed.
+type RefusedError struct{ Why string }
+
+func (e *RefusedError) Error() string { return "refused: " + e.Why }
+
+// UnavailableError says that no controller could answer in time. A change may have been made.
+type UnavailableError struct{ Why string }
+
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("no answer in time: %s; ask again in %v", e.Why, retryPause)
+}
+
+// retryPause is the time between two tries.
+const retryPause = time.Second
+
+// Client asks controllers about rollouts.
+type Client struct {
+	conn *grpc.ClientConn
+	rpc  operatorpb.RolloutsClient
+}
+
+// NewClient makes a client of a controller's internal address.
+func NewClient(address string) (*Client, error) {
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(anySize))
+	if err != nil {
+		return nil, err
+	}
+	return &Client{conn: conn, rpc: operatorpb.NewRolloutsClient(conn)}, nil
+}
+
+// Close ends the connection.
+func (c *Client) Close() error { return c.conn.Close() }
+
+// Apply hands in a plan.
+func (c *Client) Apply(ctx context.Context, plan []byte) (*operatorpb.PlanStatus, error) {
+	return retry(ctx, func(ctx context.Context) (*operatorpb.PlanStatus, error) {
+		return c.rpc.Apply(ctx, &operatorpb.ApplyRequest{Plan: plan})
+	})
+}
+
+// Change pauses, resumes or aborts a plan.
+func (c *Client) Change(ctx context.Context, name string, change operatorpb.ChangeRequest_Change) (*operatorpb.PlanStatus, error) {
+	return retry(ctx, func(ctx context.Context) (*operatorpb.PlanStatus, error) {
+		return c.rpc.Change(ctx, &operatorpb.ChangeRequest{Name: name, Change: change})
+	})
+}
+
+// Show tells how a plan stands.
+func (c *Client) Show(ctx context.Context, name string) (*operatorpb.PlanStatus, error) {
+	return retry(ctx, func(ctx context.Context) (*operatorpb.PlanStatus, error) {
+		return c.rpc.Show(ctx, &operatorpb.ShowRequest{Name: name})
+	})
+}
+
+// Route asks for a routing, once: a router goes on with what it has.
+func (c *Client) Route(ctx context.Context, q *operatorpb.RouteRequest) (*operatorpb.RouteReply, error) {
+	return c.rpc.Route(ctx, q)
+}
+
+// retry asks until there is an answer or the context ends.
+func retry(ctx context.Context, ask func(context.Context) (*operatorpb.PlanStatus, error)) (*operatorpb.PlanStatus, error) {
+	for {
+		once, cancel := context.WithTimeout(ctx, patience+retryPause)
+		reply, err := ask(once)
+		cancel()
+		err = errorOf(err)
+		var unavailable *UnavailableError
+		if !errors.As(err, &unavailable) {
+			return reply, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// errorOf gives the error for a status of gRPC.
+func errorOf(err error) error {
+	if err == nil {
+		return nil
+	}
+	s := status.Convert(err)
+	switch s.Code() {
+	case codes.NotFound:
+		return ErrNotFound
+	case codes.InvalidArgument:
+		return &InvalidError{s.Message()}
+	case codes.FailedPrecondition, codes.Unimplemented:
+		return &RefusedError{s.Message()}
+	}
+	return &UnavailableError{s.Message()}
+}
--- /dev/null
+++ b/internal/operators/server.go
@@ -0,0 +1,208 @@
+// Package operators is the gRPC service of rollouts on a controller's internal address, and its client.
+package operators
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"bitternwing/internal/answercheck"
+	"bitternwing/internal/core"
+	"bitternwing/internal/operators/operatorpb"
+	"bitternwing/internal/rollout"
+	"bitternwing/internal/wire"
+)
+
+// Core answers requests; it is the one of server.Core.
+type Core interface {
+	Ask(ctx context.Context, input func(req uint64) core.Input) (core.Answer, bool)
+}
+
+// patience is how long a request waits for its answer here.
+const patience = 3 * time.Second
+
+// MostPlanBytes bounds a plan as it is handed in. What is stored has to fit into a value of the state service too.
+const MostPlanBytes = 32 << 10
+
+// anySize lets the leader's answer be as long as the plan's replicas make it; what they are is bounded by the team's limit.
+var anySize = grpc.MaxCallRecvMsgSize(64 << 20)
+
+// Server implements the service.
+type Server struct {
+	operatorpb.UnimplementedRolloutsServer
+	core Core
+	// peer gives the client of another controller; nil where there is none of the name.
+	peer func(node string) operatorpb.RolloutsClient
+}
+
+// NewServer makes the service of a node.
+func NewServer(c Core, peer func(node string) operatorpb.RolloutsClient) *Server {
+	return &Server{core: c, peer: peer}
+}
+
+// ask has the core answer, or the leader where the core names it; a request that was handed on goes no further.
+func ask[Reply any](ctx context.Context, s *Server, relayed bool, input func(uint64) core.Input,
+	relay func(context.Context, operatorpb.RolloutsClient) (Reply, error), convert func(core.Answer) (Reply, error)) (Reply, error) {
+	var none Reply
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	a, ok := s.core.Ask(ctx, input)
+	if !ok {
+		return none, status.Error(codes.Unavailable, "no answer in time")
+	}
+	if a.Status == 200 {
+		return convert(a)
+	}
+	if to, isRedirect := a.Body.(wire.Redirect); isRedirect {
+		if client := s.peer(to.Leader); client != nil && !relayed {
+			return relay(ctx, client)
+		}
+		return none, status.Error(codes.Unavailable, "no controller leads")
+	}
+	return none, refusal(a)
+}
+
+// refusal gives the error for an answer that is not 200.
+func refusal(a core.Answer) error {
+	why := "no reason is given"
+	if body, ok := a.Body.(wire.ErrorBody); ok {
+		why = body.Error
+	}
+	switch a.Status {
+	case 404:
+		return status.Error(codes.NotFound, why)
+	case 422:
+		return status.Error(codes.FailedPrecondition, why)
+	case 429:
+		return status.Error(codes.ResourceExhausted, why)
+	}
+	return status.Error(codes.Unavailable, why)
+}
+
+// parsePlan reads a plan and compiles its checks.
+func parsePlan(data []byte) (*rollout.Plan, error) {
+	plan, err := rollout.ParsePlan(data, MostPlanBytes)
+	if err != nil {
+		return nil, err
+	}
+	return plan, CompileChecks(plan)
+}
+
+// CompileChecks tells which of a plan's checks does not compile.
+func CompileChecks(plan *rollout.Plan) error {
+	for i, check := range plan.Checks {
+		if _, err := answercheck.Compile(check.Script); err != nil {
+			return rollout.CheckError(i, err)
+		}
+	}
+	return nil
+}
+
+// Apply implements the service.
+func (s *Server) Apply(ctx context.Context, q *operatorpb.ApplyRequest) (*operatorpb.PlanStatus, error) {
+	plan, err := parsePlan(q.GetPlan())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return ask(ctx, s, q.GetRelayed(), func(req uint64) core.Input { return core.ApplyPlan{Req: req, Plan: plan} },
+		func(ctx context.Context, leader operatorpb.RolloutsClient) (*operatorpb.PlanStatus, error) {
+			return leader.Apply(ctx, &operatorpb.ApplyRequest{Plan: q.GetPlan(), Relayed: true}, anySize)
+		}, planStatus)
+}
+
+// changes gives the meaning of a change on the wire.
+var changes = map[operatorpb.ChangeRequest_Change]rollout.Change{
+	operatorpb.ChangeRequest_PAUSE:  rollout.Pause,
+	operatorpb.ChangeRequest_RESUME: rollout.Resume,
+	operatorpb.ChangeRequest_ABORT:  rollout.Abort,
+}
+
+// Change implements the service.
+func (s *Server) Change(ctx context.Context, q *operatorpb.ChangeRequest) (*operatorpb.PlanStatus, error) {
+	change, ok := changes[q.GetChange()]
+	if !ok {
+		return nil, status.Error(codes.InvalidArgument, "change: is not known")
+	}
+	return ask(ctx, s, q.GetRelayed(), func(req uint64) core.Input { return core.ChangePlan{Req: req, Name: q.GetName(), Change: change} },
+		func(ctx context.Context, leader operatorpb.RolloutsClient) (*operatorpb.PlanStatus, error) {
+			return leader.Change(ctx, &operatorpb.ChangeRequest{Name: q.GetName(), Change: q.GetChange(), Relayed: true}, anySize)
+		}, planStatus)
+}
+
+// Show implements the service.
+func (s *Server) Show(ctx context.Context, q *operatorpb.ShowRequest) (*operatorpb.PlanStatus, error) {
+	return ask(ctx, s, q.GetRelayed(), func(req uint64) core.Input { return core.ShowPlan{Req: req, Name: q.GetName()} },
+		func(ctx context.Context, leader operatorpb.RolloutsClient) (*operatorpb.PlanStatus, error) {
+			return leader.Show(ctx, &operatorpb.ShowRequest{Name: q.GetName(), Relayed: true}, anySize)
+		}, planStatus)
+}
+
+// Route implements the service.
+func (s *Server) Route(ctx context.Context, q *operatorpb.RouteRequest) (*operatorpb.RouteReply, error) {
+	if q.GetRouter() == "" {
+		return nil, status.Error(codes.InvalidArgument, "router: is missing")
+	}
+	generation := rollout.Generation{Term: q.GetGeneration().GetTerm(), Revision: q.GetGeneration().GetRevision()}
+	return ask(ctx, s, q.GetRelayed(),
+		func(req uint64) core.Input {
+			return core.RoutePlan{Req: req, Name: q.GetPlan(), Router: q.GetRouter(), Generation: generation}
+		},
+		func(ctx context.Context, leader operatorpb.RolloutsClient) (*operatorpb.RouteReply, error) {
+			return leader.Route(ctx, &operatorpb.RouteRequest{Plan: q.GetPlan(), Router: q.GetRouter(), Generation: q.GetGeneration(), Relayed: true}, anySize)
+		}, routeReply)
+}
+
+// errUnexpected says that the core gave an answer of another kind.
+var errUnexpected = errors.New("an answer of an unexpected kind")
+
+// planStatus gives a plan's status on the wire.
+func planStatus(a core.Answer) (*operatorpb.PlanStatus, error) {
+	s, ok := a.Body.(core.PlanStatus)
+	if !ok {
+		return nil, errUnexpected
+	}
+	reply := &operatorpb.PlanStatus{Problem: s.Problem, Settled: s.Settled, OldCapacity: s.Capacity.Old, NewCapacity: s.Capacity.New,
+		PromisedCapacity: s.Capacity.Promised, Generation: generation(s.Routing.Generation), Routers: s.Routers}
+	if r := s.Record; r != nil {
+		reply.Name, reply.Phase, reply.Step, reply.Steps = r.Plan.Name, string(r.Phase), int32(r.Step+1), int32(len(r.Plan.Steps))
+		reply.SinceMs, reply.Paused, reply.Reason, reply.Detail = r.SinceMS, r.PausedMS != 0, string(r.Reason), r.Detail
+	}
+	shares := map[string]float64{}
+	for _, w := range s.Routing.Weights {
+		shares[w.Task] = w.Share
+		if w.Version == rollout.NewVersion {
+			reply.NewShare += w.Share
+		}
+	}
+	for _, x := range s.Replicas {
+		reply.Replicas = append(reply.Replicas, &operatorpb.Replica{Task: x.Replica.Task, Attempt: x.Replica.Attempt,
+			Version: string(x.Replica.Version), Proved: x.Proved, Verdict: x.Verdict.String(), Check: x.Check, Share: shares[x.Replica.Task]})
+	}
+	return reply, nil
+}
+
+// routeReply gives a routing on the wire.
+func routeReply(a core.Answer) (*operatorpb.RouteReply, error) {
+	g, ok := a.Body.(core.RoutingGrant)
+	if !ok {
+		return nil, errUnexpected
+	}
+	return &operatorpb.RouteReply{Generation: generation(g.Routing.Generation), Weights: weights(g.Routing.Weights),
+		Fallback: weights(g.Routing.Fallback), LeaseMs: g.LeaseMS}, nil
+}
+
+func generation(g rollout.Generation) *operatorpb.Generation {
+	return &operatorpb.Generation{Term: g.Term, Revision: g.Revision}
+}
+
+func weights(ws []rollout.Weight) []*operatorpb.Weight {
+	var all []*operatorpb.Weight
+	for _, w := range ws {
+		all = append(all, &operatorpb.Weight{Task: w.Task, Attempt: w.Attempt, Address: w.Address, Version: string(w.Version), Share: w.Share})
+	}
+	return all
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,6 +39,9 @@
 	return s
 }
 
+// Registrar is where other services of the node's internal address are registered, before Serve.
+func (s *Server) Registrar() grpc.ServiceRegistrar { return s.grpc }
+
 // Serve answers on a listener until Stop.
 func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(l) }
 
@@ -90,6 +93,9 @@
 	return &Client{self: self, conn: conn, rpc: peerpb.NewPeerClient(conn)}, nil
 }
 
+// Conn is the connection, for other services of the node's internal address.
+func (c *Client) Conn() grpc.ClientConnInterface { return c.conn }
+
 // Close ends the connection.
 func (c *Client) Close() error { return c.conn.Close() }
 
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -170,3 +170,8 @@
 func (p *Plan) stepOf(id string) int {
 	return slices.IndexFunc(p.Steps, func(s Step) bool { return slices.Contains(s.Jobs, id) })
 }
+
+// CheckError says that the script of a check is none.
+func CheckError(index int, problem error) error {
+	return fieldError(problem.Error(), "/checks/%d/script", index)
+}
