Scale runs of rollouts: owners by the command line, routers with load, model servers; ended plans stay checked

Need: the promise has to be seen on real processes, with leaders that end.

Benchmark of the leader's cost.

Cause: replicas of an ended plan were no longer asked, their credit ran out one after the other, and routers got the few that still had some. Now they are asked until the plan is removed (TestRolloutCompletes fails without it).

--- /dev/null
+++ b/cmd/bitternwing/rollout_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"bitternwing/internal/operators"
+	"bitternwing/internal/operators/operatorpb"
+)
+
+// TestRolloutExitStatus gives each kind of error a status of its own.
+func TestRolloutExitStatus(t *testing.T) {
+	for _, x := range []struct {
+		err  error
+		want int
+	}{
+		{&operators.InvalidError{Problem: "/team: is missing"}, exitInvalidPlan},
+		{&operators.RefusedError{Why: "no"}, exitRefused},
+		{operators.ErrNotFound, exitNotFound},
+		{fmt.Errorf("show: %w", &operators.UnavailableError{Why: "no controller leads"}), exitUnavailable},
+		{errRolledBack, exitRolledBack},
+		{errors.New("no such file"), exitFailure},
+	} {
+		if got := exitStatus(x.err); got != x.want {
+			t.Errorf("%v: %d, not %d", x.err, got, x.want)
+		}
+	}
+}
+
+// TestApplyBadFile names the field of a bad plan without asking anybody.
+func TestApplyBadFile(t *testing.T) {
+	plan := `{"name":"reader","team":"red","old":{"jobs":["run-000001"],"replica_capacity":1},"new":{"jobs":["run-000011"],"replica_capacity":1},
+	"promised_capacity":1,"steps":[{"jobs":["run-000011"],"share":1,"bake_s":0}],
+	"checks":[{"name":"a","request":{},"expected":1,"script":"def check(request)"}],"limits":{"wait_s":1,"unreachable_s":1,"router_gone_s":1,"keep_s":1}}`
+	for field, text := range map[string]string{"/checks/0/script": plan, "not JSON": "{", "/steps/0/share": strings.Replace(plan, `"share":1`, `"share":0.5`, 1)} {
+		file := filepath.Join(t.TempDir(), "plan.json")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		err := (&applyCmd{controllerFlags: controllerFlags{Controller: "127.0.0.1:1"}, File: file}).Run()
+		if err == nil || !strings.Contains(err.Error(), field) || strings.Contains(err.Error(), "\n") || exitStatus(err) != exitInvalidPlan {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
+
+// TestSummary shows how a plan stands in a line, and the same as JSON.
+func TestSummary(t *testing.T) {
+	s := &operatorpb.PlanStatus{Name: "reader", Phase: "baking", Step: 1, Steps: 2, Settled: true, OldCapacity: 40, NewCapacity: 20, PromisedCapacity: 30,
+		NewShare: 0.5, Replicas: []*operatorpb.Replica{{Task: "run-000011/0", Attempt: 2, Version: "new", Verdict: "right", Share: 0.25}}}
+	var text, data strings.Builder
+	if err := errors.Join((&controllerFlags{}).print(&text, s), (&controllerFlags{JSON: true}).print(&data, s)); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"reader: baking, step 1 of 2", "50.0% of traffic", "new run-000011/0 attempt 2: right, 25.0% of traffic"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("%q is not in %q", want, text.String())
+		}
+	}
+	if !strings.Contains(data.String(), `"newShare":0.5`) {
+		t.Errorf("%s", data.String())
+	}
+}
--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -21,6 +21,7 @@
 const (
 	exitFailure    = 1
 	exitRuleBroken = 3
+	exitPromise    = 4
 )
 
 // controllerPackage is the product's program, built where no binary is named.
@@ -114,5 +115,8 @@
 	if errors.Is(err, scalerun.ErrRuleBroken) {
 		return exitRuleBroken
 	}
+	if errors.Is(err, scalerun.ErrPromiseBroken) {
+		return exitPromise
+	}
 	return exitFailure
 }
--- a/internal/core/plan_runs.go
+++ b/internal/core/plan_runs.go
@@ -132,9 +132,7 @@
 	if run.phase != r.Phase {
 		run.phase, run.phaseAt = r.Phase, c.now.Steady
 	}
-	if !r.Phase.Over() {
-		l.probe(run, &r.Plan)
-	}
+	l.probe(run, &r.Plan) // of an ended plan too: routers go by it until it is removed
 	o := l.observe(run, r)
 	if run.mayRoute(r, o) && l.entitled() {
 		run.route(r, o, c.now.Steady)
--- /dev/null
+++ b/internal/core/rollout_bench_test.go
@@ -0,0 +1,91 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/config"
+	"bitternwing/internal/core"
+	"bitternwing/internal/rollout"
+)
+
+// BenchmarkPlans takes the processor time of the leader, in microseconds for each second of its time, with so many plans that
+// bake: two old and two new jobs of two replicas each, checked once a second, one router each.
+func BenchmarkPlans(b *testing.B) {
+	for _, plans := range []int{0, 1, 10, 100} {
+		b.Run(fmt.Sprint(plans), func(b *testing.B) {
+			for range b.N {
+				b.ReportMetric(leaderTime(b, plans), "µs/s")
+			}
+		})
+	}
+}
+
+// leaderTime gives the leader's processor time with so many plans.
+func leaderTime(b *testing.B, plans int) float64 {
+	w := &rolloutWorld{scaleCluster: newScaleCluster(b, 1, 0), plan: &rollout.Plan{Name: "none"}}
+	w.op.Rollouts.Enabled, w.op.Rollouts.CheckIntervalS, w.op.IdleBoots = true, 1, 100
+	w.intercept = w.interceptCall
+	w.adjust = func(p *config.Params) {
+		p.State = config.State{RPS: 10_000, WriteRPS: 10_000, ValueKB: 64, TxnOps: 128}
+		p.Limits = config.Limits{CPUShare: 1, MemoryMB: 1000, MaxConnections: 10_000}
+		p.Teams = []config.Team{{Name: "t1"}}
+	}
+	w.restart()
+	w.have(400)
+	w.pass(10 * time.Second)
+	for i := range plans {
+		w.beginPlan(i)
+	}
+	w.pass(30 * time.Second)
+	w.measured, w.spent = true, 0
+	const seconds = 20
+	for range seconds {
+		w.routeAll(plans)
+		w.pass(time.Second)
+	}
+	if baking := w.baking(); baking != plans {
+		b.Fatalf("%d plans of %d bake", baking, plans)
+	}
+	return float64(w.spent.Microseconds()) / seconds
+}
+
+// beginPlan has a plan with jobs of its own applied.
+func (w *rolloutWorld) beginPlan(i int) {
+	id := func(k int) string { return fmt.Sprintf("run-%07d", 100*(i+1)+k) }
+	plan := &rollout.Plan{Name: fmt.Sprint("plan-", i), Team: "t1", PromisedCapacity: 30,
+		Old: rollout.Fleet{Jobs: []string{id(1), id(2)}, ReplicaCapacity: 10}, New: rollout.Fleet{Jobs: []string{id(3), id(4)}, ReplicaCapacity: 10},
+		Steps:  []rollout.Step{{Jobs: []string{id(3)}, Share: 0.5, BakeS: 1e5}, {Jobs: []string{id(4)}, Share: 1}},
+		Limits: rollout.Limits{WaitS: 1000, UnreachableS: 1000, RouterGoneS: 20, KeepS: 30}}
+	for _, job := range plan.Old.Jobs {
+		w.submitReplica(job)
+	}
+	w.pass(200 * time.Millisecond)
+	w.order(func(req uint64) core.Input { return core.ApplyPlan{Req: req, Plan: plan} })
+	for _, job := range plan.New.Jobs {
+		w.submitReplica(job)
+	}
+	w.pass(200 * time.Millisecond)
+}
+
+// routeAll has a router of each plan ask.
+func (w *rolloutWorld) routeAll(plans int) {
+	for i := range plans {
+		w.req++
+		w.step(w.nodes[0], core.RoutePlan{Req: w.req << 16, Name: fmt.Sprint("plan-", i), Router: "north"})
+	}
+}
+
+// baking counts the plans that bake.
+func (w *rolloutWorld) baking() int {
+	n := 0
+	for _, key := range w.store.Keys("w/p/") {
+		item, outcome := w.store.Get(key)
+		if r, err := rollout.Decode(item.Value); outcome == call.OK && err == nil && r.Phase == rollout.Baking {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/core/rollout_test.go
+++ b/internal/core/rollout_test.go
@@ -32,7 +32,12 @@
 			t.Errorf("%s still serves", oldJob(i))
 		}
 	}
-	w.advance(40 * time.Second)
+	w.advance(20 * time.Second) // routers still go by it, until it is removed
+	a := w.order(func(req uint64) core.Input { return core.ShowPlan{Req: req, Name: "reader"} })
+	if status, ok := a.Body.(core.PlanStatus); !ok || status.Capacity.New != 10*newJobs*replicasOfJob {
+		t.Errorf("an ended plan does not know its replicas: %+v", a.Body)
+	}
+	w.advance(20 * time.Second)
 	if r := w.record(); r != nil {
 		t.Errorf("the result is kept for good: %+v", r)
 	}
@@ -42,6 +47,7 @@
 func (w *rolloutWorld) checkRolledBack(reason rollout.Reason) {
 	w.t.Helper()
 	w.until(rollout.RolledBack)
+	w.advance(5 * time.Second)
 	if r := w.record(); r.Reason != reason {
 		w.t.Errorf("rolled back for %q %s, not %q", r.Reason, r.Detail, reason)
 	}
--- a/internal/core/rollout_world_test.go
+++ b/internal/core/rollout_world_test.go
@@ -291,7 +291,7 @@
 		w.phases = append(w.phases, string(r.Phase))
 	}
 	w.checkJobs(r)
-	if w.taken || r.Phase == rollout.Completed || w.wrong != nil && w.now < w.wrongAt+w.tolerance {
+	if w.taken || w.wrong != nil && w.now < w.wrongAt+w.tolerance {
 		return
 	}
 	for _, router := range w.routers {
--- /dev/null
+++ b/internal/probe/probe_test.go
@@ -0,0 +1,81 @@
+package probe_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"bitternwing/internal/modelserver"
+	"bitternwing/internal/probe"
+	"bitternwing/internal/rollout"
+)
+
+// everywhere serves some tasks at any address.
+type everywhere map[string]bool
+
+func (e everywhere) Serves(_, task string) bool { return e[task] }
+
+// TestAsk tells the verdicts apart.
+func TestAsk(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := modelserver.New(l, everywhere{"run-000001/0": true, "run-000011/0": true})
+	defer server.Close()
+	old := rollout.Replica{Task: "run-000001/0", Address: l.Addr().String(), Version: rollout.OldVersion}
+	fresh := rollout.Replica{Task: "run-000011/0", Address: l.Addr().String(), Version: rollout.NewVersion}
+	gone := rollout.Replica{Task: "run-000012/0", Address: l.Addr().String(), Version: rollout.NewVersion}
+	script := func(body string) string {
+		return "def check(request, answer, expected):\n  " + body
+	}
+	given := rollout.Check{Name: "given", Request: json.RawMessage(`{"prompt":"ab"}`), Expected: json.RawMessage(`"AB"`),
+		Script: script("return answer['choices'][0]['text'] == expected")}
+	compared := rollout.Check{Name: "compared", Request: given.Request, CompareWithOld: true, Script: script("return answer['choices'] == expected['choices']")}
+	fails := rollout.Check{Name: "fails", Request: given.Request, Expected: given.Expected, Script: script("fail('no')")}
+	hangs := rollout.Check{Name: "hangs", Request: given.Request, Expected: given.Expected, Script: script("while True:\n    pass")}
+	broken := rollout.Check{Name: "broken", Request: given.Request, Expected: given.Expected, Script: "def"}
+	for _, x := range []struct {
+		name   string
+		probe  rollout.Probe
+		checks []rollout.Check
+		wrong  string // the task that answers wrongly
+		want   rollout.Answer
+	}{
+		{"healthy", rollout.Probe{Replica: old}, nil, "", rollout.Answer{Verdict: rollout.Right}},
+		{"gone", rollout.Probe{Replica: gone}, nil, "", rollout.Answer{Verdict: rollout.NotReached}},
+		{"right", rollout.Probe{Replica: fresh, Reference: &old}, []rollout.Check{given, compared}, "", rollout.Answer{Verdict: rollout.Right}},
+		{"wrong", rollout.Probe{Replica: fresh}, []rollout.Check{given}, fresh.Task, rollout.Answer{Verdict: rollout.Wrong, Check: "given"}},
+		{"unlike the old one", rollout.Probe{Replica: fresh, Reference: &old}, []rollout.Check{compared}, fresh.Task, rollout.Answer{Verdict: rollout.Wrong, Check: "compared"}},
+		{"nothing to compare with", rollout.Probe{Replica: fresh}, []rollout.Check{compared}, "", rollout.Answer{Verdict: rollout.NotCompared, Check: "compared"}},
+		{"the old one is gone", rollout.Probe{Replica: fresh, Reference: &gone}, []rollout.Check{compared}, "", rollout.Answer{Verdict: rollout.NotCompared, Check: "compared"}},
+		{"the check fails", rollout.Probe{Replica: fresh}, []rollout.Check{given, fails}, "", rollout.Answer{Verdict: rollout.Unproved, Check: "fails"}},
+		{"the check hangs", rollout.Probe{Replica: fresh}, []rollout.Check{hangs, given}, "", rollout.Answer{Verdict: rollout.Unproved, Check: "hangs"}},
+		{"no check", rollout.Probe{Replica: fresh}, []rollout.Check{broken}, "", rollout.Answer{Verdict: rollout.Unproved, Check: "broken"}},
+		{"wrong counts more", rollout.Probe{Replica: fresh}, []rollout.Check{fails, given}, fresh.Task, rollout.Answer{Verdict: rollout.Wrong, Check: "given"}},
+	} {
+		server.SetWrong(func(task string, _ int64) bool { return task == x.wrong })
+		if got := probe.New(4).Ask(context.Background(), x.probe, x.checks); got != x.want {
+			t.Errorf("%s: %+v, not %+v", x.name, got, x.want)
+		}
+	}
+}
+
+// TestSlowServer has a model server that never answers: it is not reached, and the probe ends with its time.
+func TestSlowServer(t *testing.T) {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer server.Close()
+	defer close(release)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	replica := rollout.Replica{Task: "run-000001/0", Address: strings.TrimPrefix(server.URL, "http://")}
+	if got := probe.New(4).Ask(ctx, rollout.Probe{Replica: replica}, nil); got.Verdict != rollout.NotReached {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/rollout/routing.go
+++ b/internal/rollout/routing.go
@@ -56,8 +56,8 @@
 	return routing
 }
 
-// spread shares traffic equally over the proved replicas of a version; over all of them if none is proved, as
-// long as none of the new version has answered wrongly: traffic has to go somewhere.
+// spread shares traffic equally over the proved replicas of a version; where none is proved over those that have not
+// answered wrongly, and where there is none of these over all: traffic has to go somewhere.
 func spread(states []ReplicaState, version Version, share float64) []Weight {
 	if share <= 0 {
 		return nil
@@ -77,7 +77,10 @@
 	if proved := pick(func(s ReplicaState) bool { return s.Proved }); len(proved) > 0 {
 		return proved
 	}
-	return pick(func(s ReplicaState) bool { return s.Verdict != Wrong })
+	if weights := pick(func(s ReplicaState) bool { return s.Verdict != Wrong }); len(weights) > 0 {
+		return weights
+	}
+	return pick(func(ReplicaState) bool { return true })
 }
 
 // SameAs tells whether two routings differ in nothing but their generation.
--- a/internal/scalerun/controllers.go
+++ b/internal/scalerun/controllers.go
@@ -108,10 +108,14 @@
 }
 
 // writeSettings writes the settings files of all controllers.
-func (c *controllers) writeSettings(s *Scenario, params config.Params) error {
+func (c *controllers) writeSettings(s *Scenario, params config.Params, modelPort int) error {
 	if len(s.Operator) > 0 {
+		operator, err := s.operatorWith(modelPort)
+		if err != nil {
+			return err
+		}
 		c.operator = filepath.Join(c.dir, "operator.json")
-		if err := os.WriteFile(c.operator, s.Operator, 0o600); err != nil {
+		if err := os.WriteFile(c.operator, operator, 0o600); err != nil {
 			return err
 		}
 		if _, err := config.LoadOperator(c.operator); err != nil {
--- a/internal/scalerun/load/users.go
+++ b/internal/scalerun/load/users.go
@@ -91,7 +91,7 @@
 		case <-ctx.Done():
 			return
 		case <-cancelAt:
-			u.cancel(ctx, a.Job.ID)
+			u.Cancel(ctx, a.Job.ID)
 			return
 		case <-time.After(pollInterval):
 			if u.poll(ctx, a.Job.ID) {
@@ -141,7 +141,8 @@
 	return u.over(state.State)
 }
 
-func (u *Users) cancel(ctx context.Context, id string) {
+// Cancel has a user cancel a job.
+func (u *Users) Cancel(ctx context.Context, id string) {
 	ctx, cancel := context.WithTimeout(ctx, cancelPatience)
 	defer cancel()
 	state, err := u.ask(ctx, func() (wire.JobState, error) { return u.client.Cancel(ctx, id) })
--- a/internal/scalerun/page.go
+++ b/internal/scalerun/page.go
@@ -13,6 +13,8 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
+
+	"bitternwing/internal/scalerun/rolling"
 )
 
 //go:embed page.html
@@ -74,7 +76,7 @@
 		}
 		cores, memory = append(cores, c), append(memory, m)
 	}
-	return []diagram{
+	return append(res.rolloutDiagrams(), []diagram{
 		{"Starts", "tasks a second", []curve{
 			perSecond("asked", func(s Second) float64 { return float64(s.Asked) }),
 			perSecond("started", func(s Second) float64 { return float64(s.Started) }),
@@ -83,7 +85,31 @@
 		{"Workers that follow the leader", "workers", []curve{perSecond("workers", func(s Second) float64 { return float64(s.Reporting) })}},
 		{"Processor time", "cores", cores},
 		{"Resident memory", "MB", memory},
+	}...)
+}
+
+// rolloutDiagrams shows the capacity and the shares of each rollout over time.
+func (res *Result) rolloutDiagrams() []diagram {
+	var all []diagram
+	for i := range res.Rollouts {
+		r := &res.Rollouts[i]
+		over := func(name string, value func(rolling.Point) float64) curve {
+			c := curve{name: name}
+			for _, s := range r.Samples {
+				c.points = append(c.points, plotter.XY{X: s.AtS, Y: value(s)})
+			}
+			return c
+		}
+		all = append(all,
+			diagram{r.Model.Name + " (" + string(r.Model.Mode) + "): capacity", "requests", []curve{
+				over("promised", func(p rolling.Point) float64 { return p.Promised }),
+				over("proved", func(p rolling.Point) float64 { return p.Proved }),
+				over("served", func(p rolling.Point) float64 { return p.Served })}},
+			diagram{r.Model.Name + ": share of traffic", "share", []curve{
+				over("new version", func(p rolling.Point) float64 { return p.NewShare }),
+				over("old version", func(p rolling.Point) float64 { return 1 - p.NewShare })}})
 	}
+	return all
 }
 
 const (
--- a/internal/scalerun/print.go
+++ b/internal/scalerun/print.go
@@ -6,8 +6,20 @@
 	"text/tabwriter"
 
 	"bitternwing/internal/scalerun/measure"
+	"bitternwing/internal/scalerun/rolling"
 )
 
+// printRollout writes what a rollout came to.
+func printRollout(line func(name, format string, args ...any), r *rolling.Result) {
+	name := "rollout " + r.Model.Name
+	line(name, "%s: %s %s; least served %.2f of the promise at %.1f s, %d samples below it, %.0f extra replica seconds", r.Model.Mode,
+		r.Phase, r.Reason, r.Least, r.LeastS, r.Dips, r.Extra)
+	if r.Model.Mode != rolling.Replace {
+		line(name, "%d requests, %d wrong (%d after detection, over %.1f s), %d lost, %d doubled, %d retried; longest without a status %.1f s",
+			r.Requests, r.Wrong, r.WrongAfter, r.WrongForS, r.Lost, r.Doubled, r.Retried, r.BlindS)
+	}
+}
+
 // Print writes a short table of the result.
 func (res *Result) Print(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
@@ -32,6 +44,9 @@
 		line("leader killed", "at %.1f s, next start by another after %.2f s", f.AtS, f.NextStartS)
 	}
 	line("a worker's traffic", "mean %.1f KB/s, p99 %.1f, most %.1f", res.Workers.Windows.Mean/1000, float64(res.Workers.Windows.P99)/1000, float64(res.Workers.Windows.Max)/1000)
+	for i := range res.Rollouts {
+		printRollout(line, &res.Rollouts[i])
+	}
 	if l := res.Leader(); l != nil {
 		line("leader "+l.Name, "%.3f cores (peak %.3f), %.0f MB, %d open files", l.Usage.Cores, l.Usage.PeakCores, l.Usage.PeakMB, l.Usage.PeakFiles)
 	}
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -6,6 +6,7 @@
 
 	"bitternwing/internal/hollow"
 	"bitternwing/internal/scalerun/measure"
+	"bitternwing/internal/scalerun/rolling"
 	"bitternwing/internal/scalerun/rules"
 )
 
@@ -54,6 +55,9 @@
 	Ended      string            `json:"ended"` // why; "in time" if nothing ended it
 	DurationS  float64           `json:"duration_s"`
 	Violations []rules.Violation `json:"violations"`
+	Rollouts   []rolling.Result  `json:"rollouts,omitempty"`
+	// BrokenRollout is what a rollout did not keep; empty if all kept what they promise.
+	BrokenRollout string `json:"broken_rollout,omitempty"`
 
 	Asked          int64   `json:"asked"`
 	Started        int64   `json:"started"`
@@ -93,6 +97,7 @@
 	if err != nil {
 		res.Ended = err.Error()
 	}
+	res.Rollouts, res.BrokenRollout = r.rollouts.results()
 	for class, h := range r.recorder.classes {
 		res.StartTimes[class] = h.Summary()
 	}
--- /dev/null
+++ b/internal/scalerun/rolling/config.go
@@ -0,0 +1,112 @@
+// Package rolling plays rollouts of models in a scale run: an owner who applies a plan by the command line and submits
+// the jobs, routers with load, and model servers that answer. It measures what users see of it.
+package rolling
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"bitternwing/internal/rollout"
+	"bitternwing/internal/scalerun/load"
+	"bitternwing/internal/wire"
+)
+
+// Mode is how a model's new version comes in.
+type Mode string
+
+// The modes. The last two are baselines: a plan of a single step, and the old jobs cancelled as the new ones are
+// submitted, without a plan.
+const (
+	Steps   Mode = "steps"
+	AtOnce  Mode = "at_once"
+	Replace Mode = "replace"
+)
+
+// Model is a model whose new version is rolled out.
+type Model struct {
+	Name            string  `json:"name"`
+	Mode            Mode    `json:"mode"`
+	AtS             float64 `json:"at_s"`     // when the plan is applied
+	Jobs            int     `json:"jobs"`     // of each version
+	Replicas        int     `json:"replicas"` // of each job
+	GPUs            float64 `json:"gpus"`     // of each replica
+	ReplicaCapacity float64 `json:"replica_capacity"`
+	Promised        float64 `json:"promised_capacity"`
+	BakeS           float64 `json:"bake_s"`
+	Routers         int     `json:"routers"`
+	RequestsPerS    float64 `json:"requests_per_s"`
+	Wrong           *Wrong  `json:"wrong,omitempty"`
+	CutRouter       *Cut    `json:"cut_router,omitempty"`
+	// Expect is the phase in which the plan is to end.
+	Expect rollout.Phase `json:"expect,omitempty"`
+}
+
+// Wrong has replicas of the first new job answer wrongly.
+type Wrong struct {
+	Phase  rollout.Phase `json:"phase"`   // from when it is seen
+	AfterS float64       `json:"after_s"` // and so much later
+	Every  int64         `json:"every"`   // of so many requests one
+}
+
+// Cut cuts the first router off from all controllers.
+type Cut struct {
+	AtS  float64 `json:"at_s"`
+	ForS float64 `json:"for_s"`
+}
+
+// firstJob is the number of the first job of the first model, and jobsApart is how far those of two models, and of two versions, are apart.
+const (
+	firstJob      = 900_000_000
+	modelsApart   = 10_000
+	versionsApart = 1_000
+)
+
+// jobIDs gives the ids of a version's jobs.
+func (m *Model) jobIDs(model int, version rollout.Version) []string {
+	number := firstJob + model*modelsApart
+	if version == rollout.NewVersion {
+		number += versionsApart
+	}
+	var ids []string
+	for i := range m.Jobs {
+		ids = append(ids, fmt.Sprintf("run-%09d", number+i))
+	}
+	return ids
+}
+
+// arrival gives a job as its owner submits it.
+func (m *Model) arrival(id, team string, version rollout.Version) load.Arrival {
+	class := &load.Class{Name: m.Name, Kind: "service", Priority: "production", Tasks: m.Replicas, GPUs: m.GPUs}
+	return load.Arrival{Class: class, Job: &wire.Job{ID: id, Class: m.Name, Team: team, Kind: wire.KindService,
+		Priority: wire.PriorityProduction, Tasks: m.Replicas, CPUs: 4 * m.GPUs, GPUs: m.GPUs, MemoryGB: 16 * m.GPUs,
+		Image: m.Name + "-" + string(version), ImageGB: 2}}
+}
+
+// checkScript compares the text of a completion.
+const checkScript = `def check(request, answer, expected):
+    return answer["choices"][0]["text"] == expected["choices"][0]["text"]
+`
+
+// givenScript compares the text of a completion with a given one.
+const givenScript = `def check(request, answer, expected):
+    return answer["choices"][0]["text"] == expected
+`
+
+// plan gives the plan of a model. By steps a job comes in at a time, with its part of the traffic.
+func (m *Model) plan(model int, team string) ([]byte, error) {
+	p := rollout.Plan{Name: m.Name, Team: team, PromisedCapacity: m.Promised,
+		Old: rollout.Fleet{Jobs: m.jobIDs(model, rollout.OldVersion), ReplicaCapacity: m.ReplicaCapacity},
+		New: rollout.Fleet{Jobs: m.jobIDs(model, rollout.NewVersion), ReplicaCapacity: m.ReplicaCapacity},
+		Checks: []rollout.Check{
+			{Name: "given", Request: json.RawMessage(`{"model":"m","prompt":"border post"}`), Expected: json.RawMessage(`"BORDER POST"`), Script: givenScript},
+			{Name: "as before", Request: json.RawMessage(`{"model":"m","prompt":"goods code"}`), CompareWithOld: true, Script: checkScript}},
+		Limits: rollout.Limits{WaitS: 120, UnreachableS: 60, RouterGoneS: 30, KeepS: 3600}}
+	if m.Mode == AtOnce {
+		p.Steps = []rollout.Step{{Jobs: p.New.Jobs, Share: 1, BakeS: m.BakeS}}
+		return json.Marshal(p)
+	}
+	for i, id := range p.New.Jobs {
+		p.Steps = append(p.Steps, rollout.Step{Jobs: []string{id}, Share: float64(i+1) / float64(m.Jobs), BakeS: m.BakeS})
+	}
+	return json.Marshal(p)
+}
--- /dev/null
+++ b/internal/scalerun/rolling/run.go
@@ -0,0 +1,241 @@
+package rolling
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"bitternwing/internal/config"
+	"bitternwing/internal/hollow"
+	"bitternwing/internal/modelserver"
+	"bitternwing/internal/operators"
+	"bitternwing/internal/operators/operatorpb"
+	"bitternwing/internal/rollout"
+	"bitternwing/internal/router"
+	"bitternwing/internal/scalerun/load"
+)
+
+// World is what models are played in.
+type World struct {
+	Binary      string   // of the product, for its commands
+	Dir         string   // for plans
+	Controllers []string // internal addresses
+	Teams       []string
+	Fleet       *hollow.Fleet
+	Servers     *modelserver.Server
+	Now         func() time.Duration
+	Submit      func(ctx context.Context, a load.Arrival) // has a user submit a job and follow it
+	Cancel      func(ctx context.Context, id string)      // has a user cancel it
+}
+
+// The intervals of what is played and measured.
+const (
+	routerInterval = 500 * time.Millisecond
+	sampleInterval = 200 * time.Millisecond
+	commandTime    = time.Minute
+)
+
+// Play is the rollout of a model while it is played.
+type Play struct {
+	model    Model
+	index    int
+	team     string
+	world    *World
+	operator *operators.Client
+	routers  []*router.Router
+	old, new []string
+
+	mu       sync.Mutex
+	status   *operatorpb.PlanStatus // as last seen
+	seenAt   time.Duration
+	wrongAt  time.Duration // 0: nothing is wrong yet
+	rollsAt  time.Duration // when it was first seen to roll back
+	result   Result
+	requests requestCounts
+}
+
+// New prepares the rollout of a model, with a number among all models of the run.
+func New(model Model, index int, world *World) (*Play, error) {
+	p := &Play{model: model, index: index, team: world.Teams[index%len(world.Teams)], world: world,
+		old: model.jobIDs(index, rollout.OldVersion), new: model.jobIDs(index, rollout.NewVersion)}
+	var err error
+	if p.operator, err = operators.NewClient(world.Controllers[index%len(world.Controllers)]); err != nil {
+		return nil, err
+	}
+	if model.Mode == Replace {
+		return p, nil
+	}
+	for i := range model.Routers {
+		r, err := router.New(fmt.Sprintf("%s-%d", model.Name, i), model.Name, world.Controllers, routerInterval)
+		if err != nil {
+			return nil, err
+		}
+		p.routers = append(p.routers, r)
+	}
+	return p, nil
+}
+
+// Run plays the rollout until the context ends.
+func (p *Play) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	background := func(f func(context.Context)) {
+		running.Add(1)
+		go func() { defer running.Done(); f(ctx) }()
+	}
+	for _, id := range p.old {
+		p.world.Submit(ctx, p.model.arrival(id, p.team, rollout.OldVersion))
+	}
+	p.sleepUntil(ctx, config.Seconds(p.model.AtS))
+	if p.model.Mode == Replace {
+		p.replace(ctx)
+	} else {
+		p.apply(ctx)
+		for _, r := range p.routers {
+			background(r.Run)
+		}
+		background(p.load)
+		background(p.cutRouter)
+	}
+	p.measure(ctx)
+	for _, r := range p.routers {
+		defer r.Close()
+	}
+	_ = p.operator.Close()
+}
+
+// sleepUntil waits for a moment of the run.
+func (p *Play) sleepUntil(ctx context.Context, moment time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(moment - p.world.Now()):
+	}
+}
+
+// apply has the owner apply the plan by the command, and submit the new jobs.
+func (p *Play) apply(ctx context.Context) {
+	plan, err := p.model.plan(p.index, p.team)
+	file := filepath.Join(p.world.Dir, p.model.Name+".plan.json")
+	if err == nil {
+		err = os.WriteFile(file, plan, 0o600)
+	}
+	if err == nil {
+		err = p.command(ctx, "apply", file)
+	}
+	p.note("plan applied", err)
+	for _, id := range p.new {
+		p.world.Submit(ctx, p.model.arrival(id, p.team, rollout.NewVersion))
+	}
+}
+
+// command runs a command for rollouts, as operators do.
+func (p *Play) command(ctx context.Context, args ...string) error {
+	ctx, cancel := context.WithTimeout(ctx, commandTime)
+	defer cancel()
+	args = append([]string{"rollout"}, args...)
+	out, err := exec.CommandContext(ctx, p.world.Binary, append(args, "--controller", p.world.Controllers[p.index%len(p.world.Controllers)])...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("%w: %s", err, strings.TrimSpace(string(out)))
+	}
+	return nil
+}
+
+// replace cancels the old jobs as it submits the new ones.
+func (p *Play) replace(ctx context.Context) {
+	p.note("old jobs cancelled, new ones submitted", nil)
+	for i := range p.old {
+		go p.world.Cancel(ctx, p.old[i])
+		p.world.Submit(ctx, p.model.arrival(p.new[i], p.team, rollout.NewVersion))
+	}
+}
+
+// cutRouter cuts the first router off for a while.
+func (p *Play) cutRouter(ctx context.Context) {
+	cut := p.model.CutRouter
+	if cut == nil {
+		return
+	}
+	p.sleepUntil(ctx, config.Seconds(cut.AtS))
+	p.routers[0].SetCut(true)
+	p.note("router cut off", nil)
+	p.sleepUntil(ctx, config.Seconds(cut.AtS+cut.ForS))
+	p.routers[0].SetCut(false)
+	p.note("router back", nil)
+}
+
+// note keeps an event.
+func (p *Play) note(what string, err error) {
+	if err != nil {
+		what += ": " + err.Error()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.result.Events = append(p.result.Events, Event{AtS: p.world.Now().Seconds(), What: what})
+}
+
+// IsWrong tells whether a task answers a request wrongly now.
+func (p *Play) IsWrong(task string, request int64) bool {
+	w := p.model.Wrong
+	if w == nil || !strings.HasPrefix(task, p.new[0]+"/") || request%w.Every != 0 {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.wrongAt > 0 && p.world.Now() >= p.wrongAt
+}
+
+// measure takes samples until the context ends.
+func (p *Play) measure(ctx context.Context) {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	asking := make(chan struct{}, 1)
+	for {
+		select {
+		case <-ctx.Done():
+			p.finish()
+			return
+		case <-ticker.C:
+		}
+		if p.model.Mode != Replace {
+			select {
+			case asking <- struct{}{}:
+				go func() { p.look(ctx); <-asking }()
+			default: // the last question has no answer yet
+			}
+		}
+		p.sample()
+	}
+}
+
+// look asks how the plan stands.
+func (p *Play) look(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	status, err := p.operator.Show(ctx, p.model.Name)
+	if err != nil {
+		return
+	}
+	now := p.world.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.status == nil || p.status.GetPhase() != status.GetPhase() || p.status.GetStep() != status.GetStep() {
+		what := fmt.Sprintf("%s, step %d", status.GetPhase(), status.GetStep())
+		if status.GetReason() != "" {
+			what += ": " + status.GetReason() + " " + status.GetDetail()
+		}
+		p.result.Events = append(p.result.Events, Event{AtS: now.Seconds(), What: what})
+	}
+	p.status, p.seenAt = status, now
+	phase := rollout.Phase(status.GetPhase())
+	if w := p.model.Wrong; w != nil && p.wrongAt == 0 && phase == w.Phase {
+		p.wrongAt = now + config.Seconds(w.AfterS)
+	}
+	if phase == rollout.RollingBack && p.rollsAt == 0 {
+		p.rollsAt = now
+	}
+}
--- a/internal/scalerun/run.go
+++ b/internal/scalerun/run.go
@@ -45,6 +45,9 @@
 // ErrRuleBroken says that the run ended with a broken rule.
 var ErrRuleBroken = errors.New("a rule was broken")
 
+// ErrPromiseBroken says that a rollout did not keep what it promises.
+var ErrPromiseBroken = errors.New("a rollout did not keep its promise")
+
 // run is a scale run while it lasts.
 type run struct {
 	scenario *Scenario
@@ -63,6 +66,7 @@
 	generator   *load.Generator
 	workers     *workerTraffic
 	self        *measure.Process
+	rollouts    *rollouts
 
 	faults  []scheduled
 	asked   int64
@@ -83,7 +87,10 @@
 	err := r.play(ctx)
 	r.closeChildren()
 	result := r.result(err)
-	if err == nil && len(result.Violations) > 0 {
+	if err == nil && result.BrokenRollout != "" {
+		err = fmt.Errorf("%w: %s", ErrPromiseBroken, result.BrokenRollout)
+	}
+	if len(result.Violations) > 0 && (err == nil || errors.Is(err, ErrPromiseBroken)) {
 		err = fmt.Errorf("%w: %s: %s", ErrRuleBroken, result.Violations[0].Rule, result.Violations[0].Message)
 	}
 	return result, err
@@ -131,11 +138,14 @@
 	if err := r.setUpServices(); err != nil {
 		return err
 	}
-	if err := r.controllers.writeSettings(s, params); err != nil {
-		return err
-	}
 	addresses, names := r.controllers.addresses()
 	r.users = load.NewUsers(addresses, r.ledger, r.traffic, names)
+	if err := r.setUpRollouts(teams); err != nil {
+		return err
+	}
+	if err := r.controllers.writeSettings(s, params, r.rollouts.modelPort()); err != nil {
+		return err
+	}
 	warmUp := config.Seconds(s.WarmUpS)
 	r.generator = load.NewGenerator(s.Seed, s.Classes, teams, s.StartsPerS, warmUp)
 	r.faults = r.schedule()
@@ -203,9 +213,11 @@
 		defer close(submitted)
 		r.submitAll(ctx)
 	}()
+	rolled := r.rollouts.play(ctx)
 	err := r.untilEnd(ctx)
 	cancel()
 	<-submitted
+	rolled.Wait()
 	r.users.Wait()
 	return err
 }
@@ -322,6 +334,7 @@
 	if r.cloud != nil {
 		r.cloud.Close()
 	}
+	r.rollouts.close()
 	if r.fleet != nil {
 		r.fleet.Close()
 	}
--- a/internal/scalerun/scenario.go
+++ b/internal/scalerun/scenario.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"bitternwing/internal/scalerun/load"
+	"bitternwing/internal/scalerun/rolling"
 	"bitternwing/internal/schema"
 )
 
@@ -27,6 +28,7 @@
 	StartsPerS  float64         `json:"starts_per_s"`
 	Classes     []load.Class    `json:"classes"`
 	Faults      []Fault         `json:"faults"`
+	Rollouts    []rolling.Model `json:"rollouts"`
 	Operator    json.RawMessage `json:"operator"`
 }
 
@@ -129,7 +131,28 @@
 	if err := json.Unmarshal(data, s); err != nil {
 		return nil, err
 	}
-	return s, s.checkFaults()
+	if err := s.checkFaults(); err != nil {
+		return nil, err
+	}
+	return s, s.checkRollouts()
+}
+
+// checkRollouts checks what a schema can't tell of rollouts: names of their own, times within the run, a promise that
+// the old version can keep.
+func (s *Scenario) checkRollouts() error {
+	names := map[string]bool{}
+	for i, m := range s.Rollouts {
+		switch {
+		case names[m.Name]:
+			return fmt.Errorf("/rollouts/%d/name: is used twice", i)
+		case m.AtS >= s.DurationS:
+			return fmt.Errorf("/rollouts/%d/at_s: %g is not before the end of the run at %g", i, m.AtS, s.DurationS)
+		case m.Promised > m.ReplicaCapacity*float64(m.Jobs*m.Replicas):
+			return fmt.Errorf("/rollouts/%d/promised_capacity: is more than the old version has", i)
+		}
+		names[m.Name] = true
+	}
+	return nil
 }
 
 // checkFaults checks what a schema can't tell: faults within the run, in zones that there are.
