--- a/internal/core/rollout_test.go
+++ b/internal/core/rollout_test.go
@@ -187,7 +187,83 @@
 	w.until(rollout.Completed)
 }
 
-// TestStateServiceDown has it refuse all for longer than a router's lease, in mid-step and in mid-rollback.
+// TestFrozenLeader has the leader stand still until another one leads, and awake: it takes itself for the leader at first.
+func TestFrozenLeader(t *testing.T) {
+	for _, phase := range []rollout.Phase{rollout.Checking, rollout.Baking, rollout.Completing} {
+		w := newRolloutWorld(t)
+		w.start()
+		w.until(phase)
+		w.frozen = w.leaderNode().name
+		w.advance(9 * time.Second)
+		w.frozen = ""
+		w.until(rollout.Completed)
+	}
+}
+
+// TestNoRoom lowers the team's limit so that a step's jobs don't fit. The step waits, the old version is not touched for
+// it, and the plan goes back after its limit.
+func TestNoRoom(t *testing.T) {
+	w := newRolloutWorld(t)
+	w.plan.Limits.WaitS = 30
+	w.apply()
+	w.limitTeam(9)
+	w.submitNew()
+	w.until(rollout.Starting)
+	w.advance(15 * time.Second)
+	if r := w.record(); r.Phase != rollout.Starting || w.holds(newJob(0)) {
+		t.Errorf("the step does not wait: %+v", r)
+	}
+	w.checkRolledBack(rollout.WaitedOut)
+}
+
+// TestTwoPlans has two teams' plans go on at once. One goes back, and the other does not care.
+func TestTwoPlans(t *testing.T) {
+	w := newRolloutWorld(t)
+	w.start()
+	other := &rollout.Plan{Name: "writer", Team: "t2", PromisedCapacity: 10, Checks: w.plan.Checks, Limits: w.plan.Limits,
+		Old: rollout.Fleet{Jobs: []string{"run-000101"}, ReplicaCapacity: 10}, New: rollout.Fleet{Jobs: []string{"run-000111"}, ReplicaCapacity: 10},
+		Steps: []rollout.Step{{Jobs: []string{"run-000111"}, Share: 1, BakeS: 1}}}
+	w.hand(w.nodes[0], replicaJob("run-000101", "t2"))
+	w.advance(8 * time.Second)
+	if a := w.order(func(req uint64) core.Input { return core.ApplyPlan{Req: req, Plan: other} }); a.Status != 200 {
+		t.Fatalf("the second plan is refused: %+v", a)
+	}
+	w.hand(w.nodes[0], replicaJob("run-000111", "t2"))
+	w.answerWrongly(func(task string) bool { return task == "run-000111/0" })
+	w.until(rollout.Completed)
+	w.advance(10 * time.Second)
+	if !w.cancelled("run-000111") || w.cancelled("run-000101") || !w.holds("run-000101") {
+		t.Error("the plan whose new version is wrong does not go back to its old one")
+	}
+}
+
+// TestOutdatedController has a controller of a version without plans beside the others: no plan is taken until it has
+// been replaced.
+func TestOutdatedController(t *testing.T) {
+	w := newRolloutWorld(t)
+	w.outdated = w.follower().name
+	w.restart()
+	w.advance(8 * time.Second)
+	for w.leaderNode().name == w.outdated {
+		w.crash()
+		w.advance(8 * time.Second)
+	}
+	for range 5 {
+		a := w.ask(w.nodes[0], func(req uint64) core.Input { return core.ApplyPlan{Req: req, Plan: w.plan} })
+		if a == nil || a.Status != 503 {
+			t.Errorf("a plan is taken: %+v", a)
+		}
+		w.advance(time.Second)
+	}
+	if r := w.record(); r != nil {
+		t.Errorf("a plan is stored: %+v", r)
+	}
+	w.outdated = ""
+	w.start()
+	w.until(rollout.Completed)
+}
+
+// TestStateServiceDown has it refuse the leader, and then all, for longer than a router's lease, in mid-step and in mid-rollback.
 func TestStateServiceDown(t *testing.T) {
 	for _, wrong := range []bool{false, true} {
 		w := newRolloutWorld(t)
@@ -197,9 +273,11 @@
 			w.answerWrongly(func(task string) bool { return task == "run-000011/0" })
 			w.until(rollout.RollingBack)
 		}
+		w.refused = w.leaderNode().name
+		w.advance(time.Second)
 		w.stateDown = true
 		w.advance(12 * time.Second)
-		w.stateDown = false
+		w.stateDown, w.refused = false, ""
 		if wrong {
 			w.checkRolledBack(rollout.WrongAnswer)
 		} else {
--- a/internal/core/rollout_world_test.go
+++ b/internal/core/rollout_world_test.go
@@ -30,7 +30,8 @@
 	loseAnswers int                    // transactions that are carried out without an answer
 	delay       int                    // transactions without an answer that are carried out later
 	late        []core.StateTxn
-	taken       bool // machines were taken away: the promise is not the rollout's alone any more
+	outdated    string // a node of a version without plans
+	taken       bool   // machines were taken away: the promise is not the rollout's alone any more
 
 	asked     time.Duration
 	lastPhase rollout.Phase
@@ -113,6 +114,13 @@
 // interceptCall plays what the state service and the replicas do.
 func (w *rolloutWorld) interceptCall(n *scaleNode, e core.Effect) (core.Result, bool) {
 	switch e := e.(type) {
+	case core.PeerAsk:
+		if e.Node == w.outdated {
+			// A version without plans: it says nothing of them.
+			r, ok := w.askPeer(e)
+			r.Peer.KnowsPlans = false
+			return r, ok
+		}
 	case core.ProbeReplica:
 		return core.Result{ID: e.ID, Outcome: call.OK, Probe: w.probe(e.Probe.Replica)}, true
 	case core.StateTxn:
@@ -186,6 +194,9 @@
 		}
 		return a.Req == req
 	}
+	if n.name == w.frozen {
+		return nil
+	}
 	w.step(n, input(req))
 	if got != nil && got.Status == 421 {
 		for _, x := range w.nodes {
--- a/internal/core/scale_calls_test.go
+++ b/internal/core/scale_calls_test.go
@@ -35,15 +35,21 @@
 			y.logged[e.Pairs[1].(string)]++
 		}
 	case core.PeerAsk:
-		for _, p := range y.nodes {
-			if p.name == e.Node {
-				return core.Result{ID: e.ID, Outcome: call.OK, Peer: p.core.PeerStatus()}, true
-			}
-		}
+		return y.askPeer(e)
 	}
 	return core.Result{}, false
 }
 
+// askPeer asks another node for its status. One that stands still does not answer.
+func (y *scaleCluster) askPeer(e core.PeerAsk) (core.Result, bool) {
+	for _, p := range y.nodes {
+		if p.name == e.Node && p.name != y.frozen {
+			return core.Result{ID: e.ID, Outcome: call.OK, Peer: p.core.PeerStatus()}, true
+		}
+	}
+	return core.Result{ID: e.ID, Outcome: call.Unknown}, true
+}
+
 // answer hands an answer to the worker or the user that waits for it.
 func (y *scaleCluster) answer(e core.Answer) {
 	switch b := e.Body.(type) {
--- a/internal/core/scale_cluster_test.go
+++ b/internal/core/scale_cluster_test.go
@@ -48,6 +48,7 @@
 	// intercept may give the result of a call in place of the world, and onAnswer take an answer.
 	intercept      func(*scaleNode, core.Effect) (core.Result, bool)
 	onAnswer       func(core.Answer) bool
+	frozen         string // a node whose process stands still
 	cloudAt        time.Duration
 	tooMany        int // requests above that
 	nodes          []*scaleNode
@@ -172,6 +173,9 @@
 		y.now += scaleStep
 		y.store.At(y.now)
 		for _, n := range y.nodes {
+			if n.name == y.frozen {
+				continue
+			}
 			results := n.results
 			n.results, n.asked = nil, 0
 			for _, r := range results {
