--- a/internal/core/plan_runs.go
+++ b/internal/core/plan_runs.go
@@ -132,10 +132,10 @@
 	if run.phase != r.Phase {
 		run.phase, run.phaseAt = r.Phase, c.now.Steady
 	}
-	l.probe(run, &r.Plan) // of an ended plan too: routers go by it until it is removed
+	l.probe(run, r) // of an ended plan too: routers go by it until it is removed
 	o := l.observe(run, r)
 	if run.mayRoute(r, o) && l.entitled() {
-		run.route(r, o, c.now.Steady)
+		run.route(c, r, o)
 		l.takeRoutersIn(run, r, o)
 	}
 	for _, id := range r.Cancels(o) {
@@ -261,17 +261,20 @@
 }
 
 // route brings a plan's routing up to date with what its replicas have proved.
-func (run *planRun) route(r *rollout.Record, o *rollout.Observation, now time.Duration) {
+func (run *planRun) route(c *Core, r *rollout.Record, o *rollout.Observation) {
 	capacity := r.Plan.CapacityOf(o)
 	if !run.settled {
 		capacity.New = 0 // the old version runs, and has yet to prove it
 	}
-	routing := rollout.RoutingOf(r, capacity, run.proofs.States(now))
+	routing := rollout.RoutingOf(r, capacity, run.proofs.States(c.now.Steady))
 	routing.Generation = run.routing.Generation
-	if routing.Generation.Revision == 0 || !routing.SameAs(&run.routing) {
-		routing.Generation.Revision++
-		run.routing = routing
+	if routing.Generation.Revision > 0 && routing.SameAs(&run.routing) {
+		return
 	}
+	routing.Generation.Revision++
+	run.routing = routing
+	c.log(Debug, "rollout routing", "plan", run.name, "term", routing.Generation.Term, "revision", routing.Generation.Revision,
+		"replicas", len(routing.Weights), "aim", r.Aim(), "old_capacity", capacity.Old, "new_capacity", capacity.New)
 }
 
 // takeRoutersIn adds to an observation what is known of the routers.
@@ -288,7 +291,7 @@
 }
 
 // probe asks the replicas whose time it is.
-func (l *leader) probe(run *planRun, plan *rollout.Plan) {
+func (l *leader) probe(run *planRun, record *rollout.Record) {
 	t := l.plans
 	for _, probe := range run.proofs.Due(l.c.now.Steady, l.c.mostProbes()-t.probing) {
 		t.probing++
@@ -306,7 +309,7 @@
 		})
 		effect := ProbeReplica{ID: id, Probe: probe, Timeout: l.c.probeTimeout()}
 		if probe.Replica.Version == rollout.NewVersion {
-			effect.Checks = plan.Checks
+			effect.Checks = record.Checks()
 		}
 		l.c.send(effect)
 	}
@@ -330,14 +333,22 @@
 		run.writing = false
 		l.planWritten(run, r, value)
 		if r.Outcome == call.OK {
-			c.log(Info, "rollout", "plan", run.name, "phase", string(next.Phase), "step", next.Step, "share", next.Share,
-				"reason", string(next.Reason), "detail", next.Detail, "paused", next.PausedMS != 0)
+			l.logPlan(run, next)
 		}
 		then(r)
 	})
 	c.send(StateTxn{ID: id, Txn: l.planTxn(run.name, stored.version, wire.Op{Put: keyPlans + run.name, Value: value})})
 }
 
+// logPlan logs a transition that was committed, with what the plan could serve then.
+func (l *leader) logPlan(run *planRun, record *rollout.Record) {
+	capacity := record.Plan.CapacityOf(l.observe(run, record))
+	l.c.log(Info, "rollout", "plan", run.name, "phase", string(record.Phase), "step", record.Step+1, "share", record.Share,
+		"reason", string(record.Reason), "detail", record.Detail, "paused", record.PausedMS != 0,
+		"old_capacity", capacity.Old, "new_capacity", capacity.New, "promised", capacity.Promised,
+		"routers", len(run.routers.Present(nil, l.c.heldLease(), l.c.now.Steady)))
+}
+
 // planWritten takes what became of a write of a plan; value is nil if it was removed.
 func (l *leader) planWritten(run *planRun, r Result, value json.RawMessage) {
 	c := l.c
--- a/internal/operators/client.go
+++ b/internal/operators/client.go
@@ -82,10 +82,10 @@
 	return c.rpc.Route(ctx, q)
 }
 
-// retry asks until there is an answer or the context ends.
+// retry asks until there is an answer or the context ends, and at least once.
 func retry(ctx context.Context, ask func(context.Context) (*operatorpb.PlanStatus, error)) (*operatorpb.PlanStatus, error) {
 	for {
-		once, cancel := context.WithTimeout(ctx, patience+retryPause)
+		once, cancel := context.WithTimeout(context.WithoutCancel(ctx), patience+retryPause)
 		reply, err := ask(once)
 		cancel()
 		err = errorOf(err)
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // Phase is where a plan stands.
@@ -109,6 +110,14 @@
 	return step > r.Step
 }
 
+// Checks gives the checks that new replicas have to pass. Once the old version goes there is nothing to compare with.
+func (r *Record) Checks() []Check {
+	if r.Phase != Retiring && r.Phase != Completed {
+		return r.Plan.Checks
+	}
+	return slices.DeleteFunc(slices.Clone(r.Plan.Checks), func(c Check) bool { return c.CompareWithOld })
+}
+
 // to gives the record in another phase.
 func (r *Record) to(phase Phase, nowMS int64) *Record {
 	next := *r
