--- a/internal/capacity/index.go
+++ b/internal/capacity/index.go
@@ -166,6 +166,17 @@
 	}
 }
 
+// Groups gives the groups that have machines, in order; one for each size of machines.
+func (x *Index[T]) Groups() []Group {
+	groups := make([]Group, 0, len(x.order))
+	for _, g := range x.order {
+		if g.byFree.root != nil {
+			groups = append(groups, g.Group)
+		}
+	}
+	return groups
+}
+
 // Len is the number of machines.
 func (x *Index[T]) Len() int { return len(x.entries) }
 
@@ -228,16 +239,11 @@
 }
 
 // tightest finds the machine of a group that has the least left, of those of one degree of warmth.
-func (g *group[T]) tightest(q *Request[T], warmth Warmth, bit ImageBit, looked *int) (found *entry[T]) {
-	g.byFree.root.search(func(b *freeBounds) bool {
-		return !b.free.Holds(q.Need) || !b.images.may(warmth, bit)
-	}, func(e **entry[T]) bool {
-		if w, suits := q.Suits((*e).value); suits && w == warmth {
-			found = *e
-		}
-		return found != nil
-	}, looked)
-	return found
+func (g *group[T]) tightest(q *Request[T], warmth Warmth, bit ImageBit, looked *int) *entry[T] {
+	return g.suiting(q.Need, warmth, bit, looked, func(e *entry[T]) bool {
+		w, suits := q.Suits(e.value)
+		return suits && w == warmth
+	})
 }
 
 // Walk visits the machines of some groups, by name within each, except where skip says that none below some
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -26,6 +26,8 @@
 	ExpectedMachines int `json:"expected_machines"`
 	// Rollouts are the settings of stepwise rollouts.
 	Rollouts Rollouts `json:"rollouts"`
+	// Spread says what places of replicas are weighed by.
+	Spread Spread `json:"spread"`
 }
 
 // Rollouts are the settings of stepwise rollouts.
@@ -39,6 +41,14 @@
 	MostRouters    int     `json:"most_routers"`
 }
 
+// Spread says what places of replicas are weighed by: the losses that are expected, and for how long a replica stays.
+type Spread struct {
+	Enabled             bool    `json:"enabled"`
+	ZoneLossesPerDay    float64 `json:"zone_losses_per_day"`
+	MachineLossesPerDay float64 `json:"machine_losses_per_day"`
+	ReplicaDays         float64 `json:"replica_days"`
+}
+
 // DefaultOperator gives the built-in settings.
 func DefaultOperator() *Operator {
 	return &Operator{
@@ -55,6 +65,8 @@
 		MaxPendingRequests: 256,
 		Rollouts: Rollouts{ModelPort: 8000, RouterLeaseS: 15, CheckIntervalS: 2, CheckTimeoutS: 5,
 			MostPlans: 100, MostRouters: 100},
+		// A zone twice a year, 57 machines of 8,800 a day, and a month until a replica is placed anew.
+		Spread: Spread{ZoneLossesPerDay: 2.0 / 365, MachineLossesPerDay: 57.0 / 8800, ReplicaDays: 30},
 	}
 }
 
--- a/internal/core/export_test.go
+++ b/internal/core/export_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+
+	"bitternwing/internal/spread"
 )
 
 // Evaluations is how many the rounds of this node's present term took.
@@ -49,6 +51,9 @@
 	if l.room.Len() != hosts {
 		return fmt.Errorf("%d machines in the index, of %d", l.room.Len(), hosts)
 	}
+	if err := l.checkReplicas(); err != nil {
+		return err
+	}
 	for _, j := range l.jobs {
 		zones := map[string]int{}
 		for _, p := range j.placed {
@@ -61,6 +66,30 @@
 	return nil
 }
 
+// checkReplicas compares the ledger of replicas with one that is built anew.
+func (l *leader) checkReplicas() error {
+	anew := spread.NewLedger()
+	models := map[spread.Model]bool{}
+	for _, m := range l.fleet {
+		for _, p := range m.list {
+			if model, ok := p.job.model(); ok && p.job.placed[p.task] == p {
+				anew.Add(model, m.zone, m.name)
+				models[model] = true
+			}
+		}
+	}
+	if anew.Models() != l.replicas.Models() {
+		return fmt.Errorf("%d models have replicas, built anew %d", l.replicas.Models(), anew.Models())
+	}
+	for model := range models {
+		total, zone, machine := l.replicas.Replicas(model)
+		if wantTotal, wantZone, wantMachine := anew.Replicas(model); total != wantTotal || zone != wantZone || machine != wantMachine {
+			return fmt.Errorf("%v has %d replicas, %d in a zone, %d on a machine; built anew %d, %d, %d", model, total, zone, machine, wantTotal, wantZone, wantMachine)
+		}
+	}
+	return nil
+}
+
 // ReadableBefore tells whether the version before plans can read a term.
 func ReadableBefore(value json.RawMessage) bool {
 	_, plain := decode[termValue](value)
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -11,6 +11,7 @@
 	"bitternwing/internal/capacity"
 	"bitternwing/internal/config"
 	"bitternwing/internal/record"
+	"bitternwing/internal/spread"
 	"bitternwing/internal/wire"
 )
 
@@ -37,6 +38,7 @@
 	superseded map[string]uint64
 	placed     map[int]*placement // by task
 	zones      map[string]int     // of these, how many are in each zone
+	replicas   *spread.Ledger     // of all models
 	guaranteed bool               // in this round: it fits into its team's guarantee
 	halted     int                // of these, told to stop
 	done       int
@@ -76,6 +78,7 @@
 	waits   bool            // for the answer to a direct start
 	answer  uint64          // seq of that answer; 0: none came
 	warmth  capacity.Warmth // of its machine when it was placed
+	trade   trade           // of a replica: what its place cost
 	state   wire.TaskState  // as last reported
 	since   time.Duration
 	ranAt   time.Duration // when first seen running; 0: not yet
@@ -127,6 +130,7 @@
 func (j *job) hold(p *placement) {
 	j.placed[p.task] = p
 	j.zones[p.machine.zone]++
+	p.countReplica(true)
 	p.machine.add(p)
 }
 
@@ -134,6 +138,7 @@
 func (j *job) drop(p *placement) {
 	delete(j.placed, p.task)
 	j.leaveZone(p.machine.zone)
+	p.countReplica(false)
 	p.machine.remove(p)
 }
 
@@ -262,7 +267,7 @@
 func (l *leader) addJob(id string, e *entry) *job {
 	status := l.c.deps.graph.Of(id)
 	j := &job{id: id, spec: e.Job, at: e.AtMS, queuedAt: e.AtMS, version: e.version, team: l.c.team(e.Job.Team),
-		rank: status.Priority, latestEnd: status.LatestEndMS, chunks: map[int]*chunk{}, placed: map[int]*placement{}, zones: map[string]int{}}
+		rank: status.Priority, latestEnd: status.LatestEndMS, chunks: map[int]*chunk{}, placed: map[int]*placement{}, zones: map[string]int{}, replicas: l.replicas}
 	l.jobs[id] = j
 	j.waiting = len(e.Job.Needs) > 0
 	j.held = l.planHolds(id, e.Job)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -10,6 +10,7 @@
 	"bitternwing/internal/call"
 	"bitternwing/internal/capacity"
 	"bitternwing/internal/record"
+	"bitternwing/internal/spread"
 	"bitternwing/internal/wire"
 )
 
@@ -32,6 +33,7 @@
 	machines   map[string]*machine
 	fleet      []*machine // by name
 	room       *capacity.Index[*host]
+	replicas   *spread.Ledger
 	due        []*machine    // with starts that were just committed
 	layout     record.Layout // of the run records
 	change     layoutChange
@@ -57,7 +59,7 @@
 func newLeader(c *Core, term, version uint64) *leader {
 	l := &leader{c: c, term: term, version: version, since: c.now.Steady,
 		runs: map[string]wire.Item{}, jobs: map[string]*job{}, machines: map[string]*machine{},
-		room: capacity.NewIndex[*host](), released: map[string]time.Duration{}, cutZones: map[string]bool{}, outAt: map[string]time.Duration{}}
+		room: capacity.NewIndex[*host](), replicas: spread.NewLedger(), released: map[string]time.Duration{}, cutZones: map[string]bool{}, outAt: map[string]time.Duration{}}
 	l.plans = newPlanRuns(l)
 	l.writes.init(l)
 	l.rentals.init(l)
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -130,6 +130,9 @@
 			if p.job.placed[p.task] == p {
 				p.job.leaveZone(m.zone)
 				p.job.zones[zone]++
+				if model, ok := p.job.model(); ok && p.job.replicas != nil {
+					p.job.replicas.Move(model, m.zone, zone, m.name)
+				}
 			}
 		}
 	}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -44,12 +44,27 @@
 
 // fit finds the machine for a job's next task: warm images first, except that what
 // may run on cheap machines prefers those; then the tightest, so that others empty
-// and can be returned.
+// and can be returned. Replicas of a service go where the load of their weights and what they add to
+// the worst loss of a zone or machine cost the least, if operators have that weighed.
 func (r *round) fit(j *job) *machine {
 	a, plain := requestOf(j)
 	if plain && r.full[a] {
 		return nil
 	}
+	var m *machine
+	if w, weighed := r.l.weigherFor(j); weighed {
+		m = r.weigh(j, w)
+	} else {
+		m = r.warmest(j)
+	}
+	if m == nil && plain {
+		r.full[a] = true
+	}
+	return m
+}
+
+// warmest finds the warmest machine for a job's next task, and of these the tightest.
+func (r *round) warmest(j *job) *machine {
 	allowed := j.groupRules()
 	h, found, looked := r.l.room.Tightest(capacity.Request[*host]{
 		Need:  resource.OfTask(j.spec),
@@ -66,9 +81,6 @@
 	})
 	r.evaluations -= max(1, looked) // a search that finds nothing at once is not free either
 	if !found {
-		if plain {
-			r.full[a] = true
-		}
 		return nil
 	}
 	return h.m
@@ -85,6 +97,9 @@
 	ch := l.chunkOf(j, task)
 	ch.next++
 	p := &placement{job: j, task: task, attempt: ch.next, machine: m, session: m.session, since: l.c.now.Steady, warmth: m.warmth(j.spec.Image)}
+	if !j.array() {
+		p.trade = r.explain(j, m)
+	}
 	j.hold(p)
 	m.touch(j.spec.Image, j.spec.ImageGB)
 	h := m.host
--- a/internal/core/placement_oracle_test.go
+++ b/internal/core/placement_oracle_test.go
@@ -36,8 +36,40 @@
 	return !s.Spread || here < (s.Tasks+1)/2
 }
 
+// scanWeighed finds the machine for a job's next replica that costs the least, by a look at each.
+func scanWeighed(r *round, j *job, w weigher) *machine {
+	var best *host
+	bestCost, bestLeft := 0.0, 0.0
+	need := resource.OfTask(j.spec)
+	for _, m := range r.l.fleet {
+		h := m.host
+		if h == nil || !h.free.Holds(need) || !scanAllowed(r, j, m) {
+			continue
+		}
+		cost, left := w.cost(m.group(), m.warmth(j.spec.Image)), 1.0
+		if w.Crowded(m.name) {
+			cost += w.Machine()
+		}
+		if m.mt.GPUs > 0 {
+			left = (h.free.GPUs - j.spec.GPUs) / m.mt.GPUs
+		} else if m.mt.CPUs > 0 {
+			left = (h.free.CPUs - j.spec.CPUs) / m.mt.CPUs
+		}
+		if best == nil || cost < bestCost || cost == bestCost && left < bestLeft {
+			best, bestCost, bestLeft = h, cost, left
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.m
+}
+
 // scanFit finds the machine for a job's next task by a look at each.
 func scanFit(r *round, j *job) *machine {
+	if w, weighed := r.l.weigherFor(j); weighed {
+		return scanWeighed(r, j, w)
+	}
 	var best *host
 	bestScore := math.Inf(1)
 	need := resource.OfTask(j.spec)
@@ -106,7 +138,13 @@
 	l.layout = c.layout()
 	c.lead = l
 	f := &drawnFleet{T: t, l: l, types: []*wire.MachineType{
-		{Name: "g4", GPUs: 4, CPUs: 16, MemoryGB: 64, CacheGB: 8}, {Name: "g2", GPUs: 2, CPUs: 16, MemoryGB: 16, CacheGB: 8}, {Name: "c8", CPUs: 8, MemoryGB: 32, CacheGB: 8}}}
+		{Name: "g4", GPUs: 4, CPUs: 16, MemoryGB: 64, CacheGB: 8, FetchGBPerS: 0.2}, {Name: "g2", GPUs: 2, CPUs: 16, MemoryGB: 16, CacheGB: 8, FetchGBPerS: 0.5}, {Name: "c8", CPUs: 8, MemoryGB: 32, CacheGB: 8}}}
+	for _, mt := range f.types {
+		c.catalog = append(c.catalog, *mt)
+	}
+	rates := []float64{0, 0.001, 0.02, 1}
+	c.op.Spread = config.Spread{Enabled: f.chance("places are weighed", 2), ZoneLossesPerDay: rapid.SampledFrom(rates).Draw(t, "zone losses"),
+		MachineLossesPerDay: rapid.SampledFrom(rates).Draw(t, "machine losses"), ReplicaDays: 30}
 	for range rapid.SampledFrom([]int{1, 3, 8, 20, 60}).Draw(t, "machines") {
 		f.addMachine()
 	}
--- a/internal/core/scale_cluster_test.go
+++ b/internal/core/scale_cluster_test.go
@@ -46,9 +46,13 @@
 	cloudRate      float64        // requests a second that the cloud takes; 0: all
 	cloudTokens    float64
 	// intercept may give the result of a call in place of the world, and onAnswer take an answer.
-	intercept      func(*scaleNode, core.Effect) (core.Result, bool)
-	onAnswer       func(core.Answer) bool
-	frozen         string // a node whose process stands still
+	intercept func(*scaleNode, core.Effect) (core.Result, bool)
+	onAnswer  func(core.Answer) bool
+	frozen    string // a node whose process stands still
+	// onStart, onRuns and onEnds are told of tasks' starts and ends.
+	onStart        func(task string)
+	onRuns         func(machine, task string)
+	onEnds         func(task string)
 	cloudAt        time.Duration
 	tooMany        int // requests above that
 	nodes          []*scaleNode
--- a/internal/core/scale_worker_test.go
+++ b/internal/core/scale_worker_test.go
@@ -103,13 +103,25 @@
 	}
 	y.holders[s.Task] = w
 	y.started++
+	if y.onStart != nil {
+		y.onStart(s.Task)
+	}
 }
 
 // TaskRuns is known by its start.
-func (y *scaleCluster) TaskRuns(_, _ string) {}
+func (y *scaleCluster) TaskRuns(machine, task string) {
+	if y.onRuns != nil {
+		y.onRuns(machine, task)
+	}
+}
 
 // TaskEnds notes that a machine holds a task no longer.
-func (y *scaleCluster) TaskEnds(_, task string, _ bool) { delete(y.holders, task) }
+func (y *scaleCluster) TaskEnds(_, task string, _ bool) {
+	delete(y.holders, task)
+	if y.onEnds != nil {
+		y.onEnds(task)
+	}
+}
 
 // holds tells whether a machine holds a task of a job.
 func (y *scaleCluster) holds(id string) bool {
--- /dev/null
+++ b/internal/core/spreading.go
@@ -0,0 +1,165 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"bitternwing/internal/capacity"
+	"bitternwing/internal/config"
+	"bitternwing/internal/resource"
+	"bitternwing/internal/spread"
+)
+
+// model gives what a job's replicas belong to; false if the job's tasks are not spread: it is no service.
+func (j *job) model() (spread.Model, bool) {
+	if j.array() {
+		return spread.Model{}, false
+	}
+	return spread.Model{Team: j.spec.Team, Image: j.spec.Image}, true
+}
+
+// countReplica takes a placement up in the ledger of replicas, or takes it out. Where replicas are is known whether
+// spread is weighed or not, so that it can be shown.
+func (p *placement) countReplica(present bool) {
+	model, ok := p.job.model()
+	if !ok || p.job.replicas == nil {
+		return
+	}
+	if present {
+		p.job.replicas.Add(model, p.machine.zone, p.machine.name)
+	} else {
+		p.job.replicas.Remove(model, p.machine.zone, p.machine.name)
+	}
+}
+
+// trade is what a replica's place costs, in seconds of replica time.
+type trade struct {
+	weighed bool    // against spread; else the warmest machine was taken
+	loadS   float64 // expected wait for the weights
+	lossS   float64 // expected to be lost by what the zone and the machine have beyond the balanced share
+	// warmest is the machine that would have been taken without weighing, with what it would have cost.
+	warmest               string
+	warmestLoadS, avoided float64
+}
+
+// rates are the losses that operators expect.
+func (c *Core) rates() spread.Rates {
+	s := c.op.Spread
+	return spread.Rates{ZoneLossesPerDay: s.ZoneLossesPerDay, MachineLossesPerDay: s.MachineLossesPerDay, ReplicaDays: s.ReplicaDays}
+}
+
+// noticedLeases is after how many of workers' leases a machine's loss is noticed for certain.
+const noticedLeases = 1.1
+
+// coldSeconds is how long a job's image takes on a machine of a type that fetches nothing else.
+func (l *leader) coldSeconds(j *job, kind string) float64 {
+	if mt := l.c.machineType(kind); mt != nil && mt.FetchGBPerS > 0 {
+		return j.spec.ImageGB / mt.FetchGBPerS
+	}
+	return 0
+}
+
+// slowestLoad is the longest that a job's image takes on any type that the job may run on.
+func (l *leader) slowestLoad(j *job) time.Duration {
+	slowest := 0.0
+	for i := range l.c.catalog {
+		if kind := l.c.catalog[i].Name; allowsType(j.spec, kind) {
+			slowest = max(slowest, l.coldSeconds(j, kind))
+		}
+	}
+	return config.Seconds(slowest)
+}
+
+// weigher is what a job's next replica goes by.
+type weigher struct {
+	spread.Weigher
+	l    *leader
+	job  *job
+	away time.Duration
+}
+
+// weigherFor gives a job's weigher; false if its places are not weighed.
+func (l *leader) weigherFor(j *job) (weigher, bool) {
+	model, ok := j.model()
+	if !ok || !l.c.op.Spread.Enabled || j.replicas == nil {
+		return weigher{}, false
+	}
+	away := time.Duration(noticedLeases*float64(l.c.t.lease)) + l.slowestLoad(j)
+	fleet := spread.Fleet{Zones: len(l.zonesFor(j)), Machines: l.room.Len()}
+	return weigher{j.replicas.Weigh(model, l.c.rates(), fleet, away), l, j, away}, true
+}
+
+// zonesFor gives the zones in which a job may run and there are machines that take tasks.
+func (l *leader) zonesFor(j *job) []string {
+	var zones []string
+	for _, g := range l.room.Groups() {
+		if (j.spec.Spot || !g.Spot) && allowsType(j.spec, g.Type) && (j.spec.Zone == "" || j.spec.Zone == g.Zone) && !slices.Contains(zones, g.Zone) {
+			zones = append(zones, g.Zone)
+		}
+	}
+	return zones
+}
+
+// cost gives what a machine of a group costs the job's next replica, by its warmth.
+func (w weigher) cost(g capacity.Group, warmth capacity.Warmth) float64 {
+	cost := w.load(g, warmth) + w.Zone(g.Zone)
+	if w.job.spec.Spot && !g.Spot {
+		// As far behind as without weighing: a loss is the unit of what comes before warmth.
+		cost += ordinaryPenalty * w.away.Seconds()
+	}
+	return cost
+}
+
+func (w weigher) load(g capacity.Group, warmth capacity.Warmth) float64 {
+	return spread.LoadSeconds(int(warmth), w.l.coldSeconds(w.job, g.Type))
+}
+
+// weigh finds the machine for a job's next replica that costs the least.
+func (r *round) weigh(j *job, w weigher) *machine {
+	allowed := j.groupRules()
+	h, _, found, looked := r.l.room.Cheapest(capacity.Weighed[*host]{
+		Need:    resource.OfTask(j.spec),
+		Image:   j.spec.Image,
+		Crowded: w.Machine(),
+		Cost: func(g capacity.Group, warmth capacity.Warmth) (float64, bool) {
+			if !allowed(g) {
+				return 0, false
+			}
+			return w.cost(g, warmth), true
+		},
+		Suits: func(h *host) (capacity.Warmth, bool, bool) {
+			return h.m.warmth(j.spec.Image), w.Crowded(h.m.name), !r.l.avoids(j, h.m)
+		},
+	})
+	r.evaluations -= max(1, looked)
+	if !found {
+		return nil
+	}
+	return h.m
+}
+
+// tradeOn gives what a machine costs a job's next replica.
+func (w weigher) tradeOn(m *machine) trade {
+	t := trade{weighed: true, loadS: w.load(m.group(), m.warmth(w.job.spec.Image)), lossS: w.Zone(m.zone)}
+	if w.Crowded(m.name) {
+		t.lossS += w.Machine()
+	}
+	return t
+}
+
+// explain completes the trade of a machine that is not warm with what the warmest one would have cost.
+func (r *round) explain(j *job, m *machine) trade {
+	w, weighed := r.l.weigherFor(j)
+	if !weighed {
+		return trade{loadS: spread.LoadSeconds(int(m.warmth(j.spec.Image)), r.l.coldSeconds(j, m.kind))}
+	}
+	t := w.tradeOn(m)
+	if m.warmth(j.spec.Image) == capacity.Warm {
+		return t
+	}
+	if warmest := r.warmest(j); warmest != nil && warmest != m {
+		other := w.tradeOn(warmest)
+		t.warmest, t.warmestLoadS, t.avoided = warmest.name, other.loadS, other.lossS-t.lossS
+	}
+	return t
+}
