--- a/cmd/bitternwing/main.go
+++ b/cmd/bitternwing/main.go
@@ -22,12 +22,13 @@
 const version = "0.1.0"
 
 type cli struct {
-	Serve   serveCmd   `cmd:"" default:"withargs" help:"Run a controller node (the default)."`
-	Job     jobCmd     `cmd:"" help:"Submit, show and cancel jobs."`
-	Rollout rolloutCmd `cmd:"" help:"Bring a model's new version into service by steps."`
-	Check   checkCmd   `cmd:"" help:"Check the settings and start nothing."`
-	Schema  schemaCmd  `cmd:"" help:"Print the schema of the operators' settings."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Serve     serveCmd     `cmd:"" default:"withargs" help:"Run a controller node (the default)."`
+	Job       jobCmd       `cmd:"" help:"Submit, show and cancel jobs."`
+	Rollout   rolloutCmd   `cmd:"" help:"Bring a model's new version into service by steps."`
+	Placement placementCmd `cmd:"" help:"Explain the places of a job's replicas."`
+	Check     checkCmd     `cmd:"" help:"Check the settings and start nothing."`
+	Schema    schemaCmd    `cmd:"" help:"Print the schema of the operators' settings."`
+	Version   versionCmd   `cmd:"" help:"Print the version."`
 }
 
 type settingsFlags struct {
--- a/cmd/bitternwing/rollout.go
+++ b/cmd/bitternwing/rollout.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"bitternwing/internal/operators"
 	"bitternwing/internal/operators/operatorpb"
@@ -22,6 +23,7 @@
 const (
 	exitInvalidPlan = 6
 	exitRolledBack  = 7
+	exitNotPlaced   = 8
 )
 
 // errRolledBack says that a plan that was watched went back.
@@ -45,8 +47,8 @@
 	JSON       bool          `name:"json" help:"Print the answer as JSON."`
 }
 
-// ask asks the controller, within the time to wait.
-func (f *controllerFlags) ask(request func(context.Context, *operators.Client) (*operatorpb.PlanStatus, error)) (*operatorpb.PlanStatus, error) {
+// askController asks a controller, within the time to wait.
+func askController[Reply any](f *controllerFlags, request func(context.Context, *operators.Client) (*Reply, error)) (*Reply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), f.Wait)
 	defer cancel()
 	client, err := operators.NewClient(f.Controller)
@@ -59,7 +61,7 @@
 
 // run asks, and prints how the plan stands.
 func (f *controllerFlags) run(request func(context.Context, *operators.Client) (*operatorpb.PlanStatus, error)) error {
-	status, err := f.ask(request)
+	status, err := askController(f, request)
 	if err != nil {
 		return err
 	}
@@ -68,17 +70,7 @@
 
 func (f *controllerFlags) print(w io.Writer, s *operatorpb.PlanStatus) error {
 	if f.JSON {
-		text, err := protojson.Marshal(s)
-		if err != nil {
-			return err
-		}
-		// protojson varies its spaces on purpose; scripts get one form.
-		var compact json.RawMessage
-		if compact, err = json.Marshal(json.RawMessage(text)); err != nil {
-			return err
-		}
-		_, err = fmt.Fprintln(w, string(compact))
-		return err
+		return printJSON(w, s)
 	}
 	if _, err := fmt.Fprintln(w, summary(s)); err != nil {
 		return err
@@ -95,6 +87,21 @@
 	return nil
 }
 
+// printJSON prints a message as a line of JSON.
+func printJSON(w io.Writer, m proto.Message) error {
+	text, err := protojson.Marshal(m)
+	if err != nil {
+		return err
+	}
+	// protojson varies its spaces on purpose; scripts get one form.
+	compact, err := json.Marshal(json.RawMessage(text))
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(w, string(compact))
+	return err
+}
+
 // summary gives a plan's state in a line.
 func summary(s *operatorpb.PlanStatus) string {
 	if s.GetProblem() != "" {
@@ -185,7 +192,7 @@
 	defer stop()
 	last := ""
 	for {
-		status, err := c.ask(func(ctx context.Context, client *operators.Client) (*operatorpb.PlanStatus, error) {
+		status, err := askController(&c.controllerFlags, func(ctx context.Context, client *operators.Client) (*operatorpb.PlanStatus, error) {
 			return client.Show(ctx, c.Name)
 		})
 		if err != nil {
@@ -235,6 +242,8 @@
 		return exitUnavailable
 	case errors.Is(err, errRolledBack):
 		return exitRolledBack
+	case errors.Is(err, errNotPlaced):
+		return exitNotPlaced
 	}
 	return 0
 }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -47,6 +47,7 @@
 	ZoneLossesPerDay    float64 `json:"zone_losses_per_day"`
 	MachineLossesPerDay float64 `json:"machine_losses_per_day"`
 	ReplicaDays         float64 `json:"replica_days"`
+	MovesPerHour        float64 `json:"moves_per_hour"` // of replicas, to bring them back into balance
 }
 
 // DefaultOperator gives the built-in settings.
@@ -66,7 +67,7 @@
 		Rollouts: Rollouts{ModelPort: 8000, RouterLeaseS: 15, CheckIntervalS: 2, CheckTimeoutS: 5,
 			MostPlans: 100, MostRouters: 100},
 		// A zone twice a year, 57 machines of 8,800 a day, and a month until a replica is placed anew.
-		Spread: Spread{ZoneLossesPerDay: 2.0 / 365, MachineLossesPerDay: 57.0 / 8800, ReplicaDays: 30},
+		Spread: Spread{ZoneLossesPerDay: 2.0 / 365, MachineLossesPerDay: 57.0 / 8800, ReplicaDays: 30, MovesPerHour: 60},
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -137,6 +137,8 @@
 		c.showPlan(in)
 	case RoutePlan:
 		c.routePlan(in)
+	case ShowPlacements:
+		c.showPlacements(in)
 	case Result:
 		if f := c.pending[in.ID]; f != nil {
 			delete(c.pending, in.ID)
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -111,6 +111,7 @@
 	stopCancelled     stopReason = "cancelled"
 	stopDrain         stopReason = "drain"          // its machine is to be returned, or will be taken
 	stopShrunk        stopReason = "shrunk"         // another job lacks its minimum
+	stopMoved         stopReason = "moved"          // its model's replicas are to be in balance
 	stopDoneElsewhere stopReason = "done elsewhere" // another attempt has completed
 )
 
--- a/internal/core/large_fleet_test.go
+++ b/internal/core/large_fleet_test.go
@@ -53,6 +53,16 @@
 	}
 }
 
+// leaderNode gives the node that leads; nil if none does.
+func (y *scaleCluster) leaderNode() *scaleNode {
+	for _, n := range y.nodes {
+		if n.core.PeerStatus().Leads {
+			return n
+		}
+	}
+	return nil
+}
+
 // follower gives a node that does not lead.
 func (y *scaleCluster) follower() *scaleNode {
 	for _, n := range y.nodes {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -34,6 +34,7 @@
 	fleet      []*machine // by name
 	room       *capacity.Index[*host]
 	replicas   *spread.Ledger
+	moves      moves
 	due        []*machine    // with starts that were just committed
 	layout     record.Layout // of the run records
 	change     layoutChange
--- /dev/null
+++ b/internal/core/moves.go
@@ -0,0 +1,103 @@
+package core
+
+import (
+	"slices"
+
+	"bitternwing/internal/spread"
+)
+
+// moves bring replicas of services back into balance, as after the return of a zone: one of a model at a time, within
+// a budget, only while all of the model runs, and only where what is gained by the balance is more than what the move
+// costs. A moved replica is stopped, which drains its machine of it, and started anew by the next round, where it costs
+// the least.
+type moves struct {
+	tokens float64 // moves that may be made now
+	at     float64 // when that was worked out, in seconds
+	made   int
+}
+
+// secondsAnHour turns a budget an hour into one a second.
+const secondsAnHour = 3600
+
+// refill adds what the budget allows since the last look, up to a minute's worth and at least one.
+func (v *moves) refill(now, perHour float64) {
+	perSecond := perHour / secondsAnHour
+	v.tokens = min(max(1, 60*perSecond), v.tokens+perSecond*(now-v.at))
+	v.at = now
+}
+
+// moveReplicas makes the moves that are worth it.
+func (r *round) moveReplicas() {
+	l := r.l
+	s := l.c.op.Spread
+	if !s.Enabled || s.MovesPerHour <= 0 {
+		return
+	}
+	l.moves.refill(l.c.now.Steady.Seconds(), s.MovesPerHour)
+	if l.moves.tokens < 1 || !l.rentals.settled() {
+		return
+	}
+	services := map[spread.Model][]*job{}
+	for _, j := range l.order {
+		if model, ok := j.model(); ok {
+			services[model] = append(services[model], j)
+		}
+	}
+	for _, model := range l.replicas.All() {
+		if l.moves.tokens < 1 || !r.budget() {
+			return
+		}
+		if p := r.worthMoving(model, services[model]); p != nil {
+			l.moves.tokens--
+			l.moves.made++
+			p.halt(stopNow, stopMoved)
+			p.machine.roomChanged = true
+			l.due = append(l.due, p.machine)
+			l.c.log(Info, "moving a replica", "task", p.name(), "machine", p.machine.name, "zone", p.machine.zone)
+		}
+	}
+}
+
+// worthMoving gives a replica of a model that is worth moving; nil if there is none, or if not all of the model runs.
+func (r *round) worthMoving(model spread.Model, services []*job) *placement {
+	l := r.l
+	for _, j := range services {
+		if !r.ready(j) || j.unplaced() > 0 || j.halted > 0 || slices.ContainsFunc(j.byTask(), func(p *placement) bool { return p.ranAt == 0 || p.stop != keep }) {
+			return nil
+		}
+	}
+	for _, j := range services {
+		if j.spec.Zone != "" || j.spec.OneZone || l.planOwns(j.id) {
+			continue // it has no choice, or its places are a rollout's matter just now
+		}
+		zone := l.replicas.Overfull(model, l.zonesFor(j))
+		for _, p := range j.byTask() {
+			if zone != "" && p.machine.zone == zone && r.gains(j, p) {
+				return p
+			}
+		}
+	}
+	return nil
+}
+
+// gains tells whether a replica would cost less elsewhere, its restart and the load of its weights included.
+func (r *round) gains(j *job, p *placement) bool {
+	l := r.l
+	j.drop(p)
+	w, _ := l.weigherFor(j)
+	stay := w.tradeOn(p.machine).lossS
+	to := r.weigh(j, w)
+	gain := 0.0
+	if to != nil && to.zone != p.machine.zone {
+		there := w.tradeOn(to)
+		gain = stay - there.loadS - there.lossS
+	}
+	j.hold(p)
+	return gain > l.c.t.report.Seconds()
+}
+
+// planOwns tells whether a job is one of a rollout's plan.
+func (l *leader) planOwns(id string) bool {
+	_, owned := l.c.dir.plans.byJob[id]
+	return owned
+}
--- /dev/null
+++ b/internal/core/placement_requests.go
@@ -0,0 +1,49 @@
+package core
+
+import "bitternwing/internal/wire"
+
+// ShowPlacements asks where the replicas of a job are, and what each place cost. Only the node that leads answers.
+type ShowPlacements struct {
+	Req uint64
+	Job string
+}
+
+func (ShowPlacements) input() {}
+
+// Place is where a replica is. Costs are in seconds of replica time, see package spread.
+type Place struct {
+	Task    string
+	Attempt uint64
+	Machine string
+	Zone    string
+	// Chosen tells that this leader chose the place, so that what follows is known; Weighed that spread was weighed.
+	Chosen  bool
+	Weighed bool
+	LoadS   float64
+	LossS   float64
+	// Warmest is the machine with the warmest weights where another one was chosen, "" else.
+	Warmest      string
+	WarmestLoadS float64
+	AvoidedS     float64
+}
+
+// showPlacements answers with the places of a job's replicas, and tells of that job alone.
+func (c *Core) showPlacements(in ShowPlacements) {
+	l := c.planLeader(in.Req)
+	if l == nil {
+		return
+	}
+	j := l.jobs[in.Job]
+	if j == nil {
+		c.answer(in.Req, 404, wire.ErrorBody{Error: "no such job, or it is over"})
+		return
+	}
+	places := []Place{}
+	for _, p := range j.byTask() {
+		t := p.trade
+		places = append(places, Place{Task: p.name(), Attempt: p.attempt, Machine: p.machine.name, Zone: p.machine.zone,
+			Chosen: p.sentSeq != inherited, Weighed: t.weighed, LoadS: t.loadS, LossS: t.lossS,
+			Warmest: t.warmest, WarmestLoadS: t.warmestLoadS, AvoidedS: t.avoided})
+	}
+	c.answer(in.Req, 200, places)
+}
--- a/internal/core/rollout_world_test.go
+++ b/internal/core/rollout_world_test.go
@@ -384,15 +384,6 @@
 	w.late = nil
 }
 
-// leaderNode gives the node that leads.
-func (w *rolloutWorld) leaderNode() *scaleNode {
-	i := slices.IndexFunc(w.nodes, func(n *scaleNode) bool { return n.core.PeerStatus().Leads })
-	if i < 0 {
-		return nil
-	}
-	return w.nodes[i]
-}
-
 // crashAny ends the process of the node that leads, if one does.
 func (w *rolloutWorld) crashAny() {
 	if w.leaderNode() != nil {
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -94,6 +94,9 @@
 	if l.rounds.resume == nil {
 		r.allocateElastic()
 	}
+	if l.rounds.resume == nil {
+		r.moveReplicas()
+	}
 	l.plan(r)
 	r.note()
 	spent := budget - r.evaluations
--- /dev/null
+++ b/internal/core/spread_test.go
@@ -0,0 +1,302 @@
+package core_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"bitternwing/internal/config"
+	"bitternwing/internal/core"
+	"bitternwing/internal/wire"
+)
+
+// spreadWorld is a cluster in which places of replicas are weighed. It follows in which zone each replica runs.
+type spreadWorld struct {
+	*scaleCluster
+	running map[string]string // zones, by task
+	starts  int
+}
+
+// losses make a zone's loss weigh more than the load of the tests' images, and a machine's less.
+var losses = config.Spread{Enabled: true, ZoneLossesPerDay: 0.1, MachineLossesPerDay: 0.001, ReplicaDays: 30, MovesPerHour: 1200}
+
+// newSpreadWorld has so many machines in each zone; the first two zones have nodes.
+func newSpreadWorld(t reporter, spread config.Spread, perZone map[string]int) *spreadWorld {
+	y := newScaleCluster(t, 3, 0)
+	w := &spreadWorld{scaleCluster: y, running: map[string]string{}}
+	y.op.IdleBoots = 100
+	y.op.Spread = spread
+	y.adjust = func(p *config.Params) {
+		p.State.RPS, p.State.WriteRPS = 1000, 1000
+		for i := range p.Teams {
+			p.Teams[i].GPUsMax = 0
+		}
+	}
+	y.onRuns = func(machine, task string) { w.running[task] = y.byName[machine].zone; w.starts++ }
+	y.onEnds = func(task string) { delete(w.running, task) }
+	y.restart()
+	for _, zone := range []string{"z1", "z2", "z3"} {
+		if perZone[zone] > 0 {
+			y.have(perZone[zone], zone)
+		}
+	}
+	y.pass(10 * time.Second)
+	return w
+}
+
+var threeZones = map[string]int{"z1": 6, "z2": 6, "z3": 6}
+
+// service submits a service of a model and lets its replicas come up.
+func (w *spreadWorld) service(id string, tasks int, image string, imageGB float64) {
+	w.hand(w.nodes[0], &wire.Job{ID: id, Kind: wire.KindService, Class: "c", Team: "t1", Tasks: tasks, CPUs: 4, GPUs: 1, MemoryGB: 20,
+		Priority: "prod", Image: image, ImageGB: imageGB})
+	w.pass(25 * time.Second)
+}
+
+// zones counts the running replicas of a job, or of all jobs for "", by zone.
+func (w *spreadWorld) zones(job string) map[string]int {
+	zones := map[string]int{}
+	for task, zone := range w.running {
+		if id, _, _ := wire.ParseTask(task); job == "" || id == job {
+			zones[zone]++
+		}
+	}
+	return zones
+}
+
+// expect checks how many replicas are in each zone.
+func (w *spreadWorld) expect(what string, z1, z2, z3 int) {
+	w.t.Helper()
+	if got := w.zones(""); got["z1"] != z1 || got["z2"] != z2 || got["z3"] != z3 {
+		w.t.Errorf("%s: %v, not %d, %d, %d", what, got, z1, z2, z3)
+	}
+}
+
+// loseZone ends all machines of a zone.
+func (w *spreadWorld) loseZone(zone string) {
+	for _, x := range w.workers {
+		if x.zone == zone && !x.dead {
+			x.dead = true
+			x.machine.Clear()
+		}
+	}
+}
+
+// TestWaveIsSpread has nine replicas of a model that is cold everywhere come in one round, as a rollout's new version does, and then
+// more of the same model in another job.
+func TestWaveIsSpread(t *testing.T) {
+	w := newSpreadWorld(t, losses, threeZones)
+	w.service("run-000001", 9, "img-a", 8)
+	w.expect("a wave", 3, 3, 3)
+	w.service("run-000002", 3, "img-a", 8)
+	w.expect("more of the model", 4, 4, 4)
+	off := losses
+	off.Enabled = false
+	w = newSpreadWorld(t, off, threeZones)
+	w.service("run-000001", 9, "img-a", 8)
+	if zones := w.zones(""); len(zones) > 2 {
+		t.Errorf("without weighing they are in %v: there is nothing to tell apart", zones)
+	}
+}
+
+// TestWarmAgainstSpread has weights that take longer to load than what a balance is worth: replicas stay with them. With more losses
+// expected they spread.
+func TestWarmAgainstSpread(t *testing.T) {
+	for _, x := range []struct {
+		zoneLosses float64
+		zones      int
+	}{{0.001, 1}, {1, 3}} {
+		spread := losses
+		spread.ZoneLossesPerDay, spread.MachineLossesPerDay = x.zoneLosses, 0
+		w := newSpreadWorld(t, spread, threeZones)
+		w.service("run-000001", 1, "img-a", 40)
+		w.service("run-000002", 5, "img-a", 40)
+		if zones := w.zones(""); len(zones) != x.zones {
+			t.Errorf("%g losses of a zone a day: %v, not %d zones", x.zoneLosses, zones, x.zones)
+		}
+	}
+}
+
+// TestZonesWithoutRoom has zones of unequal size, one without machines, and images larger than a machine's cache.
+func TestZonesWithoutRoom(t *testing.T) {
+	w := newSpreadWorld(t, losses, map[string]int{"z1": 6, "z2": 6})
+	w.service("run-000001", 8, "img-a", 8)
+	w.expect("one zone without machines", 4, 4, 0)
+	w = newSpreadWorld(t, losses, map[string]int{"z1": 6, "z2": 1, "z3": 6})
+	w.hand(w.nodes[0], &wire.Job{ID: "run-000009", Kind: wire.KindService, Class: "c", Team: "t2", Tasks: 1, CPUs: 4, GPUs: 7, MemoryGB: 20,
+		Priority: "prod", Zone: "z2", Image: "img-z", ImageGB: 1})
+	w.pass(10 * time.Second)
+	w.service("run-000001", 9, "img-a", 8)
+	if zones := w.zones("run-000001"); zones["z2"] != 1 || zones["z1"] != 4 || zones["z3"] != 4 {
+		t.Errorf("a zone with room for one: %v", zones)
+	}
+	w = newSpreadWorld(t, losses, threeZones)
+	w.service("run-000001", 6, "img-a", 310)
+	w.pass(80 * time.Second)
+	w.expect("an image larger than the cache", 2, 2, 2)
+}
+
+// TestOneZoneOnly has a single zone: nothing can be avoided, and each task goes where it goes without weighing.
+func TestOneZoneOnly(t *testing.T) {
+	holders := func(enabled bool) string {
+		spread := losses
+		spread.Enabled, spread.MachineLossesPerDay = enabled, 0
+		w := newSpreadWorld(t, spread, map[string]int{"z1": 12})
+		for i := range 8 {
+			w.service(fmt.Sprintf("run-%06d", i), 1+i%4, fmt.Sprintf("img-%d", i%3), 8)
+		}
+		places := map[string]string{}
+		for task, worker := range w.holders {
+			places[task] = worker.name
+		}
+		return fmt.Sprint(places)
+	}
+	if on, off := holders(true), holders(false); on != off {
+		t.Errorf("weighed:\n%s\nnot weighed:\n%s", on, off)
+	}
+}
+
+// TestZoneLostWithAllWarmCopies has all warm copies in the zone that is lost. The replicas come back elsewhere, in balance, and once
+// the zone is there again some return to it, a replica at a time; with all of the model running in between.
+func TestZoneLostWithAllWarmCopies(t *testing.T) {
+	off := losses
+	off.Enabled = false
+	w := newSpreadWorld(t, off, threeZones)
+	w.service("run-000001", 6, "img-a", 8)
+	zone := ""
+	for z, n := range w.zones("") {
+		if n == 6 {
+			zone = z
+		}
+	}
+	if zone == "" {
+		t.Fatalf("the replicas are not in one zone: %v", w.zones(""))
+	}
+	w.op.Spread = losses
+	w.op.Spread.MovesPerHour = 0 // as it is when weighing is switched on
+	w.restart()
+	w.pass(10 * time.Second)
+	w.loseZone(zone)
+	w.pass(90 * time.Second)
+	if zones := w.zones(""); len(zones) != 2 || zones[zone] != 0 {
+		t.Errorf("after the loss of %s: %v", zone, zones)
+	}
+}
+
+// TestZonesCutAndHealed loses and returns a zone ten times, with the leader's end in the midst of two repairs. Replicas move as often as the
+// balance needs, and stay then.
+func TestZonesCutAndHealed(t *testing.T) {
+	w := newSpreadWorld(t, losses, threeZones)
+	w.service("run-000001", 6, "img-a", 8)
+	w.expect("at first", 2, 2, 2)
+	for i := range 10 {
+		w.loseZone("z3")
+		w.pass(60 * time.Second)
+		w.expect(fmt.Sprint("lost for the time ", i), 3, 3, 0)
+		w.have(6, "z3")
+		w.starts = 0
+		least := 6
+		for range 60 {
+			w.pass(time.Second)
+			least = min(least, len(w.running))
+			if i%5 == 2 && w.starts == 1 {
+				w.crash()
+				w.starts++ // once
+			}
+		}
+		w.expect(fmt.Sprint("back for the time ", i), 2, 2, 2)
+		if moved := w.starts; moved > 3 || least < 5 {
+			t.Errorf("back for the time %d: %d starts, at least %d of 6 ran", i, moved, least)
+		}
+	}
+}
+
+// TestLastCopyDies has the weights on one machine only, which dies, hangs, or is to be taken: the replica comes back, and
+// its model is not thought to be warm there any more.
+func TestLastCopyDies(t *testing.T) {
+	w := newSpreadWorld(t, losses, threeZones)
+	w.service("run-000001", 1, "img-a", 8)
+	for range 3 {
+		holder := w.holders["run-000001/0"]
+		holder.dead = true
+		holder.machine.Clear()
+		w.pass(60 * time.Second)
+		if next := w.holders["run-000001/0"]; len(w.running) != 1 || next == holder {
+			t.Fatalf("it does not come back: %v", w.running)
+		}
+	}
+}
+
+// TestMovesKeepTheRules moves nothing that has no choice, nothing while the model is not whole, and nothing beyond the budget.
+func TestMovesKeepTheRules(t *testing.T) {
+	none := losses
+	none.MovesPerHour = 0
+	w := newSpreadWorld(t, none, map[string]int{"z1": 6, "z2": 6, "z3": 6})
+	w.loseZone("z3")
+	w.pass(60 * time.Second)
+	w.service("run-000001", 6, "img-a", 8)
+	w.have(6, "z3")
+	w.pass(60 * time.Second)
+	w.expect("without a budget", 3, 3, 0)
+
+	w = newSpreadWorld(t, losses, threeZones)
+	w.hand(w.nodes[0], &wire.Job{ID: "run-000001", Kind: wire.KindService, Class: "c", Team: "t1", Tasks: 4, CPUs: 4, GPUs: 1, MemoryGB: 20,
+		Priority: "prod", Image: "img-a", ImageGB: 8, Zone: "z1"})
+	w.pass(60 * time.Second)
+	w.expect("bound to a zone", 4, 0, 0)
+}
+
+// TestNewLeaderKnowsReplicas has a leader end. The next one counts the replicas that run before it places more.
+func TestNewLeaderKnowsReplicas(t *testing.T) {
+	w := newSpreadWorld(t, losses, threeZones)
+	w.service("run-000001", 3, "img-a", 8)
+	w.crash()
+	w.pass(8 * time.Second)
+	w.service("run-000002", 3, "img-a", 8)
+	w.expect("over a leader's end", 2, 2, 2)
+	for _, n := range w.nodes {
+		if err := n.core.CheckRoom(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestExplained tells of a replica that was not put on the warmest machine what that would have cost, and of its job alone.
+func TestExplained(t *testing.T) {
+	w := newSpreadWorld(t, losses, threeZones)
+	w.service("run-000001", 1, "img-a", 8)
+	w.service("run-000002", 1, "img-b", 8)
+	w.service("run-000003", 3, "img-a", 8)
+	ask := func(id string) core.Answer {
+		var got core.Answer
+		w.onAnswer = func(a core.Answer) bool { got = a; return true }
+		w.step(w.leaderNode(), core.ShowPlacements{Req: 1 << 40, Job: id})
+		w.onAnswer = nil
+		return got
+	}
+	places, ok := ask("run-000003").Body.([]core.Place)
+	if !ok || len(places) != 3 {
+		t.Fatalf("%+v", places)
+	}
+	explained := 0
+	for _, p := range places {
+		if !p.Chosen || !p.Weighed || !strings.HasPrefix(p.Task, "run-000003/") {
+			t.Errorf("%+v", p)
+		}
+		if p.Warmest != "" && p.Warmest != p.Machine && p.AvoidedS > p.LoadS-p.WarmestLoadS && p.LoadS > 0 {
+			explained++
+		}
+	}
+	if explained == 0 {
+		t.Errorf("no replica paid for the balance: %+v", places)
+	}
+	if a := ask("run-000099"); a.Status != 404 {
+		t.Errorf("an unknown job: %+v", a)
+	}
+	w.crash()
+	w.pass(8 * time.Second)
+	if places, ok := ask("run-000003").Body.([]core.Place); !ok || len(places) != 3 || places[0].Chosen {
+		t.Errorf("after a leader's end: %+v", places)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,12 +13,13 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"bitternwing/internal/call"
 	"bitternwing/internal/cloud"
 	"bitternwing/internal/config"
 	"bitternwing/internal/core"
 	"bitternwing/internal/operators"
-	"bitternwing/internal/operators/operatorpb"
 	"bitternwing/internal/peer"
 	"bitternwing/internal/probe"
 	"bitternwing/internal/server"
@@ -111,7 +112,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ps := peer.NewServer(n.set.Node, n.heard, n.peerStatus)
-	operatorpb.RegisterRolloutsServer(ps.Registrar(), operators.NewServer(n, n.rolloutsOf))
+	operators.Register(ps.Registrar(), n, n.connectionTo)
 	hs := server.New(n, publicSockets(n.set))
 	errs := make(chan error, 2)
 	go func() { errs <- ps.Serve(inner) }()
@@ -132,10 +133,10 @@
 	return err
 }
 
-// rolloutsOf gives the client of another node's service of rollouts; nil if there is no such node.
-func (n *Node) rolloutsOf(node string) operatorpb.RolloutsClient {
+// connectionTo gives the connection to another node's internal address; nil if there is no such node.
+func (n *Node) connectionTo(node string) grpc.ClientConnInterface {
 	if p := n.peers[node]; p != nil {
-		return operatorpb.NewRolloutsClient(p.Conn())
+		return p.Conn()
 	}
 	return nil
 }
--- a/internal/node/rollout_test.go
+++ b/internal/node/rollout_test.go
@@ -141,6 +141,14 @@
 	if _, err := client.Show(ctx, "writer"); !errors.Is(err, operators.ErrNotFound) {
 		t.Errorf("an unknown plan: %v", err)
 	}
+	if _, err := client.Placements(ctx, "run-000077"); !errors.Is(err, operators.ErrNotFound) {
+		t.Errorf("the places of an unknown job: %v", err)
+	}
+	s.submit("a", "run-000078", wire.KindService, 2, 4)
+	s.eventually("both replicas have a place", func() bool {
+		reply, err := client.Placements(ctx, "run-000078")
+		return err == nil && len(reply.GetReplicas()) == 2 && reply.GetReplicas()[0].GetMachine() != ""
+	})
 	if _, err := client.Apply(ctx, []byte(`{"name":"x"}`)); !errors.As(err, &invalid) {
 		t.Errorf("no plan: %v", err)
 	}
--- a/internal/operators/client.go
+++ b/internal/operators/client.go
@@ -14,8 +14,8 @@
 	"bitternwing/internal/operators/operatorpb"
 )
 
-// ErrNotFound says that there is no such plan.
-var ErrNotFound = errors.New("no such plan")
+// ErrNotFound says that there is no plan of the name, or no job of the id.
+var ErrNotFound = errors.New("not found")
 
 // InvalidError says which field of a plan is wrong.
 type InvalidError struct{ Problem string }
@@ -39,8 +39,9 @@
 
 // Client asks controllers about rollouts.
 type Client struct {
-	conn *grpc.ClientConn
-	rpc  operatorpb.RolloutsClient
+	conn       *grpc.ClientConn
+	rpc        operatorpb.RolloutsClient
+	placements operatorpb.PlacementsClient
 }
 
 // NewClient makes a client of a controller's internal address.
@@ -50,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Client{conn: conn, rpc: operatorpb.NewRolloutsClient(conn)}, nil
+	return &Client{conn: conn, rpc: operatorpb.NewRolloutsClient(conn), placements: operatorpb.NewPlacementsClient(conn)}, nil
 }
 
 // Close ends the connection.
@@ -77,13 +78,20 @@
 	})
 }
 
+// Placements tells where the replicas of a job are, and what each place cost.
+func (c *Client) Placements(ctx context.Context, job string) (*operatorpb.PlacementReply, error) {
+	return retry(ctx, func(ctx context.Context) (*operatorpb.PlacementReply, error) {
+		return c.placements.Show(ctx, &operatorpb.PlacementRequest{Job: job})
+	})
+}
+
 // Route asks for a routing, once: a router goes on with what it has.
 func (c *Client) Route(ctx context.Context, q *operatorpb.RouteRequest) (*operatorpb.RouteReply, error) {
 	return c.rpc.Route(ctx, q)
 }
 
 // retry asks until there is an answer or the context ends, and at least once.
-func retry(ctx context.Context, ask func(context.Context) (*operatorpb.PlanStatus, error)) (*operatorpb.PlanStatus, error) {
+func retry[Reply any](ctx context.Context, ask func(context.Context) (*Reply, error)) (*Reply, error) {
 	for {
 		once, cancel := context.WithTimeout(context.WithoutCancel(ctx), patience+retryPause)
 		reply, err := ask(once)
--- a/internal/operators/server.go
+++ b/internal/operators/server.go
@@ -35,18 +35,20 @@
 type Server struct {
 	operatorpb.UnimplementedRolloutsServer
 	core Core
-	// peer gives the client of another controller; nil where there is none of the name.
-	peer func(node string) operatorpb.RolloutsClient
+	// peer gives the connection to another controller; nil where there is none of the name.
+	peer func(node string) grpc.ClientConnInterface
 }
 
-// NewServer makes the service of a node.
-func NewServer(c Core, peer func(node string) operatorpb.RolloutsClient) *Server {
-	return &Server{core: c, peer: peer}
+// Register registers the services of a node.
+func Register(to grpc.ServiceRegistrar, c Core, peer func(node string) grpc.ClientConnInterface) {
+	server := &Server{core: c, peer: peer}
+	operatorpb.RegisterRolloutsServer(to, server)
+	operatorpb.RegisterPlacementsServer(to, &placements{server: server})
 }
 
 // ask has the core answer, or the leader where the core names it; a request that was handed on goes no further.
 func ask[Reply any](ctx context.Context, s *Server, relayed bool, input func(uint64) core.Input,
-	relay func(context.Context, operatorpb.RolloutsClient) (Reply, error), convert func(core.Answer) (Reply, error)) (Reply, error) {
+	relay func(context.Context, grpc.ClientConnInterface) (Reply, error), convert func(core.Answer) (Reply, error)) (Reply, error) {
 	var none Reply
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
@@ -58,8 +60,8 @@
 		return convert(a)
 	}
 	if to, isRedirect := a.Body.(wire.Redirect); isRedirect {
-		if client := s.peer(to.Leader); client != nil && !relayed {
-			return relay(ctx, client)
+		if leader := s.peer(to.Leader); leader != nil && !relayed {
+			return relay(ctx, leader)
 		}
 		return none, status.Error(codes.Unavailable, "no controller leads")
 	}
@@ -109,8 +111,8 @@
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
 	return ask(ctx, s, q.GetRelayed(), func(req uint64) core.Input { return core.ApplyPlan{Req: req, Plan: plan} },
-		func(ctx context.Context, leader operatorpb.RolloutsClient) (*operatorpb.PlanStatus, error) {
-			return leader.Apply(ctx, &operatorpb.ApplyRequest{Plan: q.GetPlan(), Relayed: true}, anySize)
+		func(ctx context.Context, leader grpc.ClientConnInterface) (*operatorpb.PlanStatus, error) {
+			return operatorpb.NewRolloutsClient(leader).Apply(ctx, &operatorpb.ApplyRequest{Plan: q.GetPlan(), Relayed: true}, anySize)
 		}, planStatus)
 }
 
@@ -128,16 +130,16 @@
 		return nil, status.Error(codes.InvalidArgument, "change: is not known")
 	}
 	return ask(ctx, s, q.GetRelayed(), func(req uint64) core.Input { return core.ChangePlan{Req: req, Name: q.GetName(), Change: change} },
-		func(ctx context.Context, leader operatorpb.RolloutsClient) (*operatorpb.PlanStatus, error) {
-			return leader.Change(ctx, &operatorpb.ChangeRequest{Name: q.GetName(), Change: q.GetChange(), Relayed: true}, anySize)
+		func(ctx context.Context, leader grpc.ClientConnInterface) (*operatorpb.PlanStatus, error) {
+			return operatorpb.NewRolloutsClient(leader).Change(ctx, &operatorpb.ChangeRequest{Name: q.GetName(), Change: q.GetChange(), Relayed: true}, anySize)
 		}, planStatus)
 }
 
 // Show implements the service.
 func (s *Server) Show(ctx context.Context, q *operatorpb.ShowRequest) (*operatorpb.PlanStatus, error) {
 	return ask(ctx, s, q.GetRelayed(), func(req uint64) core.Input { return core.ShowPlan{Req: req, Name: q.GetName()} },
-		func(ctx context.Context, leader operatorpb.RolloutsClient) (*operatorpb.PlanStatus, error) {
-			return leader.Show(ctx, &operatorpb.ShowRequest{Name: q.GetName(), Relayed: true}, anySize)
+		func(ctx context.Context, leader grpc.ClientConnInterface) (*operatorpb.PlanStatus, error) {
+			return operatorpb.NewRolloutsClient(leader).Show(ctx, &operatorpb.ShowRequest{Name: q.GetName(), Relayed: true}, anySize)
 		}, planStatus)
 }
 
@@ -151,8 +153,8 @@
 		func(req uint64) core.Input {
 			return core.RoutePlan{Req: req, Name: q.GetPlan(), Router: q.GetRouter(), Generation: generation}
 		},
-		func(ctx context.Context, leader operatorpb.RolloutsClient) (*operatorpb.RouteReply, error) {
-			return leader.Route(ctx, &operatorpb.RouteRequest{Plan: q.GetPlan(), Router: q.GetRouter(), Generation: q.GetGeneration(), Relayed: true}, anySize)
+		func(ctx context.Context, leader grpc.ClientConnInterface) (*operatorpb.RouteReply, error) {
+			return operatorpb.NewRolloutsClient(leader).Route(ctx, &operatorpb.RouteRequest{Plan: q.GetPlan(), Router: q.GetRouter(), Generation: q.GetGeneration(), Relayed: true}, anySize)
 		}, routeReply)
 }
 
