--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -59,6 +59,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if scenario.Sweep != nil {
+		return c.sweep(ctx, scenario, binary)
+	}
 	progress := newProgress(os.Stderr, scenario)
 	result, err := scalerun.Run(ctx, scenario, scalerun.Options{Binary: binary, Dir: c.Out, BasePort: c.Port,
 		MostProcesses: c.Processes, Progress: progress.show})
@@ -72,6 +75,12 @@
 	return err
 }
 
+// sweep plays a scenario once for each variant and seed.
+func (c *cli) sweep(ctx context.Context, scenario *scalerun.Scenario, binary string) error {
+	runs, err := scalerun.RunSweep(ctx, scenario, scalerun.Options{Binary: binary, Dir: c.Out, BasePort: c.Port, MostProcesses: c.Processes})
+	return errors.Join(err, scalerun.WriteSweep(c.Out, runs), scalerun.PrintSweep(os.Stdout, runs))
+}
+
 // controller gives the controllers' program, built if none is named.
 func (c *cli) controller() (string, error) {
 	if c.Binary != "" {
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -84,7 +84,7 @@
 func (r *round) gains(j *job, p *placement) bool {
 	l := r.l
 	j.drop(p)
-	w, _ := l.weigherFor(j)
+	w, _ := r.weigherFor(j)
 	stay := w.tradeOn(p.machine).lossS
 	to := r.weigh(j, w)
 	gain := 0.0
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -52,7 +52,7 @@
 		return nil
 	}
 	var m *machine
-	if w, weighed := r.l.weigherFor(j); weighed {
+	if w, weighed := r.weigherFor(j); weighed {
 		m = r.weigh(j, w)
 	} else {
 		m = r.warmest(j)
--- a/internal/core/placement_oracle_test.go
+++ b/internal/core/placement_oracle_test.go
@@ -67,7 +67,7 @@
 
 // scanFit finds the machine for a job's next task by a look at each.
 func scanFit(r *round, j *job) *machine {
-	if w, weighed := r.l.weigherFor(j); weighed {
+	if w, weighed := r.weigherFor(j); weighed {
 		return scanWeighed(r, j, w)
 	}
 	var best *host
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -36,6 +36,8 @@
 	placed      int
 	unmet       []unmetDemand            // what found no room, for the rentals
 	full        map[resourceRequest]bool // what no machine has free room for in this round
+	weighing    weigher                  // of the job that was placed last
+	weighedAt   uint64                   // the changes of the ledger of replicas by then
 	victims     *victims                 // the jobs that can be shrunk; nil: not looked for yet
 	unyielding  map[stopRequest]bool     // what no machine can make room for in this round
 }
--- a/internal/core/scale_bench_test.go
+++ b/internal/core/scale_bench_test.go
@@ -114,3 +114,26 @@
 		})
 	}
 }
+
+// BenchmarkFillReplicas fills half of an empty fleet with services, with their places weighed and not, and gives the processor
+// time of the leader for each start.
+func BenchmarkFillReplicas(b *testing.B) {
+	const replicas = 20
+	for _, weighed := range []bool{false, true} {
+		b.Run(fmt.Sprintf("weighed-%v", weighed), func(b *testing.B) {
+			for range b.N {
+				y := newTargetCluster(b, targetMachines)
+				y.op.Spread.Enabled = weighed
+				for seconds := 0; y.started < targetTasks/2 && seconds < 300; seconds++ {
+					for range targetStarts / replicas / 2 {
+						y.submit(wire.Job{Kind: wire.KindService, Tasks: replicas, GPUs: 0.8})
+					}
+					y.pass(time.Second)
+				}
+				b.ReportMetric(float64(y.spent.Microseconds())/float64(y.started), "µs/start")
+				b.ReportMetric(float64(y.longest.Milliseconds()), "ms-longest")
+				b.ReportMetric(float64(y.started), "started")
+			}
+		})
+	}
+}
--- a/internal/core/spreading.go
+++ b/internal/core/spreading.go
@@ -73,20 +73,30 @@
 // weigher is what a job's next replica goes by.
 type weigher struct {
 	spread.Weigher
-	l    *leader
-	job  *job
-	away time.Duration
+	l     *leader
+	job   *job
+	away  time.Duration
+	fleet spread.Fleet
 }
 
 // weigherFor gives a job's weigher; false if its places are not weighed.
-func (l *leader) weigherFor(j *job) (weigher, bool) {
+func (r *round) weigherFor(j *job) (weigher, bool) {
+	l := r.l
 	model, ok := j.model()
 	if !ok || !l.c.op.Spread.Enabled || j.replicas == nil {
 		return weigher{}, false
 	}
-	away := time.Duration(noticedLeases*float64(l.c.t.lease)) + l.slowestLoad(j)
-	fleet := spread.Fleet{Zones: len(l.zonesFor(j)), Machines: l.room.Len()}
-	return weigher{j.replicas.Weigh(model, l.c.rates(), fleet, away), l, j, away}, true
+	if w := r.weighing; w.job != j || r.weighedAt != j.replicas.Changes() {
+		// What does not depend on where replicas are is worked out once for a run of the same job's tasks.
+		if w.job != j {
+			w.away = time.Duration(noticedLeases*float64(l.c.t.lease)) + l.slowestLoad(j)
+			w.fleet = spread.Fleet{Zones: len(l.zonesFor(j)), Machines: l.room.Len()}
+		}
+		w.l, w.job = l, j
+		w.Weigher = j.replicas.Weigh(model, l.c.rates(), w.fleet, w.away)
+		r.weighing, r.weighedAt = w, j.replicas.Changes()
+	}
+	return r.weighing, true
 }
 
 // zonesFor gives the zones in which a job may run and there are machines that take tasks.
@@ -149,7 +159,7 @@
 
 // explain completes the trade of a machine that is not warm with what the warmest one would have cost.
 func (r *round) explain(j *job, m *machine) trade {
-	w, weighed := r.l.weigherFor(j)
+	w, weighed := r.weigherFor(j)
 	if !weighed {
 		return trade{loadS: spread.LoadSeconds(int(m.warmth(j.spec.Image)), r.l.coldSeconds(j, m.kind))}
 	}
--- a/internal/hollow/fleet.go
+++ b/internal/hollow/fleet.go
@@ -72,6 +72,8 @@
 	made     int
 	workers  map[string]*Worker // by name
 	byIP     map[string]*Worker
+	all      []*Worker         // ever launched
+	zones    map[string]string // of all of them, by name
 	cutZones map[string]bool
 }
 
@@ -91,7 +93,7 @@
 		return nil, err
 	}
 	f := &Fleet{config: config, start: time.Now(), listener: listener, port: port,
-		workers: map[string]*Worker{}, byIP: map[string]*Worker{}, cutZones: map[string]bool{}}
+		workers: map[string]*Worker{}, byIP: map[string]*Worker{}, zones: map[string]string{}, cutZones: map[string]bool{}}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.server = &http.Server{Handler: http.HandlerFunc(serve), ReadHeaderTimeout: answerPatience,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
@@ -175,6 +177,8 @@
 	w := newWorker(f, about, f.made, stop)
 	f.made++
 	f.workers[about.Name] = w
+	f.all = append(f.all, w)
+	f.zones[about.Name] = about.Zone
 	f.byIP[w.ip.String()] = w
 	f.mu.Unlock()
 	f.running.Add(1)
@@ -229,6 +233,27 @@
 	return w != nil && w.serves(task)
 }
 
+// ZoneOf gives the zone of a worker, also of one that is no more; "" if there never was one of the name.
+func (f *Fleet) ZoneOf(machine string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.zones[machine]
+}
+
+// Fetches gives how many fetches all workers have made, those that are no more included, and how long they take together.
+func (f *Fleet) Fetches() (count int64, took time.Duration) {
+	f.mu.Lock()
+	all := append([]*Worker{}, f.all...)
+	f.mu.Unlock()
+	for _, w := range all {
+		w.mu.Lock()
+		count += w.machine.fetches
+		took += w.machine.took
+		w.mu.Unlock()
+	}
+	return count, took
+}
+
 // Followed counts the workers by the controller whose answer they took last.
 func (f *Fleet) Followed() map[string]int {
 	counts := map[string]int{}
--- a/internal/hollow/machine.go
+++ b/internal/hollow/machine.go
@@ -62,8 +62,10 @@
 	token   uint64
 	tasks   map[attempt]*task
 	images  map[string]time.Duration // when each is, or will be, there
-	next    time.Duration            // when something changes by itself
-	changed bool                     // since the last report
+	fetches int64                    // made so far, and how long they take together
+	took    time.Duration
+	next    time.Duration // when something changes by itself
+	changed bool          // since the last report
 }
 
 // attempt names an attempt of a task.
@@ -278,7 +280,10 @@
 func (m *Machine) fetch(now time.Duration, job *wire.Job) time.Duration {
 	at, known := m.images[job.Image]
 	if !known {
-		at = now + config.Seconds(job.ImageGB/m.about.Type.FetchGBPerS)
+		takes := config.Seconds(job.ImageGB / m.about.Type.FetchGBPerS)
+		m.fetches++
+		m.took += takes
+		at = now + takes
 		m.images[job.Image] = at
 	}
 	return max(now, at)
--- a/internal/scalerun/faults.go
+++ b/internal/scalerun/faults.go
@@ -58,6 +58,8 @@
 			}
 			return nil
 		}, nil
+	case WorstZoneLost:
+		return r.loseWorstZone, nil
 	case RackSilent:
 		var rack []*hollow.Worker
 		return func() error { rack = r.pick(f, number); return setSilent(rack, true) },
@@ -114,6 +116,17 @@
 	return all[:min(len(all), f.Count)]
 }
 
+// loseWorstZone ends all machines of the zone whose loss takes the most replicas of a model.
+func (r *run) loseWorstZone() error {
+	zone := r.recorder.spread.worstZone()
+	for _, w := range r.fleet.Workers() {
+		if w.Zone() == zone {
+			w.Die()
+		}
+	}
+	return nil
+}
+
 func setSilent(workers []*hollow.Worker, silent bool) error {
 	for _, w := range workers {
 		w.SetSilent(silent)
--- a/internal/scalerun/page.go
+++ b/internal/scalerun/page.go
@@ -140,6 +140,11 @@
 	}
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.New(canvas))
+	return pictureOf(canvas)
+}
+
+// pictureOf gives a canvas as a part of a page.
+func pictureOf(canvas *vgsvg.Canvas) (template.HTML, error) {
 	var out bytes.Buffer
 	if _, err := canvas.WriteTo(&out); err != nil {
 		return "", err
--- a/internal/scalerun/recorder.go
+++ b/internal/scalerun/recorder.go
@@ -15,6 +15,7 @@
 type recorder struct {
 	ledger *rules.Ledger
 	now    func() time.Duration
+	spread *spreading
 
 	mu        sync.Mutex
 	jobs      map[string]*jobTimes
@@ -44,12 +45,13 @@
 	token      uint64
 }
 
-func newRecorder(ledger *rules.Ledger, now func() time.Duration) *recorder {
-	return &recorder{ledger: ledger, now: now, jobs: map[string]*jobTimes{}, classes: map[string]*measure.Histogram{}, urgent: measure.NewHistogram()}
+func newRecorder(ledger *rules.Ledger, now func() time.Duration, spread *spreading) *recorder {
+	return &recorder{ledger: ledger, now: now, spread: spread, jobs: map[string]*jobTimes{}, classes: map[string]*measure.Histogram{}, urgent: measure.NewHistogram()}
 }
 
 // submit notes a job before it is submitted.
 func (r *recorder) submit(a load.Arrival) {
+	r.spread.submitted(a.Job)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.jobs[a.Job.ID] = &jobTimes{class: a.Class, submitted: r.now(), tasks: a.Job.Tasks, ran: map[int]bool{}}
@@ -67,6 +69,7 @@
 
 // StartReceived counts a start.
 func (r *recorder) StartReceived(s hollow.Start) {
+	r.spread.startReceived(s)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.started++
@@ -81,6 +84,7 @@
 // TaskRuns takes the time of a task's first start.
 func (r *recorder) TaskRuns(machine, task string) {
 	r.ledger.TaskRuns(machine, task)
+	r.spread.runs(machine, task)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.onMachine++
@@ -100,6 +104,7 @@
 // TaskEnds counts a task's end.
 func (r *recorder) TaskEnds(machine, task string, done bool) {
 	r.ledger.TaskEnds(machine, task, done)
+	r.spread.ends(task)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.onMachine--
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -58,6 +58,8 @@
 	Rollouts   []rolling.Result  `json:"rollouts,omitempty"`
 	// BrokenRollout is what a rollout did not keep; empty if all kept what they promise.
 	BrokenRollout string `json:"broken_rollout,omitempty"`
+	// Spread is what became of the services' weights and zones.
+	Spread SpreadResult `json:"spread"`
 
 	Asked          int64   `json:"asked"`
 	Started        int64   `json:"started"`
@@ -98,6 +100,7 @@
 		res.Ended = err.Error()
 	}
 	res.Rollouts, res.BrokenRollout = r.rollouts.results()
+	res.Spread = r.recorder.spread.sum(r.fleet)
 	for class, h := range r.recorder.classes {
 		res.StartTimes[class] = h.Summary()
 	}
--- a/internal/scalerun/run.go
+++ b/internal/scalerun/run.go
@@ -129,7 +129,7 @@
 	}
 	r.traffic = measure.NewTraffic()
 	r.ledger = rules.NewLedger(params.Teams, config.Seconds(s.Workers.CancelS), r.now)
-	r.recorder = newRecorder(r.ledger, r.now)
+	r.recorder = newRecorder(r.ledger, r.now, newSpreading(r.now, func(machine string) string { return r.fleet.ZoneOf(machine) }))
 	r.self = measure.NewProcess("scalerun", os.Getpid(), 0)
 	r.controllers = &controllers{binary: r.options.Binary, dir: r.options.Dir, now: r.now, died: make(chan string, 16*s.Controllers.Count)}
 	if err := r.controllers.plan(s, r.options.BasePort, r.traffic); err != nil {
@@ -288,6 +288,7 @@
 		return err
 	}
 	r.workers.sample(at)
+	r.recorder.spread.sample()
 	r.note(at)
 	used := r.controllers.residentMB() + r.self.Samples[len(r.self.Samples)-1].MemoryMB
 	if used > r.memoryMB {
--- a/internal/scalerun/scenario.go
+++ b/internal/scalerun/scenario.go
@@ -30,6 +30,7 @@
 	Faults      []Fault         `json:"faults"`
 	Rollouts    []rolling.Model `json:"rollouts"`
 	Operator    json.RawMessage `json:"operator"`
+	Sweep       *Sweep          `json:"sweep,omitempty"`
 }
 
 // Controllers are the real processes.
@@ -89,6 +90,7 @@
 	KillLeader      FaultKind = "kill_leader"
 	KillControllers FaultKind = "kill_controllers"
 	WorkersDie      FaultKind = "workers_die"
+	WorstZoneLost   FaultKind = "worst_zone_lost"
 	RackSilent      FaultKind = "rack_silent"
 	ZoneCut         FaultKind = "zone_cut"
 	StateDown       FaultKind = "state_down"
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -54,7 +54,13 @@
 }
 
 // Ledger counts the replicas of all models by zone and machine. It is kept up by change.
-type Ledger struct{ models map[Model]*replicas }
+type Ledger struct {
+	models  map[Model]*replicas
+	changes uint64
+}
+
+// Changes counts the changes so far.
+func (l *Ledger) Changes() uint64 { return l.changes }
 
 // NewLedger makes a ledger without replicas.
 func NewLedger() *Ledger { return &Ledger{models: map[Model]*replicas{}} }
@@ -72,6 +78,7 @@
 }
 
 func (l *Ledger) change(m Model, zone, machine string, by int) {
+	l.changes++
 	r := l.models[m]
 	if r == nil {
 		r = &replicas{zones: newCounter(), machines: newCounter()}
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -111,3 +113,93 @@
 		}
 	})
 }
+
+// smallCase is a fleet of two machines in each of three zones, some of which are warm, that takes the replicas of a model one
+// after the other.
+type smallCase struct {
+	warm     [6]bool
+	zoneS    float64
+	coldS    float64
+	replicas int
+}
+
+func (c *smallCase) zone(machine int) string { return fmt.Sprint("z", machine/2) }
+
+// cost is that of a choice of machines: loads, and what the zones have beyond the balanced share in the end.
+func (c *smallCase) cost(machines []int) float64 {
+	warm, zones, cost := c.warm, map[string]int{}, 0.0
+	for _, m := range machines {
+		if !warm[m] {
+			cost += c.coldS
+		}
+		warm[m] = true
+		zones[c.zone(m)]++
+	}
+	for _, n := range zones {
+		cost += c.zoneS * float64(max(0, n-share(len(machines), 3)))
+	}
+	return cost
+}
+
+// best is the least cost of any choice.
+func (c *smallCase) best(chosen []int) float64 {
+	if len(chosen) == c.replicas {
+		return c.cost(chosen)
+	}
+	least := math.Inf(1)
+	for m := range c.warm {
+		least = min(least, c.best(append(chosen, m)))
+	}
+	return least
+}
+
+// oneByOne is the choice of the weigher, which knows nothing of the replicas to come.
+func (c *smallCase) oneByOne() []int {
+	l, model, warm := NewLedger(), Model{"t", "a"}, c.warm
+	var chosen []int
+	for range c.replicas {
+		w := l.Weigh(model, Rates{ZoneLossesPerDay: c.zoneS, ReplicaDays: 1}, Fleet{Zones: 3, Machines: 6}, time.Second)
+		at, least := 0, math.Inf(1)
+		for m := range warm {
+			cost := w.Zone(c.zone(m))
+			if !warm[m] {
+				cost += c.coldS
+			}
+			if cost < least {
+				at, least = m, cost
+			}
+		}
+		warm[at] = true
+		chosen = append(chosen, at)
+		l.Add(model, c.zone(at), fmt.Sprint(at))
+	}
+	return chosen
+}
+
+// TestAgainstBest compares the choice one by one with the best of all choices, over every third set of warm machines and weights below
+// and above the load.
+func TestAgainstBest(t *testing.T) {
+	cases, exact, sum, worst := 0, 0, 0.0, 0.0
+	for warm := 0; warm < 64; warm += 3 {
+		for _, zoneS := range []float64{0, 3, 8, 12, 40} {
+			c := &smallCase{zoneS: zoneS, coldS: 10, replicas: 5}
+			for m := range c.warm {
+				c.warm[m] = warm&(1<<m) != 0
+			}
+			best, got := c.best(nil), c.cost(c.oneByOne())
+			if got < best-1e-9 {
+				t.Fatalf("%+v: %g is less than the best, %g", c, got, best)
+			}
+			cases++
+			if got < best+1e-9 {
+				exact++
+			}
+			sum += got - best
+			worst = max(worst, got-best)
+		}
+	}
+	t.Logf("%d cases, %d as good as the best; above it by %.2f s in the mean, %.0f s at most, where a load takes 10 s", cases, exact, sum/float64(cases), worst)
+	if exact*10 < cases*8 || worst > 20 {
+		t.Errorf("%d of %d cases are as good as the best, the worst is %g s above it", exact, cases, worst)
+	}
+}
