Copies of weights ahead of need, in each zone and within a budget, for workers that know the request (hollow ones)

Off by default: the protocol has no such request. TestCopiesAhead: after the loss of the zone with all replicas none waits for its weights; nothing is asked beyond the budget, nor again of workers that answer 404.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -48,6 +48,8 @@
 	MachineLossesPerDay float64 `json:"machine_losses_per_day"`
 	ReplicaDays         float64 `json:"replica_days"`
 	MovesPerHour        float64 `json:"moves_per_hour"` // of replicas, to bring them back into balance
+	// PrefetchGBPerHour is for workers that know the request, which the protocol does not have; 0: none.
+	PrefetchGBPerHour float64 `json:"prefetch_gb_per_hour"`
 }
 
 // DefaultOperator gives the built-in settings.
--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -77,6 +77,7 @@
 	Report   wire.Report
 	Peer     PeerStatus
 	Probe    rollout.Answer
+	ReadyS   float64 // until an image is there
 }
 
 // PeerStatus is what another node says of itself.
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -35,6 +35,7 @@
 	room       *capacity.Index[*host]
 	replicas   *spread.Ledger
 	moves      moves
+	prefetches prefetches
 	due        []*machine    // with starts that were just committed
 	layout     record.Layout // of the run records
 	change     layoutChange
@@ -107,6 +108,7 @@
 	l.changeLayout()
 	l.guardTerm()
 	l.plans.run()
+	l.runPrefetches()
 	l.writes.run()
 	l.orders()
 	l.rentals.run()
--- /dev/null
+++ b/internal/core/prefetch.go
@@ -0,0 +1,155 @@
+package core
+
+import (
+	"time"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/capacity"
+	"bitternwing/internal/config"
+	"bitternwing/internal/resource"
+	"bitternwing/internal/spread"
+)
+
+// PrefetchImage asks a worker to fetch an image that no task there waits for. The workers' protocol has no such request: it is
+// sent only where operators' settings allow it, to workers that know it. Its Result is OK with the time until the image is there.
+type PrefetchImage struct {
+	ID    uint64
+	Addr  string
+	Image string
+	GB    float64
+}
+
+func (PrefetchImage) effect() {}
+
+// prefetches has a copy of each model's weights in each zone where its replicas could go, within a budget.
+type prefetches struct {
+	tokens  float64 // GB that may be fetched now
+	at      float64 // when that was worked out, in seconds
+	asking  int
+	lookAt  time.Duration
+	refused bool // a worker does not know the request: none does
+	arrive  []arrival
+}
+
+// arrival is an image that is to be on a machine.
+type arrival struct {
+	machine, image string
+	at             time.Duration
+}
+
+// refill adds what the budget allows since the last look, up to an hour's worth.
+func (p *prefetches) refill(now, gbPerHour float64) {
+	p.tokens = min(gbPerHour, p.tokens+gbPerHour/secondsAnHour*(now-p.at))
+	p.at = now
+}
+
+// runPrefetches notes which images are there, and asks for those that are missing.
+func (l *leader) runPrefetches() {
+	c, p := l.c, &l.prefetches
+	perHour := c.op.Spread.PrefetchGBPerHour
+	if !c.op.Spread.Enabled || perHour <= 0 || p.refused {
+		return
+	}
+	l.takeArrivals()
+	if c.now.Steady < p.lookAt || !c.elect.inTime() || c.stateDown {
+		c.at(p.lookAt)
+		return
+	}
+	p.lookAt = c.now.Steady + c.t.heartbeat
+	if p.at == 0 {
+		p.tokens, p.at = perHour, c.now.Steady.Seconds()
+	}
+	p.refill(c.now.Steady.Seconds(), perHour)
+	services := map[spread.Model]*job{}
+	for _, j := range l.order {
+		if model, ok := j.model(); ok && !j.cancelled && services[model] == nil {
+			services[model] = j
+		}
+	}
+	for _, model := range l.replicas.All() {
+		if j := services[model]; j != nil {
+			l.prefetchModel(j)
+		}
+	}
+}
+
+// takeArrivals marks the images that are there by now.
+func (l *leader) takeArrivals() {
+	keep := l.prefetches.arrive[:0]
+	for _, a := range l.prefetches.arrive {
+		if l.c.now.Steady < a.at {
+			keep = append(keep, a)
+			continue
+		}
+		if m := l.machines[a.machine]; m != nil {
+			m.imageReady(a.image)
+		}
+	}
+	l.prefetches.arrive = keep
+}
+
+// prefetchModel asks for a copy of a model's weights in each zone that has none.
+func (l *leader) prefetchModel(j *job) {
+	p := &l.prefetches
+	for _, zone := range l.zonesFor(j) {
+		if j.spec.ImageGB > p.tokens || p.asking >= l.c.mostProbes() {
+			return
+		}
+		if m := l.copyPlace(j, zone); m != nil {
+			p.tokens -= j.spec.ImageGB
+			l.prefetch(j, m)
+		}
+	}
+}
+
+// copyPlace gives the machine of a zone for a copy of a job's image: one with room for a replica, that fetches nothing and has
+// space for the image beside all that it has; nil if there is none, or if the zone has a copy.
+func (l *leader) copyPlace(j *job, zone string) *machine {
+	allowed := j.groupRules()
+	within := func(g capacity.Group) (capacity.Warmth, bool) { return 0, g.Zone == zone && allowed(g) }
+	anywhere, copied, _ := l.room.Tightest(capacity.Request[*host]{Image: j.spec.Image, Penalty: within,
+		Suits: func(h *host) (capacity.Warmth, bool) {
+			w := h.m.warmth(j.spec.Image)
+			return w, w <= capacity.Fetching
+		}})
+	if copied && anywhere != nil {
+		return nil
+	}
+	h, found, _ := l.room.Tightest(capacity.Request[*host]{Need: resource.OfTask(j.spec), Image: j.spec.Image, Penalty: within,
+		Suits: func(h *host) (capacity.Warmth, bool) {
+			sum := j.spec.ImageGB
+			for i := range h.m.images {
+				sum += h.m.images[i].gb
+			}
+			return capacity.Cold, h.m.warmth(j.spec.Image) == capacity.Cold && sum <= h.m.mt.CacheGB && h.m.addr != ""
+		}})
+	if !found {
+		return nil
+	}
+	return h.m
+}
+
+// prefetch asks a machine for an image. Until it is there the machine counts as fetching it.
+func (l *leader) prefetch(j *job, m *machine) {
+	p, image := &l.prefetches, j.spec.Image
+	m.touch(image, j.spec.ImageGB)
+	p.asking++
+	id := l.call(func(r Result) {
+		p.asking--
+		switch r.Outcome {
+		case call.OK:
+			p.arrive = append(p.arrive, arrival{m.name, image, l.c.now.Steady + config.Seconds(r.ReadyS)})
+		case call.Missing:
+			if !p.refused {
+				l.c.log(Error, "workers don't know the request to fetch an image ahead", "machine", m.name)
+			}
+			p.refused = true
+			m.takeImage(image)
+			m.roomChanged = true
+		default:
+			m.takeImage(image)
+			m.roomChanged = true
+		}
+	})
+	l.c.send(PrefetchImage{ID: id, Addr: m.addr, Image: image, GB: j.spec.ImageGB})
+}
--- a/internal/core/scale_calls_test.go
+++ b/internal/core/scale_calls_test.go
@@ -26,7 +26,7 @@
 		return y.askState(e), true
 	case core.CloudCatalog, core.CloudRent, core.CloudRelease, core.CloudList:
 		return y.askCloud(e), true
-	case core.WorkerOrders, core.WorkerInspect:
+	case core.WorkerOrders, core.WorkerInspect, core.PrefetchImage:
 		n.asked++
 		y.counted.atOnce = max(y.counted.atOnce, n.asked)
 		return y.askWorker(n, e), true
@@ -205,6 +205,13 @@
 			return r
 		}
 		return core.Result{ID: e.ID, Outcome: call.Unknown}
+	case core.PrefetchImage:
+		y.prefetched++
+		if w := y.direct(n, e.Addr); w != nil {
+			ready := w.machine.Prefetch(y.now, e.Image, e.GB) - y.now
+			return core.Result{ID: e.ID, Outcome: y.prefetchOutcome, ReadyS: ready.Seconds()}
+		}
+		return core.Result{ID: e.ID, Outcome: call.Unknown}
 	case core.WorkerInspect:
 		if w := y.direct(n, e.Addr); w != nil {
 			return core.Result{ID: e.ID, Outcome: call.OK, Report: *w.machine.Report(y.now)}
--- a/internal/core/spread_test.go
+++ b/internal/core/spread_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"bitternwing/internal/call"
 	"bitternwing/internal/config"
 	"bitternwing/internal/core"
 	"bitternwing/internal/wire"
@@ -300,3 +301,76 @@
 		t.Errorf("after a leader's end: %+v", places)
 	}
 }
+
+// TestWrongHints has the hints of where weights lie name a machine that has evicted them, and one that is no more. A new leader
+// believes them: the replica waits for its weights, and all runs.
+func TestWrongHints(t *testing.T) {
+	w := newSpreadWorld(t, losses, threeZones)
+	w.store.Txn(wire.Txn{Then: []wire.Op{{Put: "w/i/0", Value: []byte(`{"m0004":["img-a"],"m9999":["img-a"]}`)}}})
+	w.crash()
+	w.pass(12 * time.Second)
+	w.service("run-000001", 3, "img-a", 8)
+	w.expect("with wrong hints", 1, 1, 1)
+	if holders := w.byName["m0004"].machine.Running("run-000001"); holders != 1 {
+		t.Errorf("%d replicas are on the machine that is thought to be warm", holders)
+	}
+}
+
+// TestHangingHolder has the machine with the only copy hang for less than its lease, and come back. Its replica is not started
+// elsewhere, and is moved nowhere.
+func TestHangingHolder(t *testing.T) {
+	w := newSpreadWorld(t, losses, threeZones)
+	w.service("run-000001", 1, "img-a", 8)
+	holder := w.holders["run-000001/0"]
+	w.starts = 0
+	for range 5 {
+		holder.dead = true
+		w.pass(3 * time.Second)
+		holder.dead = false
+		w.pass(5 * time.Second)
+	}
+	if w.holders["run-000001/0"] != holder || w.starts != 0 || len(w.running) != 1 {
+		t.Errorf("%d starts, running %v", w.starts, w.running)
+	}
+}
+
+// TestCopiesAhead has a copy of a model's weights fetched into each zone, within the budget. After the loss of the zone with all
+// replicas they come back warm; and where workers don't know the request, nothing is asked for again.
+func TestCopiesAhead(t *testing.T) {
+	ahead := losses
+	ahead.ZoneLossesPerDay, ahead.MachineLossesPerDay, ahead.MovesPerHour = 0, 0, 0 // replicas stay with their weights
+	ahead.PrefetchGBPerHour = 100
+	w := newSpreadWorld(t, ahead, threeZones)
+	w.service("run-000001", 3, "img-a", 40)
+	w.service("run-000002", 1, "img-b", 40) // beyond the budget
+	if w.prefetched != 2 {
+		t.Errorf("%d copies were asked for, not one for each other zone of the first model", w.prefetched)
+	}
+	zone := w.running["run-000001/0"]
+	waited := time.Duration(0)
+	started := map[string]time.Duration{}
+	w.onStart = func(task string) { started[task] = w.now }
+	follow := w.onRuns
+	w.onRuns = func(machine, task string) {
+		follow(machine, task)
+		if strings.HasPrefix(task, "run-000001/") {
+			waited = max(waited, w.now-started[task])
+		}
+	}
+	w.loseZone(zone)
+	w.pass(60 * time.Second)
+	if n := w.zones("run-000001"); n[zone] != 0 || len(w.running) != 4 || waited > time.Second {
+		t.Errorf("after the loss of %s: %v, a replica waited %v for its weights", zone, n, waited)
+	}
+
+	w = newSpreadWorld(t, ahead, threeZones)
+	w.prefetchOutcome = call.Missing
+	w.service("run-000001", 3, "img-a", 8)
+	w.pass(20 * time.Second)
+	if w.prefetched > 2 {
+		t.Errorf("%d requests to workers that don't know them", w.prefetched)
+	}
+	if len(w.running) != 3 {
+		t.Errorf("%v run", w.running)
+	}
+}
--- a/internal/hollow/fleet.go
+++ b/internal/hollow/fleet.go
@@ -30,6 +30,8 @@
 	KindReport  Kind = "report"
 	KindOrders  Kind = "orders"
 	KindInspect Kind = "inspect"
+	// KindPrefetch is no part of the protocol.
+	KindPrefetch Kind = "prefetch"
 )
 
 // AnyController stands for a controller that can't be told.
--- a/internal/hollow/machine.go
+++ b/internal/hollow/machine.go
@@ -278,13 +278,18 @@
 
 // fetch gives the time at which a job's image is there.
 func (m *Machine) fetch(now time.Duration, job *wire.Job) time.Duration {
-	at, known := m.images[job.Image]
+	return m.Prefetch(now, job.Image, job.ImageGB)
+}
+
+// Prefetch begins to fetch an image, if it is not there, and gives the time at which it is.
+func (m *Machine) Prefetch(now time.Duration, image string, gb float64) time.Duration {
+	at, known := m.images[image]
 	if !known {
-		takes := config.Seconds(job.ImageGB / m.about.Type.FetchGBPerS)
+		takes := config.Seconds(gb / m.about.Type.FetchGBPerS)
 		m.fetches++
 		m.took += takes
 		at = now + takes
-		m.images[job.Image] = at
+		m.images[image] = at
 	}
 	return max(now, at)
 }
--- a/internal/hollow/worker.go
+++ b/internal/hollow/worker.go
@@ -225,6 +225,10 @@
 		<-r.Context().Done() // nothing comes back
 		return
 	}
+	if r.Method+" "+r.URL.Path == http.MethodPost+" "+wire.PrefetchPath {
+		w.prefetch(rw, body)
+		return
+	}
 	var status int
 	var kind Kind
 	switch r.Method + " " + r.URL.Path {
@@ -248,6 +252,23 @@
 	w.signal()
 }
 
+// prefetch begins to fetch an image ahead of need.
+func (w *Worker) prefetch(rw http.ResponseWriter, body []byte) {
+	var q wire.Prefetch
+	if json.Unmarshal(body, &q) != nil || q.Image == "" || q.GB < 0 {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	now := w.fleet.now()
+	ready := w.machine.Prefetch(now, q.Image, q.GB) - now
+	w.mu.Unlock()
+	answer, _ := json.Marshal(wire.PrefetchAnswer{ReadyS: ready.Seconds()}) // plain values: it can't fail
+	w.fleet.config.Traffic.Count(AnyController, KindPrefetch, len(answer), len(body))
+	rw.Header().Set("Content-Type", "application/json")
+	_, _ = rw.Write(answer) // a caller that has gone away learns nothing
+}
+
 // ordered carries out direct commands and gives the status of the answer.
 func (w *Worker) ordered(body []byte) int {
 	var o wire.Orders
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -30,7 +30,7 @@
 		n.log.Log(ctx, levels[e.Level], e.Message, e.Pairs...)
 	case core.CloudCatalog, core.CloudRent, core.CloudRelease, core.CloudList:
 		n.askCloud(ctx, e)
-	case core.WorkerOrders, core.WorkerInspect:
+	case core.WorkerOrders, core.WorkerInspect, core.PrefetchImage:
 		n.askWorker(ctx, e)
 	case core.ProbeReplica:
 		n.do(ctx, e.ID, e.Timeout, func(ctx context.Context, r *core.Result) {
@@ -106,6 +106,12 @@
 			r.Outcome = n.workers.Do(ctx, http.MethodPost, "http://"+e.Addr+wire.OrdersPath,
 				wire.Orders{Token: e.Token, Session: e.Session, Commands: e.Commands}, &r.Report)
 		})
+	case core.PrefetchImage:
+		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
+			var ready wire.PrefetchAnswer
+			r.Outcome = n.workers.Do(ctx, http.MethodPost, "http://"+e.Addr+wire.PrefetchPath, wire.Prefetch{Image: e.Image, GB: e.GB}, &ready)
+			r.ReadyS = ready.ReadyS
+		})
 	case core.WorkerInspect:
 		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
 			r.Outcome = n.workers.Do(ctx, http.MethodGet, "http://"+e.Addr+wire.InspectPath, nil, &r.Report)
--- /dev/null
+++ b/internal/wire/prefetch.go
@@ -0,0 +1,16 @@
+package wire
+
+// PrefetchPath is where workers that know it take the request to fetch an image ahead of need. It is no part of the
+// workers' protocol: hollow workers alone have it.
+const PrefetchPath = "/prefetch"
+
+// Prefetch asks for an image.
+type Prefetch struct {
+	Image string  `json:"image"`
+	GB    float64 `json:"gb"`
+}
+
+// PrefetchAnswer says when the image is there.
+type PrefetchAnswer struct {
+	ReadyS float64 `json:"ready_s"`
+}
