--- a/internal/capacity/room.go
+++ b/internal/capacity/room.go
@@ -44,6 +44,7 @@
 type Images struct {
 	Ready    ImageSet
 	Fetching ImageSet
+	Unknown  ImageSet // perhaps there: they count like those that are being fetched, and keep nothing from the machine
 }
 
 // imageWords is the size of a set of images.
@@ -86,7 +87,7 @@
 // The degrees of warmth.
 const (
 	Warm     Warmth = iota // the image is there
-	Fetching               // it is being fetched
+	Fetching               // it is being fetched, or it is not known whether it is there
 	Cold                   // it has to be fetched
 	Shared                 // it has to share the fetch with others
 	Degrees
@@ -105,6 +106,7 @@
 func (b *imageBounds) join(other *imageBounds) {
 	b.images.Ready.join(&other.images.Ready)
 	b.images.Fetching.join(&other.images.Fetching)
+	b.images.Unknown.join(&other.images.Unknown)
 	b.calm = b.calm || other.calm
 }
 
@@ -114,7 +116,7 @@
 	case Warm:
 		return b.images.Ready.MayHold(bit)
 	case Fetching:
-		return b.images.Fetching.MayHold(bit)
+		return b.images.Fetching.MayHold(bit) || b.images.Unknown.MayHold(bit)
 	case Cold:
 		return b.calm
 	}
--- a/internal/core/hosts.go
+++ b/internal/core/hosts.go
@@ -66,9 +66,12 @@
 		}
 	}
 	for i := range h.m.images {
-		if img := &h.m.images[i]; img.ready {
+		switch img := &h.m.images[i]; {
+		case img.ready:
 			room.Images.Ready.Add(img.bit)
-		} else {
+		case img.unknown:
+			room.Images.Unknown.Add(img.bit)
+		default:
 			room.Images.Fetching.Add(img.bit)
 		}
 	}
--- a/internal/core/images.go
+++ b/internal/core/images.go
@@ -75,7 +75,7 @@
 		names := []string{}
 		size := len(m.name) + 8
 		for _, img := range m.images {
-			if img.ready {
+			if img.ready || img.unknown {
 				names = append(names, img.name)
 				size += len(img.name) + 8
 			}
@@ -102,7 +102,9 @@
 	for _, shard := range l.c.dir.images {
 		for _, name := range shard[m.name] {
 			img := newImage(name, l.imageGB(name))
-			img.ready = true
+			// What a place costs is worked out from what is known; without weighing the hint is believed.
+			img.unknown = l.c.op.Spread.Enabled
+			img.ready = !img.unknown
 			m.images = append(m.images, img)
 			m.roomChanged = true
 		}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -72,6 +72,8 @@
 	bit   capacity.ImageBit
 	gb    float64
 	ready bool
+	// unknown tells that an earlier leader had it as ready, and that nothing has shown it since.
+	unknown bool
 }
 
 func newImage(name string, gb float64) image {
@@ -207,7 +209,7 @@
 func (m *machine) imageReady(name string) {
 	for i := range m.images {
 		if m.images[i].name == name {
-			m.images[i].ready = true
+			m.images[i].ready, m.images[i].unknown = true, false
 			m.roomChanged = true
 		}
 	}
@@ -266,7 +268,7 @@
 			}
 			return capacity.Fetching
 		}
-		if !m.images[i].ready {
+		if !m.images[i].ready && !m.images[i].unknown {
 			w = capacity.Shared
 		}
 	}
--- a/internal/core/placement_oracle_test.go
+++ b/internal/core/placement_oracle_test.go
@@ -216,7 +216,7 @@
 // happens changes something between two rounds.
 func (f *drawnFleet) happens() {
 	l, m := f.l, f.anyMachine()
-	switch f.number("event", 0, 18) {
+	switch f.number("event", 0, 19) {
 	case 0:
 		f.addMachine()
 	case 1:
@@ -256,6 +256,11 @@
 		mt := *m.mt
 		mt.GPUs, mt.CPUs = float64(f.number("its gpus", 0, 6)), float64(f.number("its cpus", 1, 20))
 		m.setType(&mt)
+	case 19:
+		for i := range m.images {
+			m.images[i].ready, m.images[i].unknown = false, f.chance("unknown", 2)
+		}
+		m.roomChanged = true
 	case 12, 15, 16:
 		f.report(m)
 	}
--- a/internal/core/spread_test.go
+++ b/internal/core/spread_test.go
@@ -302,8 +302,8 @@
 	}
 }
 
-// TestWrongHints has the hints of where weights lie name a machine that has evicted them, and one that is no more. A new leader
-// believes them: the replica waits for its weights, and all runs.
+// TestWrongHints has the hints of where weights lie name a machine that has evicted them, and one that is no more. To a new leader
+// that is unknown: better than cold, and worse than a machine that has shown them.
 func TestWrongHints(t *testing.T) {
 	w := newSpreadWorld(t, losses, threeZones)
 	w.store.Txn(wire.Txn{Then: []wire.Op{{Put: "w/i/0", Value: []byte(`{"m0004":["img-a"],"m9999":["img-a"]}`)}}})
@@ -314,6 +314,25 @@
 	if holders := w.byName["m0004"].machine.Running("run-000001"); holders != 1 {
 		t.Errorf("%d replicas are on the machine that is thought to be warm", holders)
 	}
+
+	w = newSpreadWorld(t, losses, map[string]int{"z1": 2})
+	w.op.Spread.MachineLossesPerDay = 0
+	for i, gpus := range []float64{6, 4} { // the second one does not fit beside the first, on the machine that is left tighter
+		w.hand(w.nodes[0], &wire.Job{ID: fmt.Sprintf("run-00000%d", i), Kind: wire.KindService, Class: "c", Team: "t1", Tasks: 1, CPUs: 4, GPUs: gpus,
+			MemoryGB: 20, Priority: "prod", Image: []string{"img-f", "img-a"}[i], ImageGB: 8})
+		w.pass(10 * time.Second)
+	}
+	shown := w.holders["run-000001/0"]
+	if shown == w.holders["run-000000/0"] {
+		t.Fatal("both are on one machine")
+	}
+	w.store.Txn(wire.Txn{Then: []wire.Op{{Put: "w/i/0", Value: []byte(`{"m0001":["img-a"],"m0002":["img-a"]}`)}}})
+	w.crash()
+	w.pass(12 * time.Second)
+	w.service("run-000002", 1, "img-a", 8)
+	if w.holders["run-000002/0"] != shown {
+		t.Error("a machine that is only thought to be warm is taken before one that has shown it")
+	}
 }
 
 // TestHangingHolder has the machine with the only copy hang for less than its lease, and come back. Its replica is not started
