--- a/internal/core/spread_test.go
+++ b/internal/core/spread_test.go
@@ -393,3 +393,14 @@
 		t.Errorf("%v run", w.running)
 	}
 }
+
+// TestManyModelsOnAFullFleet has no room for balance: all replicas run all the same.
+func TestManyModelsOnAFullFleet(t *testing.T) {
+	w := newSpreadWorld(t, losses, map[string]int{"z1": 2, "z2": 2, "z3": 2})
+	for i := range 24 {
+		w.hand(w.nodes[0], &wire.Job{ID: fmt.Sprintf("run-%06d", i), Kind: wire.KindService, Class: "c", Team: "t1", Tasks: 2, CPUs: 1, GPUs: 1,
+			MemoryGB: 1, Priority: "prod", Image: fmt.Sprint("img-", i), ImageGB: 8})
+	}
+	w.pass(90 * time.Second)
+	w.expect("a full fleet", 16, 16, 16)
+}
--- a/internal/scalerun/scalerun_test.go
+++ b/internal/scalerun/scalerun_test.go
@@ -47,11 +47,17 @@
 		{`"seed": 1`, `"name": "x"`, "seed"},
 		{`"count": 200`, `"count": 0`, "/machines/0/count"},
 		{`"kind": "kill_leader"`, `"kind": "zone_cut"`, "zone"},
+		{`"zones": ["z1", "z2", "z3"]`, `"zones": []`, "/zones"},
+		{`"count": 200`, `"count": 1`, "/faults/0/kind"},
 		{`"kind": "kill_leader"`, `"kind": "zone_cut", "zone": "z9"`, "z9"},
 		{`"at_s": 18`, `"at_s": 41`, "/faults/0/at_s"},
 		{`{`, `[`, "not JSON"},
 	} {
-		_, err := ParseScenario([]byte(strings.Replace(string(text), test.old, test.new, 1)))
+		changed := strings.Replace(string(text), test.old, test.new, 1)
+		if test.want == "/faults/0/kind" {
+			changed = strings.Replace(changed, "kill_leader", "worst_zone_lost", 1)
+		}
+		_, err := ParseScenario([]byte(changed))
 		if err == nil || !strings.Contains(err.Error(), test.want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v", test.new, err)
 		}
--- a/internal/scalerun/scenario.go
+++ b/internal/scalerun/scenario.go
@@ -163,6 +163,9 @@
 		if f.AtS >= s.DurationS {
 			return fmt.Errorf("/faults/%d/at_s: %g is not before the end of the run at %g", i, f.AtS, s.DurationS)
 		}
+		if f.Kind == WorstZoneLost && (len(s.Zones) < 2 || s.workers() < 2) {
+			return fmt.Errorf("/faults/%d/kind: %s takes two zones and two machines at least", i, f.Kind)
+		}
 		if f.Kind == ZoneCut && !slices.Contains(s.Zones, f.Zone) {
 			return fmt.Errorf("/faults/%d/zone: there is no zone %q", i, f.Zone)
 		}
