--- a/internal/scalerun/spreading.go
+++ b/internal/scalerun/spreading.go
@@ -1,6 +1,7 @@
 package scalerun
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -41,8 +42,14 @@
 	samples  int
 	lostAt   time.Duration
 	sampleAt time.Duration
+	// before are the replicas that were missing in the last seconds before the loss: jobs come all the time, and each
+	// waits a while.
+	before []int
 }
 
+// secondsBefore is over how many seconds what was missing before the loss is looked at.
+const secondsBefore = 10
+
 func newSpreading(now func() time.Duration, zone func(string) string) *spreading {
 	return &spreading{now: now, zone: zone, jobs: map[string]*wire.Job{}, started: map[string]time.Duration{}, running: map[string]string{}}
 }
@@ -125,6 +132,8 @@
 		x.afterLoss(now, passed)
 		return
 	}
+	x.before = append(x.before, x.missing())
+	x.before = x.before[max(0, len(x.before)-secondsBefore):]
 	sum, models := 0.0, 0
 	for _, zones := range x.byModel() {
 		if _, most, total := worst(zones); total > 1 {
@@ -138,15 +147,18 @@
 	}
 }
 
-// afterLoss counts what is missing until all runs again.
+// missing is how many replicas are wanted and do not run.
+func (x *spreading) missing() int { return max(0, x.wanted-len(x.running)) }
+
+// afterLoss counts what is missing until no more is than before the loss.
 func (x *spreading) afterLoss(now time.Duration, passed float64) {
 	if x.result.FullServiceS > 0 || x.wanted == 0 {
 		return
 	}
-	missing := max(0, x.wanted-len(x.running))
+	missing := x.missing()
 	x.result.LostReplicaS += float64(missing) * passed
 	x.result.LeastServing = min(x.result.LeastServing, float64(len(x.running))/float64(x.wanted))
-	if missing == 0 {
+	if missing <= slices.Max(append(x.before, 0)) {
 		x.result.FullServiceS = (now - x.lostAt).Seconds()
 	}
 }
