--- a/internal/scalerun/sweep.go
+++ b/internal/scalerun/sweep.go
@@ -126,7 +126,6 @@
 func curveOf(runs []SweepRun) (template.HTML, error) {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "The trade", "share of a model's replicas in its worst zone", "cold seconds"
-	p.Legend.Top = true
 	p.Add(plotter.NewGrid())
 	points, order := map[string]plotter.XYs{}, []string{}
 	for _, r := range runs {
