Rereading: one hourly budget, services by model in one place, what nobody read is gone

Moves and copies ahead each had a budget by the hour and a pass over the jobs by model of their own; a count of moves and a field of the played world were never read.

--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -10,21 +10,10 @@
 // a budget, only while all of the model runs, and only where what is gained by the balance is more than what the move
 // costs. A moved replica is stopped, which drains its machine of it, and started anew by the next round, where it costs
 // the least.
-type moves struct {
-	tokens float64 // moves that may be made now
-	at     float64 // when that was worked out, in seconds
-	made   int
-}
-
-// secondsAnHour turns a budget an hour into one a second.
-const secondsAnHour = 3600
+type moves struct{ budget hourlyBudget }
 
-// refill adds what the budget allows since the last look, up to a minute's worth and at least one.
-func (v *moves) refill(now, perHour float64) {
-	perSecond := perHour / secondsAnHour
-	v.tokens = min(max(1, 60*perSecond), v.tokens+perSecond*(now-v.at))
-	v.at = now
-}
+// secondsOfMoves is how many seconds' worth of the budget may be used at once; one move may be in any case.
+const secondsOfMoves = 60
 
 // moveReplicas makes the moves that are worth it.
 func (r *round) moveReplicas() {
@@ -33,23 +22,18 @@
 	if !s.Enabled || s.MovesPerHour <= 0 {
 		return
 	}
-	l.moves.refill(l.c.now.Steady.Seconds(), s.MovesPerHour)
-	if l.moves.tokens < 1 || !l.rentals.settled() {
+	most := max(1, s.MovesPerHour/secondsAnHour*secondsOfMoves)
+	l.moves.budget.refill(l.c.now.Steady.Seconds(), s.MovesPerHour, most)
+	if l.moves.budget.left < 1 || !l.rentals.settled() {
 		return
 	}
-	services := map[spread.Model][]*job{}
-	for _, j := range l.order {
-		if model, ok := j.model(); ok {
-			services[model] = append(services[model], j)
-		}
-	}
+	services := l.servicesByModel()
 	for _, model := range l.replicas.All() {
-		if l.moves.tokens < 1 || !r.budget() {
+		if l.moves.budget.left < 1 || !r.budget() {
 			return
 		}
 		if p := r.worthMoving(model, services[model]); p != nil {
-			l.moves.tokens--
-			l.moves.made++
+			l.moves.budget.left--
 			p.halt(stopNow, stopMoved)
 			p.machine.roomChanged = true
 			l.due = append(l.due, p.machine)
--- a/internal/core/prefetch.go
+++ b/internal/core/prefetch.go
@@ -1,13 +1,13 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"bitternwing/internal/call"
 	"bitternwing/internal/capacity"
 	"bitternwing/internal/config"
 	"bitternwing/internal/resource"
-	"bitternwing/internal/spread"
 )
 
 // PrefetchImage asks a worker to fetch an image that no task there waits for. The workers' protocol has no such request: it is
@@ -23,8 +23,7 @@
 
 // prefetches has a copy of each model's weights in each zone where its replicas could go, within a budget.
 type prefetches struct {
-	tokens  float64 // GB that may be fetched now
-	at      float64 // when that was worked out, in seconds
+	budget  hourlyBudget // in GB
 	asking  int
 	lookAt  time.Duration
 	refused bool // a worker does not know the request: none does
@@ -37,12 +36,6 @@
 	at             time.Duration
 }
 
-// refill adds what the budget allows since the last look, up to an hour's worth.
-func (p *prefetches) refill(now, gbPerHour float64) {
-	p.tokens = min(gbPerHour, p.tokens+gbPerHour/secondsAnHour*(now-p.at))
-	p.at = now
-}
-
 // runPrefetches notes which images are there, and asks for those that are missing.
 func (l *leader) runPrefetches() {
 	c, p := l.c, &l.prefetches
@@ -56,19 +49,15 @@
 		return
 	}
 	p.lookAt = c.now.Steady + c.t.heartbeat
-	if p.at == 0 {
-		p.tokens, p.at = perHour, c.now.Steady.Seconds()
-	}
-	p.refill(c.now.Steady.Seconds(), perHour)
-	services := map[spread.Model]*job{}
-	for _, j := range l.order {
-		if model, ok := j.model(); ok && !j.cancelled && services[model] == nil {
-			services[model] = j
-		}
+	now := c.now.Steady.Seconds()
+	if p.budget.at == 0 {
+		p.budget = hourlyBudget{left: perHour, at: now} // an hour's worth to begin with
 	}
+	p.budget.refill(now, perHour, perHour)
+	services := l.servicesByModel()
 	for _, model := range l.replicas.All() {
-		if j := services[model]; j != nil {
-			l.prefetchModel(j)
+		if i := slices.IndexFunc(services[model], func(j *job) bool { return !j.cancelled }); i >= 0 {
+			l.prefetchModel(services[model][i])
 		}
 	}
 }
@@ -92,11 +81,11 @@
 func (l *leader) prefetchModel(j *job) {
 	p := &l.prefetches
 	for _, zone := range l.zonesFor(j) {
-		if j.spec.ImageGB > p.tokens || p.asking >= l.c.mostProbes() {
+		if j.spec.ImageGB > p.budget.left || p.asking >= l.c.mostProbes() {
 			return
 		}
 		if m := l.copyPlace(j, zone); m != nil {
-			p.tokens -= j.spec.ImageGB
+			p.budget.left -= j.spec.ImageGB
 			l.prefetch(j, m)
 		}
 	}
@@ -107,12 +96,12 @@
 func (l *leader) copyPlace(j *job, zone string) *machine {
 	allowed := j.groupRules()
 	within := func(g capacity.Group) (capacity.Warmth, bool) { return 0, g.Zone == zone && allowed(g) }
-	anywhere, copied, _ := l.room.Tightest(capacity.Request[*host]{Image: j.spec.Image, Penalty: within,
+	_, copied, _ := l.room.Tightest(capacity.Request[*host]{Image: j.spec.Image, Penalty: within,
 		Suits: func(h *host) (capacity.Warmth, bool) {
 			w := h.m.warmth(j.spec.Image)
 			return w, w <= capacity.Fetching
 		}})
-	if copied && anywhere != nil {
+	if copied {
 		return nil
 	}
 	h, found, _ := l.room.Tightest(capacity.Request[*host]{Need: resource.OfTask(j.spec), Image: j.spec.Image, Penalty: within,
--- a/internal/core/spreading.go
+++ b/internal/core/spreading.go
@@ -18,6 +18,17 @@
 	return spread.Model{Team: j.spec.Team, Image: j.spec.Image}, true
 }
 
+// servicesByModel gives the services that are to run, by what their replicas belong to.
+func (l *leader) servicesByModel() map[spread.Model][]*job {
+	services := map[spread.Model][]*job{}
+	for _, j := range l.order {
+		if model, ok := j.model(); ok {
+			services[model] = append(services[model], j)
+		}
+	}
+	return services
+}
+
 // countReplica takes a placement up in the ledger of replicas, or takes it out. Where replicas are is known whether
 // spread is weighed or not, so that it can be shown.
 func (p *placement) countReplica(present bool) {
--- a/internal/scalerun/rolling/run.go
+++ b/internal/scalerun/rolling/run.go
@@ -12,7 +12,6 @@
 
 	"bitternwing/internal/config"
 	"bitternwing/internal/hollow"
-	"bitternwing/internal/modelserver"
 	"bitternwing/internal/operators"
 	"bitternwing/internal/operators/operatorpb"
 	"bitternwing/internal/rollout"
@@ -27,7 +26,6 @@
 	Controllers []string // internal addresses
 	Teams       []string
 	Fleet       *hollow.Fleet
-	Servers     *modelserver.Server
 	Now         func() time.Duration
 	Submit      func(ctx context.Context, a load.Arrival) // has a user submit a job and follow it
 	Cancel      func(ctx context.Context, id string)      // has a user cancel it
--- a/internal/scalerun/rollouts.go
+++ b/internal/scalerun/rollouts.go
@@ -27,7 +27,7 @@
 		return err
 	}
 	r.rollouts = &rollouts{servers: modelserver.New(listener, r.fleet)}
-	world := &rolling.World{Binary: r.options.Binary, Dir: r.options.Dir, Teams: teams, Fleet: r.fleet, Servers: r.rollouts.servers, Now: r.now,
+	world := &rolling.World{Binary: r.options.Binary, Dir: r.options.Dir, Teams: teams, Fleet: r.fleet, Now: r.now,
 		Cancel: r.users.Cancel, Submit: func(ctx context.Context, a load.Arrival) {
 			r.recorder.submit(a)
 			r.users.Play(ctx, a)
