Answers to reports that tell nothing are held back; fixed flow-control windows between nodes

A worker has one report in flight, so holding an answer paces it; answers go at common moments, or at once with whatever there is to do. internal/pacing is pure; load is learned from the lateness of the node's timers.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -11,10 +11,12 @@
 
 // Operator is the operators' own settings.
 type Operator struct {
-	RoundS             float64 `json:"round_s"`
-	EventRounds        bool    `json:"event_rounds"`
-	DirectStarts       bool    `json:"direct_starts"`
-	RoundBudget        float64 `json:"round_budget"`
+	RoundS       float64 `json:"round_s"`
+	EventRounds  bool    `json:"event_rounds"`
+	DirectStarts bool    `json:"direct_starts"`
+	RoundBudget  float64 `json:"round_budget"`
+	// PaceReports says that answers to reports that tell nothing may be held back, so that workers report less often.
+	PaceReports        bool    `json:"pace_reports"`
 	SpareShare         float64 `json:"spare_share"`
 	IdleBoots          float64 `json:"idle_boots"`
 	StuckBoots         float64 `json:"stuck_boots"`
@@ -58,6 +60,7 @@
 		RoundS:             5,
 		EventRounds:        true,
 		DirectStarts:       true,
+		PaceReports:        true,
 		RoundBudget:        0.25,
 		SpareShare:         0.1,
 		IdleBoots:          1.5,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,11 +1,13 @@
 package core
 
 import (
+	"math"
 	"time"
 
 	"bitternwing/internal/budget"
 	"bitternwing/internal/call"
 	"bitternwing/internal/config"
+	"bitternwing/internal/pacing"
 	"bitternwing/internal/wire"
 )
 
@@ -44,6 +46,8 @@
 	lastReport  time.Duration // when a worker last reported here; negative: never
 	wake        time.Duration
 	evaluations budget.Cost
+	pacer       *pacing.Pacer
+	load        *pacing.Load
 	sized       sizeWarnings
 }
 
@@ -97,6 +101,8 @@
 	}
 	c := &Core{set: s, op: op, incarnation: incarnation, t: timesOf(s, op),
 		pending: map[uint64]func(Result){}, lastReport: -1}
+	c.pacer = pacing.NewPacer(c.t.report, c.t.lease, wire.ReportTimeout)
+	c.load = pacing.NewLoad(c.t.heartbeat, c.t.lease)
 	c.dir = newDirectory()
 	c.deps = newDependencies(c)
 	c.limits = newLimits(s.Params.State)
@@ -115,6 +121,7 @@
 func (c *Core) Step(now Time, in Input) []Effect {
 	c.now = now
 	c.evaluations.Learn(now.Took)
+	c.observeLoad()
 	clear(c.out)
 	c.out = c.out[:0]
 	switch in := in.(type) {
@@ -150,6 +157,16 @@
 	return c.out
 }
 
+// observeLoad takes in how late this step comes: the last one asked to be woken before.
+func (c *Core) observeLoad() {
+	if c.wake != 0 && c.now.Steady > c.wake {
+		c.load.Observe(c.now.Steady, c.now.Steady-c.wake)
+	}
+}
+
+// farFuture is later than all times.
+const farFuture = time.Duration(math.MaxInt64)
+
 // Wake tells when Step wants a Tick at the latest.
 func (c *Core) Wake() time.Duration { return c.wake }
 
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -311,6 +311,7 @@
 		return
 	}
 	c.log(Info, "no longer leading", "term", c.lead.term, "why", why)
+	c.lead.refuseHeld()
 	c.lead = nil
 	e.lease = 0
 	e.notNow = c.now.Steady + c.t.retry
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -50,6 +50,7 @@
 	apart      []string                 // zones much of which can not be reached, whoever keeps it
 	cutZones   map[string]bool          // zones much of which is silent; true: none of their nodes answers either
 
+	releaseAt   time.Duration // when held answers are given next
 	tendAt      time.Duration // when the fleet and the cancelled jobs are looked through next
 	writes      writer
 	rentals     rentals
@@ -59,7 +60,7 @@
 }
 
 func newLeader(c *Core, term, version uint64) *leader {
-	l := &leader{c: c, term: term, version: version, since: c.now.Steady,
+	l := &leader{c: c, term: term, version: version, since: c.now.Steady, releaseAt: farFuture,
 		runs: map[string]wire.Item{}, jobs: map[string]*job{}, machines: map[string]*machine{},
 		room: capacity.NewIndex[*host](), replicas: spread.NewLedger(), released: map[string]time.Duration{}, cutZones: map[string]bool{}, outAt: map[string]time.Duration{}}
 	l.plans = newPlanRuns(l)
@@ -111,6 +112,7 @@
 	l.runPrefetches()
 	l.writes.run()
 	l.orders()
+	l.releaseAnswers()
 	l.rentals.run()
 	l.images.run()
 	l.unreachable.run()
@@ -312,6 +314,9 @@
 // orders sends committed starts, and stops, to their machines directly, instead of waiting for
 // the next report. See token for what bounds how late they can take effect.
 func (l *leader) orders() {
+	for _, m := range l.due {
+		l.answerHeld(m)
+	}
 	if !l.c.op.DirectStarts || !l.entitled() {
 		l.due = l.due[:0]
 		return
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -35,6 +35,7 @@
 	reached               time.Duration // when it last answered that
 	unansweredInspections int           // questions in a row without an answer, since it was last heard
 
+	held          *heldAnswer           // to its last report; nil: none is held back
 	runs          map[string]*placement // by task name
 	list          []*placement          // the same, by job and task
 	host          *host                 // its room; nil while it may take no tasks
@@ -161,6 +162,7 @@
 	if l.machines[m.name] != m {
 		return
 	}
+	l.answerHeld(m)
 	delete(l.machines, m.name)
 	l.dropHost(m)
 	for i, x := range l.fleet {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -39,7 +39,10 @@
 		m.current = max(m.current, token)
 		token = l.token(m)
 	}
-	c.answer(in.Req, 200, wire.ReportAnswer{Token: token, Commands: cmds})
+	answer := wire.ReportAnswer{Token: token, Commands: cmds}
+	if !l.holdAnswer(in.Req, r, answer) {
+		c.answer(in.Req, 200, answer)
+	}
 }
 
 // report takes in a report and gives the commands of its answer.
@@ -56,6 +59,7 @@
 		// A late copy. It proves nothing, and its answer reaches nobody.
 		return none
 	}
+	l.dropHeld(m)
 	now := l.c.now.Steady
 	if !m.up {
 		l.c.log(Debug, "machine up", "machine", m.name, "after", (now - m.rentedAt).String())
--- a/internal/core/trace_harness_test.go
+++ b/internal/core/trace_harness_test.go
@@ -29,6 +29,7 @@
 	cut     string                  // "cut": no node reaches another, "zones": none in another zone
 	budget  float64                 // the operators' round_budget, for nodes that start after
 	spare   float64                 // the same for spare_share
+	paced   bool                    // the same for pace_reports
 	zones   map[string]string       // of nodes; "": z1
 	hidden  string                  // a machine that lists lack
 	answers map[string]*wire.Report // of workers that are asked directly, by address
@@ -72,6 +73,7 @@
 		Limits:     config.Limits{CPUShare: 0.06, MemoryMB: 98, MaxConnections: 600}}
 	s.Params.State.Next = w.next
 	s.Operator.SpareShare = w.spare
+	s.Operator.PaceReports = w.paced
 	if w.budget > 0 {
 		s.Operator.RoundBudget = w.budget
 	}
--- /dev/null
+++ b/internal/pacing/load.go
@@ -0,0 +1,38 @@
+// Package pacing decides how often workers report. A worker has one report in flight at a time, so a controller
+// that holds back an answer holds back the next report as well. The package is pure: it is told the time.
+package pacing
+
+import "time"
+
+// Load is how short of processor time a node is, between 0 (it keeps up) and 1. It is learned from how late the
+// node's own timers fire, which is all that a process knows of a share of a processor that is used up.
+type Load struct {
+	// unit is the lateness that alone raises the load from 0 to 1.
+	unit time.Duration
+	// decay is the time in which the load falls from 1 to 0 while nothing is late.
+	decay time.Duration
+
+	level float64
+	at    time.Duration // when level was right
+}
+
+// longestSample bounds what a single late timer tells, as a share of the unit: after a standstill one
+// timer is late by all of it, which tells nothing of the processor.
+const longestSample = 0.25
+
+// NewLoad makes a load that rises from 0 to 1 by so much lateness in all, and falls back within a time.
+func NewLoad(unit, decay time.Duration) *Load { return &Load{unit: unit, decay: decay} }
+
+// Observe takes in that a timer fired late.
+func (l *Load) Observe(now, late time.Duration) {
+	level := l.Level(now)
+	sample := min(late.Seconds()/l.unit.Seconds(), longestSample)
+	l.level = min(1, level+max(0, sample))
+	l.at = now
+}
+
+// Level gives the load at a time.
+func (l *Load) Level(now time.Duration) float64 {
+	passed := max(0, now-l.at)
+	return max(0, l.level-passed.Seconds()/l.decay.Seconds())
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,6 +20,10 @@
 // maxMessage bounds a message between nodes.
 const maxMessage = 64 << 10
 
+// flowWindow is the flow-control window of streams and connections. It holds a whole message. A fixed window also
+// keeps gRPC from measuring the connection, which it does with a ping for each message.
+const flowWindow = 2 * maxMessage
+
 // Server answers other nodes.
 type Server struct {
 	peerpb.UnimplementedPeerServer
@@ -34,7 +38,8 @@
 func NewServer(node string, heard func(context.Context, []core.Cancellation) bool, status func() core.PeerStatus) *Server {
 	s := &Server{node: node, heard: heard, status: status, grpc: grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxConcurrentStreams(16),
-		grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10))}
+		grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10),
+		grpc.InitialWindowSize(flowWindow), grpc.InitialConnWindowSize(flowWindow))}
 	peerpb.RegisterPeerServer(s.grpc, s)
 	return s
 }
@@ -82,6 +87,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10),
+		grpc.WithInitialWindowSize(flowWindow), grpc.WithInitialConnWindowSize(flowWindow),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: patience / 4, Multiplier: 1.5, Jitter: 0.2, MaxDelay: patience},
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"time"
 )
 
 // The paths of the workers' protocol: reports to a controller, direct commands and questions to a worker.
@@ -12,6 +13,9 @@
 	InspectPath = "/inspect"
 )
 
+// ReportTimeout is how long a worker waits for the answer to a report.
+const ReportTimeout = 4 * time.Second
+
 // TaskState is the state of a task in a worker's report.
 type TaskState string
 
