Less work for what changes nothing: reports, peers, polls, shown counts

A report that changes nothing no longer has the core look through all that may be due; stored values are decoded when they are needed; polls wait up to a quarter of a heartbeat interval for a common comparison; nodes that don't lead ask each other half as often while all is well; what need not be in time is done at common moments.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,9 +46,11 @@
 	lastReport  time.Duration // when a worker last reported here; negative: never
 	wake        time.Duration
 	evaluations budget.Cost
-	pacer       *pacing.Pacer
-	load        *pacing.Load
-	sized       sizeWarnings
+	// eventless tells that the input of this step gave nothing to do before the core wakes anyway.
+	eventless bool
+	pacer     *pacing.Pacer
+	load      *pacing.Load
+	sized     sizeWarnings
 }
 
 // times are the durations derived from the settings, each a ratio of one of them.
@@ -122,6 +124,7 @@
 	c.now = now
 	c.evaluations.Learn(now.Took)
 	c.observeLoad()
+	c.eventless = false
 	clear(c.out)
 	c.out = c.out[:0]
 	switch in := in.(type) {
@@ -153,7 +156,9 @@
 		}
 	case Tick:
 	}
-	c.run()
+	if !c.eventless || c.now.Steady >= c.wake {
+		c.run()
+	}
 	return c.out
 }
 
@@ -170,6 +175,13 @@
 // Wake tells when Step wants a Tick at the latest.
 func (c *Core) Wake() time.Duration { return c.wake }
 
+// aligned puts a time off to one of the moments at which what need not be in time is done, so that a node wakes
+// for many such things at once.
+func (c *Core) aligned(t time.Duration) time.Duration {
+	moment := c.t.eventGap
+	return (t + moment - 1) / moment * moment
+}
+
 func (c *Core) at(t time.Duration) {
 	if t < c.wake {
 		c.wake = t
@@ -250,7 +262,7 @@
 	if c.stateDown {
 		every /= 2
 	}
-	due := c.stateOKAt + every
+	due := c.aligned(c.stateOKAt + every)
 	if c.stateAsking {
 		return
 	}
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -102,9 +102,9 @@
 	plans       plansOf
 	layout      record.Layout // the zero value: the first one
 	layoutAt    uint64        // version of its key
-	countShards map[string]map[string]counts
-	images      map[string]map[string][]string // by key, by machine
-	unreachable map[string]unreachablePart     // by key
+	countShards map[string]*storedValue[map[string]counts]
+	images      map[string]*storedValue[map[string][]string] // by key, by machine
+	unreachable map[string]unreachablePart                   // by key
 
 	// finals are final states seen here; they never change, so they need no
 	// confirmation. The oldest makes way.
@@ -118,7 +118,7 @@
 }
 
 func newDirectory() *directory {
-	return &directory{jobs: map[string]*entry{}, countShards: map[string]map[string]counts{}, images: map[string]map[string][]string{},
+	return &directory{jobs: map[string]*entry{}, countShards: map[string]*storedValue[map[string]counts]{}, images: map[string]*storedValue[map[string][]string]{},
 		plans: newPlansOf(), unreachable: map[string]unreachablePart{}, finals: map[string]finalValue{}}
 }
 
@@ -149,9 +149,9 @@
 			d.unreachable[key] = unreachablePart{since: since, text: string(value)}
 		}
 	case strings.HasPrefix(key, keyImages):
-		d.images[key], _ = decode[map[string][]string](value)
+		d.images[key] = &storedValue[map[string][]string]{text: value}
 	case below(key, keyCounts):
-		d.countShards[key], _ = decode[map[string]counts](value)
+		d.countShards[key] = &storedValue[map[string]counts]{text: value}
 	}
 }
 
@@ -167,6 +167,21 @@
 	return v, true
 }
 
+// storedValue is a value that is read when it is needed first: most nodes never need most of them.
+type storedValue[T any] struct {
+	text  json.RawMessage // nil: it was read, or there is none
+	value T
+}
+
+// get gives the value; nothing for one that is gone or can't be read.
+func (s *storedValue[T]) get() T {
+	if s.text != nil {
+		s.value, _ = decode[T](s.text)
+		s.text = nil
+	}
+	return s.value
+}
+
 func (d *directory) applyJob(id string, value json.RawMessage, version uint64) {
 	if old := d.jobs[id]; old != nil && old.version >= version {
 		return
@@ -209,6 +224,9 @@
 	d.finalOrder = append(d.finalOrder, id)
 }
 
+// followerWatchGaps is the least time between two watches of a node that does not lead, in those of a leader.
+const followerWatchGaps = 3
+
 // runDirectory reads the watched keys and then follows them.
 func (c *Core) runDirectory() {
 	d := c.dir
@@ -232,9 +250,9 @@
 		d.busy = false
 		gap := c.t.watchGap
 		if c.lead == nil {
-			gap *= 3
+			gap = max(followerWatchGaps*gap, c.t.heartbeat/4)
 		}
-		d.notNow = d.openedAt + gap
+		d.notNow = c.aligned(d.openedAt + gap)
 		switch r.Outcome {
 		case call.OK:
 			c.sawState(r.Outcome)
--- a/internal/core/display.go
+++ b/internal/core/display.go
@@ -28,7 +28,10 @@
 func (d *directory) countsOf(id string) counts {
 	for shard := firstCountShard(id); ; shard += countShards {
 		jobs, used := d.countShards[countKey(shard)]
-		if n, ok := jobs[id]; ok || !used {
+		if !used {
+			return counts{}
+		}
+		if n, ok := jobs.get()[id]; ok {
 			return n
 		}
 	}
@@ -68,13 +71,13 @@
 const countBytes = len(`"":[100000,100000],`)
 
 // counts writes how many tasks run and are done, for display at other nodes, at
-// most every report interval and only with writes to spare.
+// most every other report interval and only with writes to spare.
 func (w *writer) counts() {
 	l, c := w.l, w.l.c
 	if w.countsBusy || c.stateDown {
 		return
 	}
-	if due := w.countsAt + c.t.report; c.now.Steady < due {
+	if due := c.aligned(w.countsAt + 2*c.t.report); c.now.Steady < due {
 		c.at(due)
 		return
 	}
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -286,7 +286,7 @@
 		switch r.Outcome {
 		case call.OK:
 			e.deadline = max(e.deadline, r.Sent+e.leaseDuration())
-			e.extendAt = r.Sent + c.t.leaderTTL/4
+			e.extendAt = c.aligned(r.Sent + c.t.leaderTTL/4)
 		case call.Missing:
 			e.stepDown("the lease ended")
 		default:
--- a/internal/core/held_answers.go
+++ b/internal/core/held_answers.go
@@ -29,6 +29,7 @@
 	}
 	m.held = &heldAnswer{req: req, report: r, due: c.pacer.Release(now, hold)}
 	l.releaseAt = min(l.releaseAt, m.held.due)
+	c.at(l.releaseAt)
 	return true
 }
 
--- a/internal/core/images.go
+++ b/internal/core/images.go
@@ -100,7 +100,7 @@
 // leader knew of.
 func (l *leader) hint(m *machine) {
 	for _, shard := range l.c.dir.images {
-		for _, name := range shard[m.name] {
+		for _, name := range shard.get()[m.name] {
 			img := newImage(name, l.imageGB(name))
 			// What a place costs is worked out from what is known; without weighing the hint is believed.
 			img.unknown = l.c.op.Spread.Enabled
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -82,9 +82,12 @@
 	state   wire.TaskState  // as last reported
 	since   time.Duration
 	ranAt   time.Duration // when first seen running; 0: not yet
-	stop    stopKind
-	stopWhy stopReason
-	stopOut bool // the stop went out directly; reports' answers repeat it
+	// reportedIn is the last of the leader's evidence, by its count, that shows the placement.
+	reportedIn uint64
+	taskName   string // of the protocol; empty: not asked for yet
+	stop       stopKind
+	stopWhy    stopReason
+	stopOut    bool // the stop went out directly; reports' answers repeat it
 }
 
 type phase int
@@ -149,7 +152,12 @@
 	}
 }
 
-func (p *placement) name() string { return wire.TaskName(p.job.id, p.task) }
+func (p *placement) name() string {
+	if p.taskName == "" {
+		p.taskName = wire.TaskName(p.job.id, p.task)
+	}
+	return p.taskName
+}
 
 // chunkSize is how many tasks a run record holds.
 func (l *leader) chunkSize() int { return l.layout.Tasks() }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -43,12 +43,14 @@
 	plans      *planRuns
 	evaluated  uint64                   // evaluations of the dependency graph that are taken in
 	released   map[string]time.Duration // names given back, so that late reports of them don't count
-	inspecting int
-	ordering   int                      // direct orders without an answer yet
-	idleAt     time.Duration            // when this leader was last not entitled to act
-	outAt      map[string]time.Duration // when a zone was last seen cut off with its nodes
-	apart      []string                 // zones much of which can not be reached, whoever keeps it
-	cutZones   map[string]bool          // zones much of which is silent; true: none of their nodes answers either
+	// changes counts what reports change, and evidenceCount the reports that were taken as evidence.
+	changes, evidenceCount uint64
+	inspecting             int
+	ordering               int                      // direct orders without an answer yet
+	idleAt                 time.Duration            // when this leader was last not entitled to act
+	outAt                  map[string]time.Duration // when a zone was last seen cut off with its nodes
+	apart                  []string                 // zones much of which can not be reached, whoever keeps it
+	cutZones               map[string]bool          // zones much of which is silent; true: none of their nodes answers either
 
 	releaseAt   time.Duration // when held answers are given next
 	tendAt      time.Duration // when the fleet and the cancelled jobs are looked through next
@@ -98,7 +100,7 @@
 	}
 	l.followDependencies()
 	if now := l.c.now.Steady; now >= l.tendAt {
-		l.tendAt = now + l.c.t.eventGap
+		l.tendAt = l.c.aligned(now + 1)
 		l.watchMachines()
 		l.cancels()
 		l.rentals.stuck()
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -17,6 +17,7 @@
 		m.tokenRequiredSince = l.c.now.Steady
 	}
 	m.requiredToken = max(m.requiredToken, token)
+	l.changes++
 }
 
 // answersLost tells whether a machine's reports have come for half a lease without showing
--- a/internal/core/lookups.go
+++ b/internal/core/lookups.go
@@ -12,6 +12,8 @@
 	id    string
 	entry *entry // what the cache says; nil: no such job
 	then  func(found)
+	// patient: whoever asks can wait a little, so that one comparison does for many.
+	patient bool
 	// existence: all that is asked is whether the job was accepted; nothing of it is told.
 	existence bool
 }
@@ -24,7 +26,11 @@
 }
 
 // find looks a job up. A cached cancellation stands without asking, once all nodes know it.
-func (u *users) find(id string, then func(found)) {
+func (u *users) find(id string, then func(found)) { u.look(&lookup{id: id, then: then}) }
+
+// look carries out a lookup.
+func (u *users) look(l *lookup) {
+	id, then := l.id, l.then
 	if !u.c.dir.ready {
 		then(found{failed: true})
 		return
@@ -37,7 +43,11 @@
 	if e != nil && len(e.Job.Needs) > 0 && !u.mayTell(id, e, then) {
 		return
 	}
-	u.checks = append(u.checks, &lookup{id: id, entry: e, then: then})
+	l.entry = e
+	u.checks = append(u.checks, l)
+	if !l.patient {
+		u.checkAt = min(u.checkAt, u.checkedAt+u.c.t.batchGap)
+	}
 }
 
 // cancelled hands over a cancelled job once users may be told of it.
@@ -76,7 +86,11 @@
 	batch := append([]*lookup(nil), u.checks[:n]...)
 	u.checks = append(u.checks[:0], u.checks[n:]...)
 	u.checkBusy = true
+	u.checkedAt = c.now.Steady
 	u.checkAt = c.now.Steady + c.t.batchGap
+	if len(u.checks) == 0 {
+		u.checkAt = c.aligned(c.now.Steady + max(c.t.batchGap, c.t.heartbeat/4))
+	}
 	id := c.stateCall(func(r Result) {
 		u.checkBusy = false
 		failed := map[string]bool{}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -24,7 +24,7 @@
 
 func (c *Core) runPeers() {
 	for _, p := range c.peers {
-		due := p.askedAt + c.t.heartbeat
+		due := c.aligned(p.askedAt + c.peerInterval(p))
 		if p.reached && c.cancels.stopping(p) {
 			due = p.askedAt + c.t.heartbeat/8
 		}
@@ -40,6 +40,15 @@
 	}
 }
 
+// peerInterval is how often a peer is asked. While a leader is there and all is well, nodes that don't lead hardly
+// need each other.
+func (c *Core) peerInterval(p *peer) time.Duration {
+	if c.lead == nil && !c.stateDown && p.reached && !p.status.Leads && !p.status.StateDown && c.leadingPeer() != "" {
+		return 2 * c.t.heartbeat
+	}
+	return c.t.heartbeat
+}
+
 // fresh tells whether a peer was heard within the last few questions.
 func (c *Core) fresh(p *peer) bool {
 	return p.reached && p.heardAt != 0 && c.now.Steady-p.heardAt < 3*c.t.heartbeat
--- a/internal/core/rentals.go
+++ b/internal/core/rentals.go
@@ -102,7 +102,7 @@
 	case now < t.listAt:
 		t.l.c.at(t.listAt)
 	case t.spend():
-		t.listAt = now + t.l.c.t.listLag
+		t.listAt = t.l.c.aligned(now + t.l.c.t.listLag)
 		t.listSent = now
 		t.page = map[string]bool{}
 		t.list("")
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -33,6 +33,7 @@
 		c.answer(in.Req, 421, wire.Redirect{})
 		return
 	}
+	before := l.changes
 	cmds := l.report(r)
 	token := max(firstToken(l.term), r.Token)
 	if m := l.machines[r.Machine]; m != nil {
@@ -43,6 +44,7 @@
 	if !l.holdAnswer(in.Req, r, answer) {
 		c.answer(in.Req, 200, answer)
 	}
+	c.eventless = l.loaded && l.changes == before && len(cmds) == 0
 }
 
 // report takes in a report and gives the commands of its answer.
@@ -60,6 +62,9 @@
 		return none
 	}
 	l.dropHeld(m)
+	if r.Session != m.session || !m.up {
+		l.changes++
+	}
 	now := l.c.now.Steady
 	if !m.up {
 		l.c.log(Debug, "machine up", "machine", m.name, "after", (now - m.rentedAt).String())
@@ -108,38 +113,46 @@
 		m.roomChanged = true // they may be gone
 	}
 	m.exits, m.orphanedTasks = m.exits[:0], m.orphanedTasks[:0]
-	reported := make(map[string]bool, len(r.Tasks))
+	l.evidenceCount++
 	for i := range r.Tasks {
-		if t := &r.Tasks[i]; l.reportedTask(m, r.Session, t) {
-			reported[t.Task] = true
+		l.reportedTask(m, r.Session, &r.Tasks[i])
+	}
+	var missing []*placement
+	for _, p := range m.list {
+		if p.session < r.Session || p.reportedIn != l.evidenceCount && p.session == r.Session && termOf(r.Token) == l.term {
+			missing = append(missing, p)
 		}
 	}
-	for _, p := range m.sorted() {
+	for _, p := range missing {
 		switch {
 		case p.session < r.Session:
 			// The worker killed and forgot all of its earlier session.
 			l.c.log(Debug, "task lost with its session", "task", p.name(), "attempt", p.attempt)
 			l.end(p)
-		case !reported[p.name()] && p.session == r.Session && termOf(r.Token) == l.term:
+		default:
 			l.unreported(p, r, asked)
 		}
 	}
 }
 
-// reportedTask takes in what a report says of a task; false if no placement here explains it.
-func (l *leader) reportedTask(m *machine, session uint64, t *wire.TaskReport) bool {
+// reportedTask takes in what a report says of a task.
+func (l *leader) reportedTask(m *machine, session uint64, t *wire.TaskReport) {
 	p := m.runs[t.Task]
 	if p == nil || p.attempt != t.Attempt || p.session != session {
+		l.changes++
 		l.unexplained(m, t)
-		return false
+		return
 	}
+	p.reportedIn = l.evidenceCount
 	if t.State == wire.TaskExited {
+		l.changes++
 		m.exits = append(m.exits, *t)
 		l.exited(p, t)
-		return true
+		return
 	}
 	p.phase = max(p.phase, seen)
 	if p.state != t.State {
+		l.changes++
 		p.state = t.State
 		if t.State == wire.TaskRunning && p.ranAt == 0 {
 			l.firstRuns(p)
@@ -148,7 +161,6 @@
 	if p.ranAt != 0 && (!p.job.proven || len(m.errors) > 0) {
 		l.ranWell(p, false)
 	}
-	return true
 }
 
 // firstRuns notes that a task is seen running for the first time.
@@ -251,7 +263,7 @@
 		cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
 	}
 	mayStart := l.c.elect.inTime()
-	for _, p := range m.sorted() {
+	for _, p := range m.list {
 		if len(cmds) >= mostCommands {
 			break
 		}
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -22,6 +22,7 @@
 // wantRound asks for a round soon: a recorded exception to the round length of the
 // design, for starts that are due within seconds.
 func (l *leader) wantRound() {
+	l.changes++
 	if !l.c.op.EventRounds {
 		return
 	}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -17,6 +17,7 @@
 	checks    []*lookup // to confirm by a comparison
 	checkBusy bool
 	checkAt   time.Duration // no comparison before this
+	checkedAt time.Duration // when the last one went out
 
 	reads    []*lookup // to read
 	readBusy int
@@ -65,7 +66,7 @@
 	if u.full(in.Req) {
 		return
 	}
-	u.find(in.ID, func(f found) {
+	u.look(&lookup{id: in.ID, patient: true, then: func(f found) {
 		switch {
 		case f.failed:
 			u.unsure(in.Req)
@@ -74,7 +75,7 @@
 		default:
 			u.done(in.Req, 200, c.stateOf(in.ID, f))
 		}
-	})
+	}})
 }
 
 func (u *users) cancel(in Cancel) {
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -45,6 +45,7 @@
 }
 
 func (l *leader) mark(ch *chunk) {
+	l.changes++
 	if !ch.dirty {
 		ch.dirty = true
 		l.writes.dirty = append(l.writes.dirty, ch)
