--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -48,9 +48,11 @@
 	evaluations budget.Cost
 	// eventless tells that the input of this step gave nothing to do before the core wakes anyway.
 	eventless bool
-	pacer     *pacing.Pacer
-	load      *pacing.Load
-	sized     sizeWarnings
+	// shedding tells that users are sent to other nodes.
+	shedding bool
+	pacer    *pacing.Pacer
+	load     *pacing.Load
+	sized    sizeWarnings
 }
 
 // times are the durations derived from the settings, each a ratio of one of them.
@@ -162,13 +164,6 @@
 	return c.out
 }
 
-// observeLoad takes in how late this step comes: the last one asked to be woken before.
-func (c *Core) observeLoad() {
-	if c.wake != 0 && c.now.Steady > c.wake {
-		c.load.Observe(c.now.Steady, c.now.Steady-c.wake)
-	}
-}
-
 // farFuture is later than all times.
 const farFuture = time.Duration(math.MaxInt64)
 
@@ -281,9 +276,12 @@
 }
 
 // Healthy tells whether this node can take requests. A node that alone is refused
-// by the state service is unhealthy; in an outage for all, nodes stay healthy, so
+// by the state service is unhealthy, and one that sheds users; in an outage for all, nodes stay healthy, so
 // that users get their 503 at once and nothing has to be added again afterwards.
 func (c *Core) Healthy() bool {
+	if c.shedding {
+		return false
+	}
 	if !c.dir.ready || c.catalog == nil {
 		// Started in an outage for all: like the others.
 		return c.stateDown && len(c.peers) > 0 && c.noneServed()
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -25,6 +25,8 @@
 	extendAt time.Duration
 	extend   bool          // an extend is under way
 	vacantAt time.Duration // since when no leader is known; 0: one is
+	ttl      time.Duration // of the lease
+	history  termHistory
 }
 
 func newElection(c *Core) *election { return &election{c: c} }
@@ -32,12 +34,14 @@
 // drift is what the steady clock may be off, doubled for safety.
 const drift = 0.001
 
+// leaseDuration is for how long the lease is certainly good once it is renewed.
 func (e *election) leaseDuration() time.Duration {
-	return time.Duration(float64(e.c.t.leaderTTL) * (1 - drift))
+	return time.Duration(float64(e.ttl) * (1 - drift))
 }
 
 func (e *election) run() {
 	c := e.c
+	e.history.notice(c.now.Steady, c.dir.term.Term)
 	if c.lead != nil {
 		e.keep()
 		return
@@ -172,6 +176,9 @@
 // node of which neither holds has been there for a while.
 func (e *election) betterPlaced() bool {
 	c := e.c
+	if c.load.Level(c.now.Steady) > shedBelow {
+		return false // a takeover takes more processor time than there is
+	}
 	worse := func(node string) bool { return e.exposed(node) || e.beforeGap(node, c.t.lease) }
 	if c.now.Steady-c.lead.since < 2*c.t.lease || !worse(c.set.Node) {
 		return false
@@ -190,6 +197,7 @@
 func (e *election) campaign() {
 	c := e.c
 	e.busy = true
+	ttl := e.history.leaseTTL(c.now.Steady, c.t)
 	fail := func() {
 		e.busy = false
 		e.notNow = c.now.Steady + c.t.retry
@@ -214,7 +222,7 @@
 		id := c.stateCall(func(r Result) {
 			if r.Outcome == call.OK {
 				e.busy = false
-				e.win(term, r.Txn.Revision, g)
+				e.win(term, r.Txn.Revision, g, ttl)
 				return
 			}
 			// Unknown: if the transaction was or gets applied, the watch shows
@@ -227,12 +235,12 @@
 			Then: []wire.Op{{Put: keyLead, Value: lead, Lease: g.Lease}, {Put: keyTerm, Value: tv}},
 		}})
 	})
-	c.send(StateGrant{ID: id, TTL: c.t.leaderTTL})
+	c.send(StateGrant{ID: id, TTL: ttl})
 }
 
-func (e *election) win(term, version uint64, grant Result) {
+func (e *election) win(term, version uint64, grant Result, ttl time.Duration) {
 	c := e.c
-	e.lease = grant.Lease
+	e.lease, e.ttl = grant.Lease, ttl
 	// The lease's time began when the service made it, which was no earlier than
 	// the request was sent.
 	e.deadline = grant.Sent + e.leaseDuration()
@@ -286,11 +294,11 @@
 		switch r.Outcome {
 		case call.OK:
 			e.deadline = max(e.deadline, r.Sent+e.leaseDuration())
-			e.extendAt = c.aligned(r.Sent + c.t.leaderTTL/4)
+			e.extendAt = c.aligned(r.Sent + e.ttl/4)
 		case call.Missing:
 			e.stepDown("the lease ended")
 		default:
-			e.extendAt = c.now.Steady + c.t.leaderTTL/12
+			e.extendAt = c.now.Steady + e.ttl/12
 		}
 	})
 	c.send(StateExtend{ID: id, Lease: e.lease})
--- a/internal/core/held_answers.go
+++ b/internal/core/held_answers.go
@@ -27,6 +27,7 @@
 	if hold == 0 {
 		return false
 	}
+	m.lastHold = hold
 	m.held = &heldAnswer{req: req, report: r, due: c.pacer.Release(now, hold)}
 	l.releaseAt = min(l.releaseAt, m.held.due)
 	c.at(l.releaseAt)
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -117,18 +117,20 @@
 			zones[m.zone] = z
 		}
 		z.total++
-		if l.quietSince(m.lastHeard()) {
+		if l.quietSince(m, m.lastHeard()) {
 			z.silent++
 		}
-		if l.quietSince(max(m.heard, m.reached)) {
+		if l.quietSince(m, max(m.heard, m.reached)) {
 			z.unheard++
 		}
 	}
 	return zones
 }
 
-// quietSince tells whether a moment is a third of a lease ago.
-func (l *leader) quietSince(at time.Duration) bool { return l.c.now.Steady-at > l.c.t.lease/3 }
+// quietSince tells whether a machine has been silent since a moment a third of a lease ago.
+func (l *leader) quietSince(m *machine, at time.Duration) bool {
+	return l.c.now.Steady-at > l.c.pacer.Patience(l.c.t.lease/3, m.lastHold)
+}
 
 // inspect asks a machine directly that has not reported here for a while: one that hangs,
 // is dead or out of reach does not answer; one that has yet to find the leader does, and
@@ -139,7 +141,7 @@
 		m.unansweredInspections = 0
 	}
 	if !m.up && !m.seenUp || m.releasing || m.inspecting || m.addr == "" || l.inspecting >= l.c.mostInspections() ||
-		now-max(m.heard, m.reached) < l.c.t.lease/4 || now-m.inspectedAt < l.c.t.heartbeat {
+		now-max(m.heard, m.reached) < l.c.pacer.Patience(l.c.t.lease/4, m.lastHold) || now-m.inspectedAt < l.c.t.heartbeat {
 		return
 	}
 	m.inspecting, m.inspectedAt = true, now
--- /dev/null
+++ b/internal/core/load.go
@@ -0,0 +1,50 @@
+package core
+
+// A node that is short of processor time does what matters first: reports are answered, seldomer (held_answers.go);
+// users are sent to nodes with time to spare; polls and rounds wait longer for others of their kind.
+
+// Users are shed above a load, until it has fallen below another, so that they are not sent to and fro.
+const (
+	shedAbove = 0.5
+	shedBelow = 0.1
+)
+
+// slowestFactor is how much longer at full load things wait that can.
+const slowestFactor = 4
+
+// slower is the factor by which things wait longer that can.
+func (c *Core) slower() float64 {
+	return 1 + (slowestFactor-1)*c.load.Level(c.now.Steady)
+}
+
+// observeLoad takes in how late this step comes: the last one asked to be woken before.
+func (c *Core) observeLoad() {
+	if c.wake != 0 && c.now.Steady > c.wake {
+		c.load.Observe(c.now.Steady, c.now.Steady-c.wake)
+	}
+	c.shedUsers()
+}
+
+// shedUsers decides whether the load balancer is to send users elsewhere. The leader alone does: it has work that
+// nobody else can do, and the others keep each other's users.
+func (c *Core) shedUsers() {
+	level := c.load.Level(c.now.Steady)
+	switch {
+	case c.lead == nil || !c.op.PaceReports || !c.otherServes():
+		c.shedding = false
+	case level > shedAbove:
+		c.shedding = true
+	case level < shedBelow:
+		c.shedding = false
+	}
+}
+
+// otherServes tells whether another node is there that the state service serves.
+func (c *Core) otherServes() bool {
+	for _, p := range c.peers {
+		if c.fresh(p) && !p.status.StateDown {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/core/lookups.go
+++ b/internal/core/lookups.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"bitternwing/internal/call"
 	"bitternwing/internal/wire"
@@ -89,7 +90,8 @@
 	u.checkedAt = c.now.Steady
 	u.checkAt = c.now.Steady + c.t.batchGap
 	if len(u.checks) == 0 {
-		u.checkAt = c.aligned(c.now.Steady + max(c.t.batchGap, c.t.heartbeat/4))
+		gap := time.Duration(float64(c.t.heartbeat/4) * c.slower())
+		u.checkAt = c.aligned(c.now.Steady + max(c.t.batchGap, gap))
 	}
 	id := c.stateCall(func(r Result) {
 		u.checkBusy = false
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -36,6 +36,7 @@
 	unansweredInspections int           // questions in a row without an answer, since it was last heard
 
 	held          *heldAnswer           // to its last report; nil: none is held back
+	lastHold      time.Duration         // for how long the answer to its last report was to be held back
 	runs          map[string]*placement // by task name
 	list          []*placement          // the same, by job and task
 	host          *host                 // its room; nil while it may take no tasks
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -87,7 +87,7 @@
 	m.describe(r.Type, r.Zone, r.Addr, r.Spot)
 	m.enter(r.Session)
 	m.up, m.seenUp, m.missing = true, true, 0
-	m.seq, m.heard = r.Seq, now
+	m.seq, m.heard, m.lastHold = r.Seq, now, 0
 	l.rentals.takeBack(m)
 	if r.NoticeS != nil && !m.notice {
 		m.notice = true
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -26,7 +26,8 @@
 	if !l.c.op.EventRounds {
 		return
 	}
-	l.rounds.at = min(l.rounds.at, l.rounds.lastAt+max(l.c.t.eventGap, l.rounds.pause))
+	gap := time.Duration(float64(l.c.t.eventGap) * l.c.slower())
+	l.rounds.at = min(l.rounds.at, l.rounds.lastAt+max(gap, l.rounds.pause))
 }
 
 // round is one decision round.
@@ -59,7 +60,7 @@
 // its way out.
 func (l *leader) usable(m *machine) bool {
 	return m.up && m.mt != nil && !m.releasing && !m.notice && !m.faulty && m.requiredToken == 0 &&
-		l.c.now.Steady-m.heard < l.c.t.quiet && l.c.now.Steady >= m.full
+		l.c.now.Steady-m.heard < l.c.pacer.Patience(l.c.t.quiet, m.lastHold) && l.c.now.Steady >= m.full
 }
 
 // ready tells whether a job may be given tasks now.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,7 +35,8 @@
 	mu   sync.Mutex // guards core
 	core *core.Core
 
-	inputs  chan arrival
+	inputs  chan arrival     // requests
+	results chan core.Result // of calls; they are handed in before requests
 	healthy atomic.Bool
 
 	reqMu   sync.Mutex
@@ -57,6 +58,9 @@
 	until time.Time // zero: it always counts
 }
 
+// pendingResults is how many results of calls may wait before those who bring them do.
+const pendingResults = 64
+
 // New makes a node.
 func New(set *config.Settings, log *slog.Logger) (*Node, error) {
 	var inc [8]byte
@@ -69,6 +73,7 @@
 		set: set, log: log, start: time.Now(),
 		core:    core.New(set, hex.EncodeToString(inc[:])),
 		inputs:  make(chan arrival, max(4*set.Operator.MaxPendingRequests, publicSockets(set))),
+		results: make(chan core.Result, pendingResults),
 		waiting: map[uint64]chan core.Answer{},
 		// The leader needs more than the others; all of them never need all.
 		state: state.New(set.Services.State, p.State.Next.Within(p.State).RPS*math.Min(1, 2/nodes), max(4, p.Limits.MaxConnections/40),
@@ -169,8 +174,14 @@
 
 		timer.Reset(max(time.Millisecond, wake-n.steady()))
 		select {
+		case in = <-n.results:
+			continue
+		default:
+		}
+		select {
 		case <-ctx.Done():
 			return
+		case in = <-n.results:
 		case a := <-n.inputs:
 			if in = a.in; !a.until.IsZero() && !time.Now().Before(a.until) {
 				in = core.Tick{}
@@ -244,6 +255,6 @@
 			r.Outcome = call.Unknown
 			f(ctx, &r)
 		}
-		n.inputs <- arrival{in: r} // the loop may be behind; it still has to learn of this
+		n.results <- r // the loop may be behind; it still has to learn of this
 	}()
 }
--- a/internal/pacing/pacer.go
+++ b/internal/pacing/pacer.go
@@ -6,11 +6,13 @@
 const (
 	// settledLeases is how often a worker reports, in its leases, of which nothing is expected to change.
 	settledLeases = 1.0 / 6
-	// longestLeases is how seldom any worker reports at full load. A quarter of a lease without a report is
-	// taken for a sign of trouble.
-	longestLeases = 1.0 / 5
+	// longestLeases is how seldom any worker reports at full load, in its leases.
+	longestLeases = 0.3
 	// longestTimeouts is the longest that an answer is held back, in workers' timeouts.
-	longestTimeouts = 1.0 / 2
+	longestTimeouts = 3.0 / 4
+	// patienceHolds is after how long the next report of a worker counts as late, in the time for which its last
+	// answer was held back.
+	patienceHolds = 1.25
 	// momentReports is the time between two moments at which answers are released, in report intervals.
 	momentReports = 1.0 / 4
 	// shortestReports is the shortest time for which holding an answer makes a worker report less often, in
@@ -52,6 +54,15 @@
 	return hold
 }
 
+// Patience tells how long a worker may be silent whose last answer was held back for a while, where it would be
+// so long without that.
+func (p *Pacer) Patience(usual, hold time.Duration) time.Duration {
+	if hold <= p.settled {
+		return usual // the usual times are made for as much
+	}
+	return max(usual, share(hold, patienceHolds)+2*p.moment)
+}
+
 // Release gives the moment at which an answer is released that is held for a while from now on. All answers
 // go at common moments, so that a node wakes for many of them at once.
 func (p *Pacer) Release(now, hold time.Duration) time.Duration {
