--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -173,7 +173,7 @@
 // aligned puts a time off to one of the moments at which what need not be in time is done, so that a node wakes
 // for many such things at once.
 func (c *Core) aligned(t time.Duration) time.Duration {
-	moment := c.t.eventGap
+	moment := c.t.heartbeat / 4
 	return (t + moment - 1) / moment * moment
 }
 
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -250,7 +250,7 @@
 		d.busy = false
 		gap := c.t.watchGap
 		if c.lead == nil {
-			gap = max(followerWatchGaps*gap, c.t.heartbeat/4)
+			gap = max(followerWatchGaps*gap, c.t.heartbeat/2)
 		}
 		d.notNow = c.aligned(d.openedAt + gap)
 		switch r.Outcome {
