--- a/internal/pacing/pacer.go
+++ b/internal/pacing/pacer.go
@@ -5,7 +5,7 @@
 // Shares of the settings that the times of a Pacer are made of.
 const (
 	// settledLeases is how often a worker reports, in its leases, of which nothing is expected to change.
-	settledLeases = 1.0 / 6
+	settledLeases = 1.0 / 5
 	// longestLeases is how seldom any worker reports at full load, in its leases.
 	longestLeases = 0.3
 	// longestTimeouts is the longest that an answer is held back, in workers' timeouts.
@@ -57,9 +57,6 @@
 // Patience tells how long a worker may be silent whose last answer was held back for a while, where it would be
 // so long without that.
 func (p *Pacer) Patience(usual, hold time.Duration) time.Duration {
-	if hold <= p.settled {
-		return usual // the usual times are made for as much
-	}
 	return max(usual, share(hold, patienceHolds)+2*p.moment)
 }
 
