--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -294,7 +294,7 @@
 		switch r.Outcome {
 		case call.OK:
 			e.deadline = max(e.deadline, r.Sent+e.leaseDuration())
-			e.extendAt = c.aligned(r.Sent + e.ttl/4)
+			e.extendAt = r.Sent + e.ttl/4
 		case call.Missing:
 			e.stepDown("the lease ended")
 		default:
--- a/internal/core/lookups.go
+++ b/internal/core/lookups.go
@@ -46,7 +46,7 @@
 	}
 	l.entry = e
 	u.checks = append(u.checks, l)
-	if !l.patient {
+	if !l.patient || u.c.stateDown {
 		u.checkAt = min(u.checkAt, u.checkedAt+u.c.t.batchGap)
 	}
 }
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -26,6 +26,7 @@
 //	AT upgrade NODE FOR      the same as kill, and back with the new version
 //	AT limits                the limits to come are there
 //	AT kill NODE|all FOR     AT freeze NODE FOR
+//	AT short NODE|all MS FOR it is short of processor time: each step takes it so many ms
 //	AT outage FOR            AT slow UPTO FOR      AT cloud FOR
 //	AT late_writes SHARE FOR AT late_reports SHARE FOR   AT late_orders SHARE FOR
 //	AT partition FOR         AT zone_cut ZONE FOR
--- a/internal/core/scale_calls_test.go
+++ b/internal/core/scale_calls_test.go
@@ -45,6 +45,11 @@
 func (y *scaleCluster) askPeer(e core.PeerAsk) (core.Result, bool) {
 	for _, p := range y.nodes {
 		if p.name == e.Node && p.name != y.frozen {
+			if len(e.Cancellations) > 0 {
+				// The answer says that they are known from now on.
+				y.req++
+				y.step(p, core.CancellationsReceived{Req: y.req << 16, Cancellations: e.Cancellations})
+			}
 			return core.Result{ID: e.ID, Outcome: call.OK, Peer: p.core.PeerStatus()}, true
 		}
 	}
@@ -55,15 +60,19 @@
 func (y *scaleCluster) answer(e core.Answer) {
 	switch b := e.Body.(type) {
 	case wire.ReportAnswer:
-		y.workers[e.Req&0xffff].machine.Answered(y.now, 1, b)
+		if w := y.workers[e.Req&0xffff]; !w.dead && w.answered(e.Req) {
+			w.machine.Answered(y.now, 1, b)
+		}
 	case wire.Redirect:
 		w := y.workers[e.Req&0xffff]
+		w.answered(e.Req)
 		w.node = (w.node + 1) % len(y.nodes)
 		for i, x := range y.nodes {
 			if x.name == b.Leader {
 				w.node = i
 			}
 		}
+	case nil: // of cancellations that a node has taken in
 	default:
 		y.polled = e.Body
 		if y.told != nil {
--- a/internal/core/scale_worker_test.go
+++ b/internal/core/scale_worker_test.go
@@ -20,6 +20,7 @@
 	due, sent        time.Duration // its next report, and its last one
 	node             int
 	dead             bool
+	inFlight         uint64 // the request of a report without an answer; 0: none
 	machine          *hollow.Machine
 }
 
@@ -49,6 +50,9 @@
 // live lets a worker's tasks go on and has it report, regularly and when they have changed.
 func (w *scaleWorker) live(y *scaleCluster) {
 	w.machine.Advance(y.now)
+	if w.inFlight != 0 && y.now < w.sent+wire.ReportTimeout {
+		return // a worker has one report in flight
+	}
 	due := w.due
 	if w.machine.Changed() {
 		due = min(due, w.sent+leastBetweenReports)
@@ -67,7 +71,17 @@
 	}
 	y.counted.checkins++
 	y.req++
-	y.step(y.nodes[w.node], core.Checkin{Req: y.req<<16 | uint64(w.index), Report: w.machine.Report(y.now)})
+	w.inFlight = y.req<<16 | uint64(w.index)
+	y.step(y.nodes[w.node], core.Checkin{Req: w.inFlight, Report: w.machine.Report(y.now)})
+}
+
+// answered takes the answer to a report; false if the worker does not wait for it any more.
+func (w *scaleWorker) answered(req uint64) bool {
+	waits := w.inFlight == req
+	if waits {
+		w.inFlight = 0
+	}
+	return waits
 }
 
 // blocked tells whether a node and a worker can't reach each other.
--- a/internal/core/script_test.go
+++ b/internal/core/script_test.go
@@ -195,6 +195,10 @@
 			for _, n := range nodes() {
 				n.frozen = max(n.frozen, until(2))
 			}
+		case "short":
+			for _, n := range nodes() {
+				n.stepTime, n.short = num(2)/1000, until(3)
+			}
 		case "outage":
 			s.outage = max(s.outage, until(1))
 		case "slow":
--- a/internal/core/search_test.go
+++ b/internal/core/search_test.go
@@ -155,6 +155,7 @@
 		}
 	}
 	randomPipelines(&b, seed, moments)
+	randomShortages(&b, seed, moments)
 	// The longest trouble begins at 88 s and lasts 45 s; ten leaders may follow each other.
 	add("calm 150")
 	add("end 270")
@@ -174,6 +175,20 @@
 	}
 }
 
+// randomShortages has nodes run short of processor time on every third day, around the moments of the other troubles.
+// They draw from chance of their own, so that the rest of a day stays as it was.
+func randomShortages(b *strings.Builder, seed uint64, moments []float64) {
+	r := rand.New(rand.NewPCG(seed, 4))
+	if r.IntN(3) > 0 {
+		return
+	}
+	for _, moment := range moments {
+		node := []string{"leader", "other", "a", "b", "c", "all"}[r.IntN(6)]
+		begin := max(0.5, moment-10*r.Float64())
+		fmt.Fprintf(b, "%.1f short %s %.0f %.1f\n", begin, node, 5+60*r.Float64(), 5+30*r.Float64())
+	}
+}
+
 // randomPipelines makes up chains of jobs, each of which needs the one before it; of some a job is
 // cancelled. They draw from chance of their own, so that the rest of a day stays as it was.
 func randomPipelines(b *strings.Builder, seed uint64, moments []float64) {
--- a/internal/core/sim_node_test.go
+++ b/internal/core/sim_node_test.go
@@ -17,6 +17,10 @@
 	started    time.Duration
 	tick       time.Duration // when it is woken next
 	frozen     time.Duration // until then
+	// Until short it is short of processor time: each step takes it so long.
+	short    time.Duration
+	stepTime time.Duration
+	busy     time.Duration // with its last step, until then
 	// What it is cut off from, and until when.
 	refused, noState, noPeers, noWorkers, noUsers time.Duration
 	req                                           uint64
@@ -74,7 +78,7 @@
 		}
 	}
 	n.life++
-	n.started, n.tick, n.led = s.now, 0, false
+	n.started, n.tick, n.led, n.busy = s.now, 0, false, 0
 	n.waiting = map[uint64]func(core.Answer){}
 	n.core = core.New(set, fmt.Sprint(n.name, n.life))
 	s.step(n, core.Tick{})
@@ -94,9 +98,9 @@
 	if n.core == nil {
 		return
 	}
-	if s.now < n.frozen {
+	if idle := max(n.frozen, n.busy); s.now < idle {
 		life := n.life
-		s.at(n.frozen, func() {
+		s.at(idle, func() {
 			if n.life == life {
 				s.step(n, in)
 			}
@@ -104,6 +108,9 @@
 		return
 	}
 	effects := n.core.Step(core.Time{Steady: n.steady(s.now), WallMS: 1_000_000 + s.now.Milliseconds()}, in)
+	if s.now < n.short {
+		n.busy = s.now + n.stepTime
+	}
 	for _, e := range effects {
 		s.carryOut(n, e)
 	}
@@ -260,7 +267,7 @@
 		})
 	case core.PeerAsk:
 		m := s.node(e.Node)
-		s.call(n, e.ID, simPatience, func() bool { return s.peerReach(n, m) && s.now >= m.frozen }, true, func() (core.Result, bool) {
+		s.call(n, e.ID, simPatience, func() bool { return s.peerReach(n, m) && s.now >= max(m.frozen, m.busy) }, true, func() (core.Result, bool) {
 			if m.core == nil {
 				return core.Result{Outcome: call.Unknown}, true
 			}
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -48,6 +48,7 @@
 //	zones b=z2             where nodes are; z1 unless named
 //	budget 1e-9            nodes that start from here on have this round_budget
 //	spare 0.1              the same for spare_share
+//	paced                  the same for pace_reports
 //	orders lost / orders refused / orders conflict / orders ok
 //	cloud down / cloud up  cloud none (no capacity)
 //	cloud fails m1         the list shows m1 as failed
@@ -186,6 +187,9 @@
 	case f[0] == "spare":
 		w.spare, _ = strconv.ParseFloat(arg(1), 64)
 		return
+	case f[0] == "paced":
+		w.paced = true
+		return
 	case f[0] == "orders":
 		w.orders = strings.TrimPrefix(arg(1), "ok")
 		return
--- a/internal/node/standstill_test.go
+++ b/internal/node/standstill_test.go
@@ -28,7 +28,7 @@
 
 	// A call whose time was over before it went out.
 	n.do(ctx, 7, -time.Second, func(context.Context, *core.Result) { t.Error("it was sent after its time") })
-	if r, ok := (<-n.inputs).in.(core.Result); !ok || r.ID != 7 || r.Outcome != call.Dropped {
+	if r := <-n.results; r.ID != 7 || r.Outcome != call.Dropped {
 		t.Errorf("the core is told %v", r)
 	}
 
--- a/internal/pacing/load.go
+++ b/internal/pacing/load.go
@@ -9,6 +9,8 @@
 type Load struct {
 	// unit is the lateness that alone raises the load from 0 to 1.
 	unit time.Duration
+	// grace is how late a timer may fire on a machine with time to spare.
+	grace time.Duration
 	// decay is the time in which the load falls from 1 to 0 while nothing is late.
 	decay time.Duration
 
@@ -20,13 +22,18 @@
 // timer is late by all of it, which tells nothing of the processor.
 const longestSample = 0.25
 
+// graceUnits is the grace, in the lateness that raises the load to 1. Clocks of some systems are as coarse as that.
+const graceUnits = 1.0 / 25
+
 // NewLoad makes a load that rises from 0 to 1 by so much lateness in all, and falls back within a time.
-func NewLoad(unit, decay time.Duration) *Load { return &Load{unit: unit, decay: decay} }
+func NewLoad(unit, decay time.Duration) *Load {
+	return &Load{unit: unit, grace: share(unit, graceUnits), decay: decay}
+}
 
 // Observe takes in that a timer fired late.
 func (l *Load) Observe(now, late time.Duration) {
 	level := l.Level(now)
-	sample := min(late.Seconds()/l.unit.Seconds(), longestSample)
+	sample := min((late-l.grace).Seconds()/l.unit.Seconds(), longestSample)
 	l.level = min(1, level+max(0, sample))
 	l.at = now
 }
--- a/internal/pacing/pacer.go
+++ b/internal/pacing/pacer.go
@@ -4,8 +4,9 @@
 
 // Shares of the settings that the times of a Pacer are made of.
 const (
-	// settledLeases is how often a worker reports, in its leases, of which nothing is expected to change.
-	settledLeases = 1.0 / 5
+	// settledLeases is how often a worker reports, in its leases, of which nothing is expected to change. When all
+	// nodes end at once, a worker's lease may have been renewed by a report that is two such times old.
+	settledLeases = 1.0 / 6
 	// longestLeases is how seldom any worker reports at full load, in its leases.
 	longestLeases = 0.3
 	// longestTimeouts is the longest that an answer is held back, in workers' timeouts.
@@ -60,8 +61,8 @@
 	return max(usual, share(hold, patienceHolds)+2*p.moment)
 }
 
-// Release gives the moment at which an answer is released that is held for a while from now on. All answers
-// go at common moments, so that a node wakes for many of them at once.
+// Release gives the moment at which an answer is released that is held for a while from now on. All answers go at
+// common moments, so that a node wakes for many of them at once.
 func (p *Pacer) Release(now, hold time.Duration) time.Duration {
 	due := now + hold
 	if p.moment <= 0 {
