Test: a wrong version's steps bake long enough for checks to meet a wrong answer

Cause: with both steps baking 0.5 s and checks each 0.2 s, both could end before a check met one of the every-third wrong answers; the plan then completed, as it should by its settings. The steps bake 10 s in this test; what it asks for is the same, and it still ends as soon as the plan is rolled back.

--- a/internal/node/rollout_test.go
+++ b/internal/node/rollout_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
  "limits":{"wait_s":60,"unreachable_s":30,"router_gone_s":10,"keep_s":60}}`
 
 // rolloutSite has the old version serve, a plan applied through a node, and a router.
-func rolloutSite(t *testing.T) (*site, *operators.Client, *router.Router) {
+func rolloutSite(t *testing.T, plan string) (*site, *operators.Client, *router.Router) {
 	s := newSiteWith(t, nil, true)
 	for _, id := range []string{"run-000001", "run-000002"} {
 		s.submit("a", id, wire.KindService, 1, 4)
@@ -38,7 +39,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	if status, err := client.Apply(ctx, []byte(rolloutPlan)); err != nil || status.GetPhase() != string(rollout.Pending) {
+	if status, err := client.Apply(ctx, []byte(plan)); err != nil || status.GetPhase() != string(rollout.Pending) {
 		t.Fatal(status, err)
 	}
 	x, err := router.New("north", "reader", []string{s.peers["a"], s.peers["b"], s.peers["c"]}, 200*time.Millisecond)
@@ -80,7 +81,7 @@
 
 // TestRolloutOverALeadersEnd brings a new version in, with the leader killed on the way. Each request gets its answer.
 func TestRolloutOverALeadersEnd(t *testing.T) {
-	s, client, x := rolloutSite(t)
+	s, client, x := rolloutSite(t, rolloutPlan)
 	s.eventually("the first step bakes", func() bool { return planState(client).GetPhase() == string(rollout.Baking) })
 	if leader := s.leader(); leader != "b" {
 		s.kill(leader)
@@ -105,9 +106,10 @@
 	}
 }
 
-// TestWrongVersionGoesBack has a new version answer wrongly to each third request, once it serves.
+// TestWrongVersionGoesBack has a new version answer wrongly to each third request, once it serves. The steps bake
+// for long enough that checks meet such an answer.
 func TestWrongVersionGoesBack(t *testing.T) {
-	s, client, x := rolloutSite(t)
+	s, client, x := rolloutSite(t, strings.ReplaceAll(rolloutPlan, `"bake_s":0.5`, `"bake_s":10`))
 	s.eventually("the first step bakes", func() bool { return planState(client).GetPhase() == string(rollout.Baking) })
 	s.model.SetWrong(func(task string, request int64) bool { return task > "run-000010" && request%3 == 0 })
 	s.eventually("it is rolled back", func() bool { return planState(client).GetPhase() == string(rollout.RolledBack) })
