Test: a wrong version counts its own requests

The stand-in counts the requests of all replicas, and where a round of checks takes a multiple of three of them the wrong answers always meet the same replica, so that a whole bake sees none.

--- a/internal/node/rollout_test.go
+++ b/internal/node/rollout_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,7 +112,9 @@
 func TestWrongVersionGoesBack(t *testing.T) {
 	s, client, x := rolloutSite(t, strings.ReplaceAll(rolloutPlan, `"bake_s":0.5`, `"bake_s":10`))
 	s.eventually("the first step bakes", func() bool { return planState(client).GetPhase() == string(rollout.Baking) })
-	s.model.SetWrong(func(task string, request int64) bool { return task > "run-000010" && request%3 == 0 })
+	// Counted for the new version alone: among all requests each third one may always be for the same replica.
+	var requests atomic.Int64
+	s.model.SetWrong(func(task string, _ int64) bool { return task > "run-000010" && requests.Add(1)%3 == 0 })
 	s.eventually("it is rolled back", func() bool { return planState(client).GetPhase() == string(rollout.RolledBack) })
 	if status := planState(client); status.GetReason() != string(rollout.WrongAnswer) {
 		t.Errorf("rolled back for %s", status.GetReason())
