--- a/cmd/bitternwing/rollout.go
+++ b/cmd/bitternwing/rollout.go
@@ -42,9 +42,8 @@
 
 // controllerFlags say which controller to ask.
 type controllerFlags struct {
-	Controller string        `required:"" placeholder:"HOST:PORT" env:"BITTERNWING_CONTROLLER" help:"Internal address of any controller."`
-	Wait       time.Duration `default:"60s" help:"How long to go on asking while no answer can be had."`
-	JSON       bool          `name:"json" help:"Print the answer as JSON."`
+	Controller string `required:"" placeholder:"HOST:PORT" env:"BITTERNWING_CONTROLLER" help:"Internal address of any controller."`
+	answerFlags
 }
 
 // askController asks a controller, within the time to wait.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -248,13 +248,16 @@
 	sent := n.steady()
 	until := time.Now().Add(patience)
 	go func() {
-		ctx, cancel := context.WithDeadline(ctx, until)
+		callCtx, cancel := context.WithDeadline(ctx, until)
 		defer cancel()
 		r := core.Result{ID: id, Sent: sent, Outcome: call.Dropped}
 		if time.Now().Before(until) {
 			r.Outcome = call.Unknown
-			f(ctx, &r)
+			f(callCtx, &r)
+		}
+		select {
+		case n.results <- r: // the loop may be behind; it still has to learn of this
+		case <-ctx.Done():
 		}
-		n.results <- r // the loop may be behind; it still has to learn of this
 	}()
 }
