--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -26,6 +26,7 @@
 	extend   bool          // an extend is under way
 	vacantAt time.Duration // since when no leader is known; 0: one is
 	ttl      time.Duration // of the lease
+	ledTerm  uint64        // the last term that this process led
 	history  termHistory
 }
 
@@ -197,7 +198,10 @@
 func (e *election) campaign() {
 	c := e.c
 	e.busy = true
-	ttl := e.history.leaseTTL(c.now.Steady, c.t)
+	ttl := c.t.leaderTTL
+	if e.lastLeaderIsThere() {
+		ttl = e.history.leaseTTL(c.now.Steady, c.t)
+	}
 	fail := func() {
 		e.busy = false
 		e.notNow = c.now.Steady + c.t.retry
@@ -238,9 +242,24 @@
 	c.send(StateGrant{ID: id, TTL: ttl})
 }
 
+// lastLeaderIsThere tells whether the process that led last has not ended: it lost its lease all the same.
+func (e *election) lastLeaderIsThere() bool {
+	c := e.c
+	last := c.dir.term
+	if last.Node == c.set.Node {
+		return e.ledTerm != 0 && e.ledTerm == last.Term
+	}
+	for _, p := range c.peers {
+		if p.node == last.Node {
+			return c.fresh(p) && p.status.Term >= last.Term
+		}
+	}
+	return false
+}
+
 func (e *election) win(term, version uint64, grant Result, ttl time.Duration) {
 	c := e.c
-	e.lease, e.ttl = grant.Lease, ttl
+	e.lease, e.ttl, e.ledTerm = grant.Lease, ttl, term
 	// The lease's time began when the service made it, which was no earlier than
 	// the request was sent.
 	e.deadline = grant.Sent + e.leaseDuration()
--- a/internal/core/term_history.go
+++ b/internal/core/term_history.go
@@ -4,7 +4,7 @@
 
 // termHistory remembers when the last terms began. A leader that is short of processor time may lose its lease while
 // all workers come to it, and so may the next one, for as long as each takeover costs more than a lease's time. Terms
-// that follow each other quickly therefore get longer leases.
+// that follow each other quickly therefore get longer leases, where the last leader has not ended (lastLeaderIsThere).
 type termHistory struct {
 	term   uint64
 	begins []time.Duration // of the last terms, by this node's clock, oldest first
