--- a/internal/pacing/pacer.go
+++ b/internal/pacing/pacer.go
@@ -7,8 +7,9 @@
 	// settledLeases is how often a worker reports, in its leases, of which nothing is expected to change. When all
 	// nodes end at once, a worker's lease may have been renewed by a report that is two such times old.
 	settledLeases = 1.0 / 6
-	// longestLeases is how seldom any worker reports at full load, in its leases.
-	longestLeases = 0.3
+	// longestLeases is how seldom any worker reports at full load, in its leases. Longer ones spare more, until all
+	// nodes end at once.
+	longestLeases = 0.2
 	// longestTimeouts is the longest that an answer is held back, in workers' timeouts.
 	longestTimeouts = 3.0 / 4
 	// patienceHolds is after how long the next report of a worker counts as late, in the time for which its last
