--- a/internal/core/export_test.go
+++ b/internal/core/export_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"time"
 
 	"bitternwing/internal/spread"
 )
@@ -96,3 +97,12 @@
 	_, fenced := decode[fencedTerm](value)
 	return plain || fenced
 }
+
+// LeaseTTL gives the life of the lease of a leader whose term begins now, after terms that began at some times.
+func LeaseTTL(now, lease, leaderTTL time.Duration, begins []time.Duration) time.Duration {
+	h := &termHistory{}
+	for i, at := range begins {
+		h.notice(at, uint64(i+1))
+	}
+	return h.leaseTTL(now, times{lease: lease, leaderTTL: leaderTTL})
+}
