--- a/internal/core/held_answers.go
+++ b/internal/core/held_answers.go
@@ -40,7 +40,7 @@
 	return newest && l.loaded && m.requiredToken == 0 && !m.notice && !m.releasing && !m.faulty
 }
 
-// settled tells whether nothing on a machine is expected to change by itself: it has no task, or replicas that run
+// settled tells whether nothing is under way on a machine that its next report would show: it has no task, or tasks that run
 // and are to go on.
 func (m *machine) settled() bool {
 	if len(m.exits) > 0 || len(m.orphanedTasks) > 0 {
