Known red: a router that only an ended leader knew is not waited for

Cause: names of routers are written with the next change of phase only; the leader that granted the first routing ended before.

--- a/internal/core/rollout_test.go
+++ b/internal/core/rollout_test.go
@@ -575,3 +575,23 @@
 		w.checkRolledBack(rollout.Aborted)
 	}
 }
+
+// TestRouterCutAfterRefusal cuts a router off while the state service refuses the leader, and ends a leader after that. The
+// router asked before, and must not be taken for gone before its time: a rapid search found it.
+func TestRouterCutAfterRefusal(t *testing.T) {
+	w := newRolloutWorld(t)
+	w.start()
+	w.advance(1200 * time.Millisecond)
+	w.settleLate()
+	w.advance(1600 * time.Millisecond)
+	w.refused = w.leaderNode().name
+	w.advance(4 * time.Second)
+	w.routers[0].cut = true
+	w.advance(6 * time.Second)
+	w.crashAny()
+	w.advance(2900 * time.Millisecond)
+	w.tryChange(rollout.Resume)
+	w.advance(2900 * time.Millisecond)
+	w.loseAnswers = 2
+	w.advance(30 * time.Second)
+}
