Stand-ins: addresses for nodes come from below the system's outgoing ports

FreeAddr let the system choose a port and closed it; any outgoing connection could have it before the node listened. (The same was seen in one of six runs of TestWrongVersionGoesBack started together.)

--- a/internal/standin/client_servers.go
+++ b/internal/standin/client_servers.go
@@ -1,9 +1,12 @@
 package standin
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 )
 
 // Observe is told of each request that a stand-in answers: whose it is, and the sizes of the bodies.
@@ -87,12 +90,24 @@
 	return n, err
 }
 
-// FreeAddr finds a free address on loopback.
+// The ports that FreeAddr gives are below those that the system gives to outgoing connections: else another connection may
+// take a port before whoever asked for it listens there. Processes begin at different ones.
+const (
+	firstFreePort = 10_000
+	lastFreePort  = 20_000
+	portsApart    = 50 // ports of two processes that are started one after the other
+)
+
+var freePorts atomic.Uint32
+
+// FreeAddr finds a free address on loopback, another one each time.
 func FreeAddr() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		offset := os.Getpid()*portsApart + int(freePorts.Add(1))
+		addr := fmt.Sprintf("127.0.0.1:%d", firstFreePort+offset%(lastFreePort-firstFreePort))
+		if l, err := net.Listen("tcp4", addr); err == nil {
+			_ = l.Close()
+			return addr
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
