A router's name is committed before its first routing is granted

Cause: a router's name was written at a plan's next change of phase only.

Change: a router that the record does not name waits until it does; several share a write. A write that takes a router out may come late, so its name counts as recorded again only once a later write has succeeded (TestForgottenRouterReturns fails without that). Requests that wait for a commit are answered when the term ends. Names have 100 bytes at the most.

--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -339,6 +339,7 @@
 	}
 	c.log(Info, "no longer leading", "term", c.lead.term, "why", why)
 	c.lead.refuseHeld()
+	c.lead.plans.refuseWaiting()
 	c.lead = nil
 	e.lease = 0
 	e.notNow = c.now.Steady + c.t.retry
--- a/internal/core/plan_requests.go
+++ b/internal/core/plan_requests.go
@@ -270,7 +270,7 @@
 	case next == stored.record:
 		c.answer(x.req, 200, l.planStatus(run.name))
 	default:
-		l.commitPlan(run, stored, next, func(r Result) {
+		l.commitTransition(run, stored, next, func(r Result) {
 			if r.Outcome == call.OK {
 				c.answer(x.req, 200, l.planStatus(run.name))
 			} else {
@@ -310,22 +310,3 @@
 	status.Routers = run.routers.Present(nil, l.c.heldLease(), l.c.now.Steady)
 	return status
 }
-
-// routePlan gives a router its routing, with a lease.
-func (c *Core) routePlan(in RoutePlan) {
-	l := c.planLeader(in.Req)
-	if l == nil {
-		return
-	}
-	stored, run := c.dir.plans.byName[in.Name], l.plans.runs[in.Name]
-	switch {
-	case stored == nil:
-		c.answer(in.Req, 404, wire.ErrorBody{Error: noSuchPlan})
-	case stored.problem != nil || run == nil || run.routing.Generation.Revision == 0:
-		c.later(in.Req, 503, notAvailable)
-	case !run.routers.Grant(in.Router, in.Generation, run.routing.Generation, c.now.Steady):
-		c.later(in.Req, 429, "too many routers")
-	default:
-		c.answer(in.Req, 200, RoutingGrant{Routing: run.routing, LeaseMS: c.routerLease().Milliseconds()})
-	}
-}
--- /dev/null
+++ b/internal/core/plan_routers.go
@@ -0,0 +1,151 @@
+package core
+
+import (
+	"encoding/json"
+	"slices"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/config"
+	"bitternwing/internal/rollout"
+	"bitternwing/internal/wire"
+)
+
+// A router falls back to the old version when its lease ends, so the old version may go only once every router that
+// was ever answered has been heard of or waited for. A leader's memory ends with it; therefore a router's name is
+// committed to the plan's record before its first routing is granted.
+
+// routerJoin is a router that waits for its name to be recorded.
+type routerJoin struct {
+	req        uint64
+	router     string
+	generation rollout.Generation // by which it goes
+}
+
+const tooManyRouters = "too many routers"
+
+// recordReserve is the part of the largest stored value that the names of routers leave to later transitions of the plan.
+const recordReserve = 16
+
+// routePlan gives a router its routing, with a lease.
+func (c *Core) routePlan(in RoutePlan) {
+	l := c.planLeader(in.Req)
+	if l == nil {
+		return
+	}
+	stored, run := c.dir.plans.byName[in.Name], l.plans.runs[in.Name]
+	join := routerJoin{in.Req, in.Router, in.Generation}
+	switch {
+	case stored == nil:
+		c.answer(in.Req, 404, wire.ErrorBody{Error: noSuchPlan})
+	case stored.problem != nil || run == nil || run.routing.Generation.Revision == 0:
+		c.later(in.Req, 503, notAvailable)
+	case run.recorded(stored.record, in.Router):
+		l.grantRouting(run, join)
+	case !c.elect.inTime() || c.stateDown || len(run.joins) >= c.op.MaxPendingRequests:
+		c.later(in.Req, 503, notAvailable)
+	default:
+		run.joins = append(run.joins, join)
+		l.plans.at = c.now.Steady
+	}
+}
+
+// recorded tells whether a router's name is in the plan's record, and no write that is on its way takes it out.
+func (run *planRun) recorded(r *rollout.Record, router string) bool {
+	return slices.Contains(r.Routers, router) && !run.dropped[router]
+}
+
+// noteDropped notes the routers that a write takes out of the record. Its answer may be lost and the write come late, so
+// they count as recorded again only once a later write with their names has succeeded.
+func (run *planRun) noteDropped(before, after *rollout.Record) {
+	for _, router := range before.Routers {
+		if !slices.Contains(after.Routers, router) {
+			run.dropped[router] = true
+		}
+	}
+}
+
+// noteRecorded notes that a record was written: no earlier write can be applied after it.
+func (run *planRun) noteRecorded(r *rollout.Record) {
+	for _, router := range r.Routers {
+		delete(run.dropped, router)
+	}
+}
+
+// grantRouting answers a router whose name is recorded.
+func (l *leader) grantRouting(run *planRun, join routerJoin) {
+	c := l.c
+	if !run.routers.Grant(join.router, join.generation, run.routing.Generation, c.now.Steady) {
+		c.later(join.req, 429, tooManyRouters)
+		return
+	}
+	c.answer(join.req, 200, RoutingGrant{Routing: run.routing, LeaseMS: c.routerLease().Milliseconds()})
+}
+
+// commitJoins records the names of the routers that wait, and then answers them. Routers that are gone make room.
+func (l *leader) commitJoins(run *planRun, stored *storedPlan, o *rollout.Observation) {
+	next := l.joined(run, stored.record, o)
+	if next == nil {
+		return
+	}
+	run.joining, run.joins = run.joins, nil
+	l.commitPlan(run, stored, next, func(r Result) {
+		joined := run.joining
+		run.joining = nil
+		if r.Outcome != call.OK || !l.entitled() {
+			l.c.refuseJoins(joined)
+			return
+		}
+		for _, join := range joined {
+			l.grantRouting(run, join)
+		}
+	})
+}
+
+// joined gives the record with the names of the routers that wait. The last of those that there is no room for are
+// refused; nil if none is left.
+func (l *leader) joined(run *planRun, r *rollout.Record, o *rollout.Observation) *rollout.Record {
+	known := r.Routers
+	if o.Settled {
+		known = o.Routers
+	}
+	for len(run.joins) > 0 {
+		var names []string
+		for _, join := range run.joins {
+			names = append(names, join.router)
+		}
+		if next := r.WithRouters(known, names); l.holdsRouters(next) {
+			return next
+		}
+		last := len(run.joins) - 1
+		l.c.later(run.joins[last].req, 429, tooManyRouters)
+		run.joins = run.joins[:last]
+	}
+	return nil
+}
+
+// holdsRouters tells whether a record has no more routers than are allowed, and leaves room for later transitions.
+func (l *leader) holdsRouters(r *rollout.Record) bool {
+	value, err := json.Marshal(r)
+	most := l.c.mostValue()
+	return err == nil && len(r.Routers) <= l.c.op.Rollouts.MostRouters && len(value) <= most-most/recordReserve
+}
+
+// refuseJoins tells routers to come back: their names can't be recorded now.
+func (c *Core) refuseJoins(joins []routerJoin) {
+	for _, join := range joins {
+		c.later(join.req, 503, notAvailable)
+	}
+}
+
+// takeRoutersIn adds to an observation what is known of the routers.
+func (l *leader) takeRoutersIn(run *planRun, r *rollout.Record, o *rollout.Observation) {
+	now, generation := l.c.now.Steady, run.routing.Generation
+	gone := config.Seconds(r.Plan.Limits.RouterGoneS)
+	if !run.settled {
+		return
+	}
+	o.NewServes = run.routing.NewServes()
+	o.RoutersKnow = run.routers.Know(generation, now)
+	o.Routers = run.routers.Present(r.Routers, gone, now)
+	o.RoutersMissing = run.routers.Missing(o.Routers, generation, gone, now)
+}
--- a/internal/core/plan_runs.go
+++ b/internal/core/plan_runs.go
@@ -37,6 +37,10 @@
 	writing bool
 	retryAt time.Duration
 	changes []planChange // of operators, to be committed
+	joins   []routerJoin // of routers whose names are not known to be recorded
+	joining []routerJoin // of those whose names are being written
+	// dropped holds the routers that a write of this term was to take out of the record, and may yet.
+	dropped map[string]bool
 }
 
 // planChange is a change that an operator waits for.
@@ -96,7 +100,7 @@
 	c := t.l.c
 	run := &planRun{name: name, since: c.now.Steady, proofs: rollout.NewProofs(c.probeInterval()),
 		routers: rollout.NewRouters(c.heldLease(), c.now.Steady, c.op.Rollouts.MostRouters),
-		routing: rollout.Routing{Generation: rollout.Generation{Term: t.l.term}}}
+		routing: rollout.Routing{Generation: rollout.Generation{Term: t.l.term}}, dropped: map[string]bool{}}
 	t.runs[name] = run
 	if stored.problem != nil {
 		c.log(Error, "a rollout plan can't be read and is left alone", "plan", name, "error", stored.problem.Error())
@@ -106,8 +110,29 @@
 
 func (t *planRuns) end(run *planRun) {
 	delete(t.runs, run.name)
+	for _, req := range run.waiting() {
+		t.l.c.answer(req, 404, wire.ErrorBody{Error: noSuchPlan})
+	}
+}
+
+// waiting gives the requests that wait for a commit.
+func (run *planRun) waiting() []uint64 {
+	var requests []uint64
 	for _, x := range run.changes {
-		t.l.c.answer(x.req, 404, wire.ErrorBody{Error: noSuchPlan})
+		requests = append(requests, x.req)
+	}
+	for _, x := range slices.Concat(run.joins, run.joining) {
+		requests = append(requests, x.req)
+	}
+	return requests
+}
+
+// refuseWaiting sends all requests that wait for a commit away, at the end of this term.
+func (t *planRuns) refuseWaiting() {
+	for _, name := range slices.Sorted(maps.Keys(t.runs)) {
+		for _, req := range t.runs[name].waiting() {
+			t.l.c.later(req, 503, notAvailable)
+		}
 	}
 }
 
@@ -143,7 +168,12 @@
 			l.writes.cancel(j)
 		}
 	}
-	if run.writing || c.now.Steady < run.retryAt || c.stateDown || !c.elect.inTime() {
+	if c.stateDown || !c.elect.inTime() {
+		c.refuseJoins(run.joins)
+		run.joins = nil
+		return
+	}
+	if run.writing || c.now.Steady < run.retryAt {
 		return
 	}
 	switch {
@@ -151,9 +181,11 @@
 		l.commitChange(run, stored)
 	case r.Expired(o):
 		l.removePlan(run, stored)
+	case len(run.joins) > 0:
+		l.commitJoins(run, stored, o)
 	default:
 		if next := r.Next(o); next != nil {
-			l.commitPlan(run, stored, next, func(Result) {})
+			l.commitTransition(run, stored, next, func(Result) {})
 		}
 	}
 }
@@ -277,19 +309,6 @@
 		"replicas", len(routing.Weights), "aim", r.Aim(), "old_capacity", capacity.Old, "new_capacity", capacity.New)
 }
 
-// takeRoutersIn adds to an observation what is known of the routers.
-func (l *leader) takeRoutersIn(run *planRun, r *rollout.Record, o *rollout.Observation) {
-	now, generation := l.c.now.Steady, run.routing.Generation
-	gone := config.Seconds(r.Plan.Limits.RouterGoneS)
-	if !run.settled {
-		return
-	}
-	o.NewServes = run.routing.NewServes()
-	o.RoutersKnow = run.routers.Know(generation, now)
-	o.Routers = run.routers.Present(r.Routers, gone, now)
-	o.RoutersMissing = run.routers.Missing(o.Routers, generation, gone, now)
-}
-
 // probe asks the replicas whose time it is.
 func (l *leader) probe(run *planRun, record *rollout.Record) {
 	t := l.plans
@@ -328,18 +347,29 @@
 		return
 	}
 	run.writing = true
+	run.noteDropped(stored.record, next)
 	l.writes.tokens--
 	id := l.stateCall(func(r Result) {
 		run.writing = false
 		l.planWritten(run, r, value)
 		if r.Outcome == call.OK {
-			l.logPlan(run, next)
+			run.noteRecorded(next)
 		}
 		then(r)
 	})
 	c.send(StateTxn{ID: id, Txn: l.planTxn(run.name, stored.version, wire.Op{Put: keyPlans + run.name, Value: value})})
 }
 
+// commitTransition writes a plan's next phase, or an operator's change, and logs it.
+func (l *leader) commitTransition(run *planRun, stored *storedPlan, next *rollout.Record, then func(Result)) {
+	l.commitPlan(run, stored, next, func(r Result) {
+		if r.Outcome == call.OK {
+			l.logPlan(run, next)
+		}
+		then(r)
+	})
+}
+
 // logPlan logs a transition that was committed, with what the plan could serve then.
 func (l *leader) logPlan(run *planRun, record *rollout.Record) {
 	capacity := record.Plan.CapacityOf(l.observe(run, record))
--- a/internal/core/rollout_test.go
+++ b/internal/core/rollout_test.go
@@ -595,3 +595,47 @@
 	w.loseAnswers = 2
 	w.advance(30 * time.Second)
 }
+
+// TestReplicasFailWhileNoneLeads has one new replica answer wrongly and another one be out of reach right after the leader
+// has ended. Nobody can tell the routers before there is a leader: they must be back on the old version when their
+// leases end. A rapid search found it.
+func TestReplicasFailWhileNoneLeads(t *testing.T) {
+	w := newRolloutWorld(t)
+	w.start()
+	for w.record().Step == 0 || w.record().Phase != rollout.Baking {
+		w.advance(100 * time.Millisecond)
+	}
+	w.crashAny()
+	w.advance(100 * time.Millisecond)
+	w.answerWrongly(func(task string) bool { return task == "run-000011/1" })
+	w.unreachable = func(task string) bool { return task == "run-000012/0" }
+	w.checkRolledBack(rollout.WrongAnswer)
+}
+
+// TestForgottenRouterReturns has a write that takes a router that is gone out of the plan's record come late, after the
+// router has asked again: until its name has been written anew it must not be granted anything.
+func TestForgottenRouterReturns(t *testing.T) {
+	w := newRolloutWorld(t)
+	w.plan.Steps[0].BakeS, w.plan.Limits.RouterGoneS = 40, 10
+	w.start()
+	w.until(rollout.Baking)
+	south := w.routers[1]
+	south.cut = true
+	w.advance(30 * time.Second)
+	w.delay = 1
+	for len(w.late) == 0 {
+		w.advance(100 * time.Millisecond)
+	}
+	if key := w.late[0].Txn.Then[0].Put; key != "w/p/"+w.plan.Name {
+		t.Fatalf("a write of %s is held up, not the plan's", key)
+	}
+	south.cut = false
+	cutUntil := w.now
+	for south.grantedAt < cutUntil {
+		w.advance(100 * time.Millisecond)
+	}
+	w.settleLate()
+	w.advance(200 * time.Millisecond)
+	w.crashAny()
+	w.until(rollout.Completed)
+}
--- a/internal/operators/server.go
+++ b/internal/operators/server.go
@@ -143,11 +143,17 @@
 		}, planStatus)
 }
 
+// longestRouterName bounds the names of routers, in bytes: they are kept in the plan's record.
+const longestRouterName = 100
+
 // Route implements the service.
 func (s *Server) Route(ctx context.Context, q *operatorpb.RouteRequest) (*operatorpb.RouteReply, error) {
 	if q.GetRouter() == "" {
 		return nil, status.Error(codes.InvalidArgument, "router: is missing")
 	}
+	if len(q.GetRouter()) > longestRouterName {
+		return nil, status.Errorf(codes.InvalidArgument, "router: has more than %d bytes", longestRouterName)
+	}
 	generation := rollout.Generation{Term: q.GetGeneration().GetTerm(), Revision: q.GetGeneration().GetRevision()}
 	return ask(ctx, s, q.GetRelayed(),
 		func(req uint64) core.Input {
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -49,8 +49,8 @@
 	Detail string `json:"detail,omitempty"`
 	// PausedMS is the time of day since when the plan is paused; 0: it is not.
 	PausedMS int64 `json:"paused,omitempty"`
-	// Routers are those that were not gone when the phase began. They have to know of the completion before the
-	// old version goes.
+	// Routers are all that may have been granted a routing, less those that were gone at an earlier write. They have
+	// to know of the completion before the old version goes.
 	Routers []string `json:"routers,omitempty"`
 }
 
@@ -125,6 +125,15 @@
 	return &next
 }
 
+// WithRouters gives the record with these routers: those that are known, and some that ask for the first time.
+func (r *Record) WithRouters(known, joining []string) *Record {
+	next := *r
+	next.Routers = slices.Concat(known, joining)
+	slices.Sort(next.Routers)
+	next.Routers = slices.Compact(next.Routers)
+	return &next
+}
+
 // back gives the record as it begins to roll back.
 func (r *Record) back(reason Reason, detail string, nowMS int64) *Record {
 	next := r.to(RollingBack, nowMS)
