A leader that is short of processor time rents no more machines; load is learned from waits too

All controllers then answer health checks late, the load balancer has no node for minutes, and nothing is to be learnt of a job for 75 s. What makes it so is the service itself, which rents machines until their reports are too many.

Change: above half load no more machines are rented. The load is learned from how long requests have waited for the core as well as from late timers, each moment once: a core with one input after the other handles its timers in time. The seeded world queues inputs as a node does (results first, requests that were given up only wake it), so its traces were written anew and read: the same happens, some of it sooner.

--- a/internal/core/io.go
+++ b/internal/core/io.go
@@ -15,11 +15,13 @@
 
 // Time is the moment of an input: the steady clock of this process and the time
 // of day in milliseconds. Took is how long the step before this one took; 0 if that is not
-// known. Rounds learn from it what an evaluation costs.
+// known. Rounds learn from it what an evaluation costs. Waited is how long the input waited for
+// the core; 0 if that is not known.
 type Time struct {
 	Steady time.Duration
 	WallMS int64
 	Took   time.Duration
+	Waited time.Duration
 }
 
 // Input is something that happened.
--- a/internal/core/load.go
+++ b/internal/core/load.go
@@ -3,7 +3,8 @@
 // A node that is short of processor time does what matters first: reports are answered, seldomer (held_answers.go);
 // users are sent to nodes with time to spare; polls and rounds wait longer for others of their kind.
 
-// Users are shed above a load, until it has fallen below another, so that they are not sent to and fro.
+// Users are shed above a load, until it has fallen below another, so that they are not sent to and fro. Above it no more
+// machines are rented either: each one reports.
 const (
 	shedAbove = 0.5
 	shedBelow = 0.1
@@ -17,14 +18,21 @@
 	return 1 + (slowestFactor-1)*c.load.Level(c.now.Steady)
 }
 
-// observeLoad takes in how late this step comes: the last one asked to be woken before.
+// observeLoad takes in how late this step comes: the last one asked to be woken before, or its input has waited.
 func (c *Core) observeLoad() {
-	if c.wake != 0 && c.now.Steady > c.wake {
-		c.load.Observe(c.now.Steady, c.now.Steady-c.wake)
+	late := c.now.Waited
+	if c.wake != 0 {
+		late = max(late, c.now.Steady-c.wake)
+	}
+	if late > 0 {
+		c.load.Observe(c.now.Steady, late)
 	}
 	c.shedUsers()
 }
 
+// overloaded tells whether this node has so little processor time to spare that a larger fleet would be too much for it.
+func (c *Core) overloaded() bool { return c.load.Level(c.now.Steady) > shedAbove }
+
 // shedUsers decides whether the load balancer is to send users elsewhere. The leader alone does: it has work that
 // nobody else can do, and the others keep each other's users.
 func (c *Core) shedUsers() {
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -19,6 +19,7 @@
 //	next value_kb=1 ...      limits to come, in the settings
 //	old                      all nodes are of the version before the second layout of records
 //	machines z1 z1 z2-spot   up at the start
+//	room 8                   machines that the cloud has in each zone, if not 4
 //	AT submit run-000001 kind=service tasks=2 gpus=4 team=green run=20 faulty
 //	AT cancel run-000001     AT cancel_at_end run-000001
 //	AT refuse NODE FOR       the state service refuses it; NODE may be "leader"
--- a/internal/core/provisioning.go
+++ b/internal/core/provisioning.go
@@ -128,6 +128,9 @@
 // zone with the fewest machines of that kind.
 func (p *planner) open(j *job, spot bool) *bin {
 	l := p.r.l
+	if l.c.overloaded() {
+		return nil // more machines would report than this node can answer
+	}
 	var best capacity.Group
 	var bestType *wire.MachineType
 	bestCost, bestCount := math.Inf(1), 0
--- a/internal/core/script_test.go
+++ b/internal/core/script_test.go
@@ -46,6 +46,10 @@
 				s.addMachine(zone, spot, time.Duration(100*i)*time.Millisecond)
 			}
 			continue
+		case "room":
+			begin()
+			s.perZone = int(parseSeconds(t, f[1]).Seconds())
+			continue
 		case "calm", "end":
 			begin()
 			at := parseSeconds(t, f[1])
--- a/internal/core/sim_node_test.go
+++ b/internal/core/sim_node_test.go
@@ -21,6 +21,8 @@
 	short    time.Duration
 	stepTime time.Duration
 	busy     time.Duration // with its last step, until then
+	results  []simInput    // of calls, that wait for it; taken before the others, as a node does
+	inputs   []simInput    // all others that wait
 	// What it is cut off from, and until when.
 	refused, noState, noPeers, noWorkers, noUsers time.Duration
 	req                                           uint64
@@ -79,6 +81,7 @@
 	}
 	n.life++
 	n.started, n.tick, n.led, n.busy = s.now, 0, false, 0
+	n.results, n.inputs = nil, nil
 	n.waiting = map[uint64]func(core.Answer){}
 	n.core = core.New(set, fmt.Sprint(n.name, n.life))
 	s.step(n, core.Tick{})
@@ -93,21 +96,69 @@
 
 func (n *simNode) steady(now time.Duration) time.Duration { return now - n.started + time.Second }
 
-// step hands a node an input; a frozen one gets it when it goes on.
-func (s *sim) step(n *simNode, in core.Input) {
+// simInput is an input that waits for a node. Whoever sent it has given it up after until; 0: nobody has.
+type simInput struct {
+	in    core.Input
+	at    time.Duration // when it came
+	until time.Duration
+}
+
+// step hands a node an input; a frozen one, or one that is busy, gets it when it goes on.
+func (s *sim) step(n *simNode, in core.Input) { s.stepUntil(n, in, 0) }
+
+// stepUntil hands a node an input that is given up after a time.
+func (s *sim) stepUntil(n *simNode, in core.Input, until time.Duration) {
 	if n.core == nil {
 		return
 	}
-	if idle := max(n.frozen, n.busy); s.now < idle {
-		life := n.life
-		s.at(idle, func() {
-			if n.life == life {
-				s.step(n, in)
-			}
-		})
+	if s.now >= max(n.frozen, n.busy) && len(n.results)+len(n.inputs) == 0 {
+		s.take(n, in, 0)
 		return
 	}
-	effects := n.core.Step(core.Time{Steady: n.steady(s.now), WallMS: 1_000_000 + s.now.Milliseconds()}, in)
+	if len(n.results)+len(n.inputs) == 0 {
+		s.goOn(n)
+	}
+	if _, ok := in.(core.Result); ok {
+		n.results = append(n.results, simInput{in, s.now, until})
+	} else {
+		n.inputs = append(n.inputs, simInput{in, s.now, until})
+	}
+}
+
+// goOn has a node take the inputs that wait once it is neither frozen nor busy: results first.
+func (s *sim) goOn(n *simNode) {
+	life := n.life
+	s.at(max(n.frozen, n.busy), func() {
+		if n.life != life {
+			return
+		}
+		if s.now >= max(n.frozen, n.busy) {
+			in, waited := n.nextWaiting(s.now)
+			s.take(n, in, waited)
+		}
+		if len(n.results)+len(n.inputs) > 0 {
+			s.goOn(n)
+		}
+	})
+}
+
+// nextWaiting takes an input from those that wait; one that was given up only wakes the node.
+func (n *simNode) nextWaiting(now time.Duration) (core.Input, time.Duration) {
+	queue := &n.results
+	if len(n.results) == 0 {
+		queue = &n.inputs
+	}
+	next := (*queue)[0]
+	*queue = (*queue)[1:]
+	if next.until != 0 && now >= next.until {
+		return core.Tick{}, now - next.at
+	}
+	return next.in, now - next.at
+}
+
+// take has a node take an input now.
+func (s *sim) take(n *simNode, in core.Input, waited time.Duration) {
+	effects := n.core.Step(core.Time{Steady: n.steady(s.now), WallMS: 1_000_000 + s.now.Milliseconds(), Waited: waited}, in)
 	if s.now < n.short {
 		n.busy = s.now + n.stepTime
 	}
--- a/internal/core/sim_user_test.go
+++ b/internal/core/sim_user_test.go
@@ -19,6 +19,9 @@
 	lastOK   time.Duration // when a question about it was last answered
 }
 
+// simUserPatience is after how long a node gives a user's request up.
+const simUserPatience = 1800 * time.Millisecond
+
 // Users.
 
 // ask has a user ask some healthy node; the answer is status 0 if none came.
@@ -47,7 +50,8 @@
 		}
 		n = up[s.rnd.IntN(len(up))]
 	}
-	s.after(1800*time.Millisecond, func() { give(503, "") })
+	sent := s.now
+	s.after(simUserPatience, func() { give(503, "") })
 	s.after(s.latency(), func() {
 		if n.core == nil {
 			give(0, "")
@@ -64,7 +68,7 @@
 				give(a.Status, st)
 			})
 		}
-		s.step(n, in(n.req))
+		s.stepUntil(n, in(n.req), sent+simUserPatience)
 	})
 }
 
--- a/internal/core/sim_worker_test.go
+++ b/internal/core/sim_worker_test.go
@@ -134,6 +134,9 @@
 	return r
 }
 
+// simWorkerPatience is after how long a node gives a worker's report up.
+const simWorkerPatience = 3 * time.Second
+
 func (s *sim) checkin(w *simWorker) {
 	n := s.nodes[w.node]
 	r := s.report(w)
@@ -165,7 +168,7 @@
 		}
 		copied := *r
 		copied.Tasks = append([]wire.TaskReport(nil), r.Tasks...)
-		s.step(n, core.Checkin{Req: n.req, Report: &copied})
+		s.stepUntil(n, core.Checkin{Req: n.req, Report: &copied}, s.now+simWorkerPatience)
 	}
 	if s.lateReports > 0 && s.rnd.Float64() < s.lateReports {
 		s.after(s.between(2*time.Second, 15*time.Second), func() {
@@ -173,7 +176,7 @@
 			if n.core != nil {
 				n.req++
 				copied := *r
-				s.step(n, core.Checkin{Req: n.req, Report: &copied})
+				s.stepUntil(n, core.Checkin{Req: n.req, Report: &copied}, s.now+simWorkerPatience)
 			}
 		})
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,7 @@
 // time: it is not handed in then, so that after a standstill what is asked now comes first.
 type arrival struct {
 	in    core.Input
+	at    time.Time // when it came
 	until time.Time // zero: it always counts
 }
 
@@ -158,11 +159,11 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var in core.Input = core.Tick{}
-	var took time.Duration
+	var took, waited time.Duration
 	for {
 		n.mu.Lock()
 		now := n.now()
-		now.Took = took
+		now.Took, now.Waited = took, waited
 		effects := n.core.Step(now, in)
 		took = n.steady() - now.Steady
 		for _, e := range effects {
@@ -172,6 +173,7 @@
 		n.healthy.Store(n.core.Healthy())
 		n.mu.Unlock()
 
+		waited = 0
 		timer.Reset(max(time.Millisecond, wake-n.steady()))
 		select {
 		case in = <-n.results:
@@ -183,6 +185,7 @@
 			return
 		case in = <-n.results:
 		case a := <-n.inputs:
+			waited = time.Since(a.at)
 			if in = a.in; !a.until.IsZero() && !time.Now().Before(a.until) {
 				in = core.Tick{}
 			}
@@ -223,7 +226,7 @@
 	}()
 	until, _ := ctx.Deadline()
 	select {
-	case n.inputs <- arrival{input(req), until}:
+	case n.inputs <- arrival{input(req), time.Now(), until}:
 	default:
 		return core.Answer{}, false
 	}
--- a/internal/node/standstill_test.go
+++ b/internal/node/standstill_test.go
@@ -35,8 +35,8 @@
 	// Two requests that are answered at once; the first one's user has gone.
 	late, now := make(chan core.Answer, 1), make(chan core.Answer, 1)
 	n.waiting[1], n.waiting[2] = late, now
-	n.inputs <- arrival{core.Poll{Req: 1, ID: "x"}, time.Now().Add(-time.Second)}
-	n.inputs <- arrival{core.Poll{Req: 2, ID: "x"}, time.Now().Add(time.Hour)}
+	n.inputs <- arrival{core.Poll{Req: 1, ID: "x"}, time.Now(), time.Now().Add(-time.Second)}
+	n.inputs <- arrival{core.Poll{Req: 2, ID: "x"}, time.Now(), time.Now().Add(time.Hour)}
 	go n.loop(ctx)
 	if a := <-now; a.Status != 404 {
 		t.Errorf("the second one gets %d", a.Status)
--- a/internal/pacing/load.go
+++ b/internal/pacing/load.go
@@ -33,6 +33,8 @@
 // Observe takes in that a timer fired late.
 func (l *Load) Observe(now, late time.Duration) {
 	level := l.Level(now)
+	// What was late at the same time as something that was counted before counts once.
+	late = min(late, now-l.at+l.grace)
 	sample := min((late-l.grace).Seconds()/l.unit.Seconds(), longestSample)
 	l.level = min(1, level+max(0, sample))
 	l.at = now
--- a/internal/pacing/pacing_test.go
+++ b/internal/pacing/pacing_test.go
@@ -93,4 +93,13 @@
 	if standstill.Observe(60*second, 50*second); standstill.Level(60*second) > longestSample {
 		t.Errorf("one standstill: load %.2f", standstill.Level(60*second))
 	}
+	// Requests that have waited together tell as much as one of them.
+	queue := NewLoad(second, 10*second)
+	queue.Observe(59*second, 0)
+	for range 50 {
+		queue.Observe(60*second, 200*time.Millisecond)
+	}
+	if got := queue.Level(60 * second); got > 0.2 {
+		t.Errorf("fifty requests that waited together: load %.2f", got)
+	}
 }
