Metrics and profiles of a controller, off unless the operators' settings name an address

Need: what processor time and memory go to could not be seen on a running controller.

Change: internal/metrics serves Prometheus metrics (client_golang, Go and process collectors): inputs of the core and their time by kind, requests by endpoint and status, calls by service, operation and outcome, held answers, load, terms led; with a second setting net/http/pprof. The core only tells its status. Scrapers have a hundredth of the sockets, 5 s a request, and a rate; a taken address is logged and the node goes on; a malformed one, and pprof without an address, are bad settings. core_share and memory_mb have bounds, and errors name them.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -38,6 +38,16 @@
 		{"txn_ops = 12\n", "txn_ops = 12\n[params.state.next]\ntxn_ops = 3\n", "params.state.next.txn_ops"},
 		{`gpus_max = 8.0`, `gpus_max = -8.0`, "params.teams[0]"},
 		{`memory_mb = 98.0`, ``, "params.limits.memory_mb"},
+		{`memory_mb = 98.0`, `memory_mb = 0.0`, "params.limits.memory_mb"},
+		{`memory_mb = 98.0`, `memory_mb = -65.0`, "params.limits.memory_mb"},
+		{`memory_mb = 98.0`, `memory_mb = 0.065`, "params.limits.memory_mb"},
+		{`memory_mb = 98.0`, `memory_mb = 1e8`, "params.limits.memory_mb"},
+		{`memory_mb = 98.0`, `memory_mb = nan`, "params.limits.memory_mb"},
+		{`core_share = 0.06`, `core_share = 0.0`, "params.limits.core_share"},
+		{`core_share = 0.06`, `core_share = -0.03`, "params.limits.core_share"},
+		{`core_share = 0.06`, `core_share = 0.00001`, "params.limits.core_share"},
+		{`core_share = 0.06`, `core_share = 3000.0`, "params.limits.core_share"},
+		{`core_share = 0.06`, `core_share = inf`, "params.limits.core_share"},
 	} {
 		text := strings.Replace(good(t), c.from, c.to, 1)
 		if text == good(t) {
@@ -93,12 +103,22 @@
 		t.Errorf("the given field did not go over the defaults: %+v", o)
 	}
 	for text, names := range map[string]string{
-		`{"round_s": "fast"}`: "/round_s",
-		`{"round_s": 0}`:      "/round_s",
-		`{"no_such": 1}`:      "no_such",
-		`{"round_s": 2`:       "JSON",
+		`{"round_s": "fast"}`:                                    "/round_s",
+		`{"round_s": 0}`:                                         "/round_s",
+		`{"no_such": 1}`:                                         "no_such",
+		`{"round_s": 2`:                                          "JSON",
+		`{"metrics": {"listen": "9090"}}`:                        "/metrics/listen",
+		`{"metrics": {"listen": "127.0.0.1:"}}`:                  "/metrics/listen",
+		`{"metrics": {"listen": "127.0.0.1:http"}}`:              "/metrics/listen",
+		`{"metrics": {"listen": "127.0.0.1:0"}}`:                 "/metrics/listen",
+		`{"metrics": {"listen": "127.0.0.1:65536"}}`:             "/metrics/listen",
+		`{"metrics": {"listen": "no such host:9090"}}`:           "/metrics/listen",
+		`{"metrics": {"listen": 9090}}`:                          "/metrics/listen",
+		`{"metrics": {"pprof": true}}`:                           "/metrics/pprof",
+		`{"metrics": {"listen": "127.0.0.1:9090", "pprof": 1}}`:  "/metrics/pprof",
+		`{"metrics": {"listen": "127.0.0.1:9090", "labels": 1}}`: "labels",
 	} {
-		if _, err := ParseOperator([]byte(text)); err == nil || !strings.Contains(err.Error(), names) {
+		if _, err := ParseOperator([]byte(text)); err == nil || !strings.Contains(err.Error(), names) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v", text, err)
 		}
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -3,8 +3,11 @@
 import (
 	_ "embed"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
 	"os"
+	"strconv"
 
 	"bitternwing/internal/schema"
 )
@@ -30,6 +33,14 @@
 	Rollouts Rollouts `json:"rollouts"`
 	// Spread says what places of replicas are weighed by.
 	Spread Spread `json:"spread"`
+	// Metrics says where a node shows what it does.
+	Metrics Metrics `json:"metrics"`
+}
+
+// Metrics says where a node serves metrics, and whether it serves profiles there.
+type Metrics struct {
+	Listen string `json:"listen"` // host:port; empty: nowhere
+	Pprof  bool   `json:"pprof"`
 }
 
 // Rollouts are the settings of stepwise rollouts.
@@ -104,5 +115,26 @@
 	if err := json.Unmarshal(data, o); err != nil {
 		return nil, err
 	}
-	return o, nil
+	return o, o.Metrics.check()
+}
+
+// check checks what the schema can't tell.
+func (m *Metrics) check() error {
+	if m.Listen == "" {
+		if m.Pprof {
+			return errors.New("/metrics/pprof: profiles need an address in /metrics/listen")
+		}
+		return nil
+	}
+	host, port, err := net.SplitHostPort(m.Listen)
+	if err == nil && host != "" && host != "localhost" && net.ParseIP(host) == nil {
+		err = errors.New("the host is no IP address")
+	}
+	if number, portErr := strconv.ParseUint(port, 10, 16); err == nil && (portErr != nil || number == 0) {
+		err = errors.New("the port is no number from 1 to 65535")
+	}
+	if err != nil {
+		return fmt.Errorf("/metrics/listen: %q is no address of the form host:port: %w", m.Listen, err)
+	}
+	return nil
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -263,6 +263,12 @@
 // largestSetting bounds the settings that must be above 0.
 const largestSetting = 1e9
 
+// What a node may be allowed: less than the least runs no process, more than the most is a slip.
+const (
+	leastCPUShare, mostCPUShare = 0.001, 1024
+	leastMemoryMB, mostMemoryMB = 8, 16 << 20
+)
+
 // checkPositive checks the settings that must be above 0.
 func (p *Params) checkPositive() error {
 	fields := []positiveField{
@@ -281,7 +287,7 @@
 	}
 	for _, f := range append(fields, p.State.Next.positiveFields()...) {
 		if !(f.v > 0) || f.v > largestSetting {
-			return fmt.Errorf("%s: must be above 0, is %v", f.field, f.v)
+			return fmt.Errorf("%s: must be above 0 and at most %v, is %v", f.field, float64(largestSetting), f.v)
 		}
 	}
 	return nil
@@ -295,6 +301,17 @@
 	if n := p.State.Next; n != nil && n.TxnOps != nil && *n.TxnOps < leastTxnOps {
 		return fmt.Errorf("params.state.next.txn_ops: must be at least %d, is %d", leastTxnOps, *n.TxnOps)
 	}
+	for _, bounded := range []struct {
+		field          string
+		v, least, most float64
+	}{
+		{"params.limits.core_share", p.Limits.CPUShare, leastCPUShare, mostCPUShare},
+		{"params.limits.memory_mb", p.Limits.MemoryMB, leastMemoryMB, mostMemoryMB},
+	} {
+		if bounded.v < bounded.least || bounded.v > bounded.most {
+			return fmt.Errorf("%s: must be from %v to %v, is %v", bounded.field, bounded.least, bounded.most, bounded.v)
+		}
+	}
 	if p.ClockOffMS < 0 {
 		return fmt.Errorf("params.clock_error_ms: must not be negative, is %v", p.ClockOffMS)
 	}
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -27,6 +27,7 @@
 	vacantAt time.Duration // since when no leader is known; 0: one is
 	ttl      time.Duration // of the lease
 	ledTerm  uint64        // the last term that this process led
+	termsLed uint64        // by this process, all in all
 	history  termHistory
 }
 
@@ -260,6 +261,7 @@
 func (e *election) win(term, version uint64, grant Result, ttl time.Duration) {
 	c := e.c
 	e.lease, e.ttl, e.ledTerm = grant.Lease, ttl, term
+	e.termsLed++
 	// The lease's time began when the service made it, which was no earlier than
 	// the request was sent.
 	e.deadline = grant.Sent + e.leaseDuration()
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,144 @@
+package metrics
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+// countingListener counts the connections that are open at the same time.
+type countingListener struct {
+	net.Listener
+	mu         sync.Mutex
+	open, most int
+}
+
+type countedConn struct {
+	net.Conn
+	l    *countingListener
+	once sync.Once
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open++
+	l.most = max(l.most, l.open)
+	return &countedConn{Conn: c, l: l}, nil
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() {
+		c.l.mu.Lock()
+		defer c.l.mu.Unlock()
+		c.l.open--
+	})
+	return c.Conn.Close()
+}
+
+// serve serves metrics on loopback and gives the address and the listener.
+func serve(t *testing.T, options Options) (string, *countingListener) {
+	t.Helper()
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &countingListener{Listener: inner}
+	s := NewServer(New(func() Status { return Status{Leading: true, Load: 0.5} }), options, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return inner.Addr().String(), l
+}
+
+// Names and help texts follow Prometheus' conventions.
+func TestNames(t *testing.T) {
+	r := New(func() Status { return Status{} })
+	r.Input("report", time.Millisecond)
+	r.Request("poll", http.StatusOK)
+	r.Call(StateService, "txn", "ok")
+	problems, err := testutil.GatherAndLint(r.registry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range problems {
+		t.Errorf("%s: %s", p.Metric, p.Text)
+	}
+}
+
+// A recorder that is off counts nothing and harms nothing.
+func TestOff(t *testing.T) {
+	var r *Recorder
+	r.Input("report", time.Millisecond)
+	r.Request("poll", http.StatusOK)
+	r.Call(StateService, "txn", "ok")
+}
+
+// However many scrapers come and get stuck, no more connections are open than are allowed, and a scraper is served once
+// the others have had their time.
+func TestMostConnections(t *testing.T) {
+	addr, l := serve(t, Options{Connections: 2, RequestTime: 200 * time.Millisecond})
+	for range 40 {
+		c, err := net.Dial("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "GET /metrics HTTP/1.1\r\n") // it never ends its header
+	}
+	for served := false; !served; {
+		resp, err := http.Get("http://" + addr + "/metrics")
+		if err == nil {
+			served = resp.StatusCode == http.StatusOK
+			_ = resp.Body.Close()
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.most > 2 {
+		t.Errorf("%d connections were open at the same time", l.most)
+	}
+}
+
+// Scrapes above the rate are told to come back, and profiles last as long as is allowed at most.
+func TestRefusals(t *testing.T) {
+	addr, _ := serve(t, Options{Connections: 8, RequestTime: time.Second, Profiles: true})
+	get := func(path string) *http.Response {
+		t.Helper()
+		resp, err := http.Get("http://" + addr + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		return resp
+	}
+	refused := false
+	for range 10 * scrapeBurst {
+		resp := get("/metrics")
+		refused = refused || resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != ""
+	}
+	if !refused {
+		t.Error("no scrape is refused")
+	}
+	for path, want := range map[string]int{
+		"/debug/pprof/heap":                 http.StatusOK,
+		"/debug/pprof/profile?seconds=1":    http.StatusOK,
+		"/debug/pprof/profile?seconds=61":   http.StatusBadRequest,
+		"/debug/pprof/profile?seconds=-1":   http.StatusBadRequest,
+		"/debug/pprof/trace?seconds=many":   http.StatusBadRequest,
+		"/debug/pprof/trace?seconds=0.0001": http.StatusOK,
+	} {
+		if got := get(path).StatusCode; got != want {
+			t.Errorf("%s gets %d", path, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/metrics/recorder.go
@@ -0,0 +1,127 @@
+// Package metrics counts what a node does and serves the counts in Prometheus' text form, with profiles of the process
+// behind a setting of its own. Labels name kinds of messages, services and outcomes; nothing in them tells of teams,
+// jobs, images or users.
+package metrics
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+// namespace begins the names of all metrics of a node.
+const namespace = "bitternwing"
+
+// Status is what a node shows of itself at a moment.
+type Status struct {
+	Leading     bool
+	TermsLed    uint64  // since the process began
+	Load        float64 // how short of processor time it is, between 0 and 1
+	HeldAnswers int     // to reports, that are held back
+	Machines    int     // that a leader looks after
+}
+
+// Service names what a node makes calls to.
+type Service string
+
+// The services.
+const (
+	StateService Service = "state"
+	Cloud        Service = "cloud"
+	Worker       Service = "worker"
+	Peer         Service = "peer"
+	Replica      Service = "replica"
+)
+
+// Recorder counts what a node does. A nil Recorder counts nothing.
+type Recorder struct {
+	registry *prometheus.Registry
+	inputs   *prometheus.CounterVec
+	steps    *prometheus.CounterVec
+	requests *prometheus.CounterVec
+	calls    *prometheus.CounterVec
+}
+
+// New makes a recorder; status is asked at each scrape.
+func New(status func() Status) *Recorder {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	}
+	r := &Recorder{
+		registry: prometheus.NewRegistry(),
+		inputs:   counter("core_inputs_total", "Inputs that the core took, by kind.", "kind"),
+		steps:    counter("core_step_seconds_total", "Time in which the core took inputs, by kind.", "kind"),
+		requests: counter("http_requests_total", "Requests that were answered, by endpoint and status.", "endpoint", "code"),
+		calls:    counter("calls_total", "Calls to other services, by operation and outcome.", "service", "operation", "outcome"),
+	}
+	r.registry.MustRegister(r.inputs, r.steps, r.requests, r.calls, newStatusCollector(status),
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
+// Input counts an input of the core and how long it took.
+func (r *Recorder) Input(kind string, took time.Duration) {
+	if r == nil {
+		return
+	}
+	r.inputs.WithLabelValues(kind).Inc()
+	r.steps.WithLabelValues(kind).Add(took.Seconds())
+}
+
+// Request counts a request that was answered.
+func (r *Recorder) Request(endpoint string, status int) {
+	if r == nil {
+		return
+	}
+	r.requests.WithLabelValues(endpoint, strconv.Itoa(status)).Inc()
+}
+
+// Call counts a call that has ended.
+func (r *Recorder) Call(service Service, operation, outcome string) {
+	if r == nil {
+		return
+	}
+	r.calls.WithLabelValues(string(service), operation, outcome).Inc()
+}
+
+// statusCollector gives a node's status as metrics.
+type statusCollector struct {
+	status                                         func() Status
+	leading, termsLed, load, heldAnswers, machines *prometheus.Desc
+}
+
+func newStatusCollector(status func() Status) *statusCollector {
+	desc := func(name, help string) *prometheus.Desc {
+		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, nil, nil)
+	}
+	return &statusCollector{
+		status:      status,
+		leading:     desc("leading", "1 while this node leads."),
+		termsLed:    desc("terms_led_total", "Terms that this process has led."),
+		load:        desc("load_ratio", "How short of processor time this node is: 0 it keeps up, 1 it is overloaded."),
+		heldAnswers: desc("held_answers", "Answers to reports that are held back now."),
+		machines:    desc("machines", "Machines that this node looks after; 0 while it does not lead."),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *statusCollector) Describe(to chan<- *prometheus.Desc) { prometheus.DescribeByCollect(c, to) }
+
+// Collect implements prometheus.Collector.
+func (c *statusCollector) Collect(to chan<- prometheus.Metric) {
+	s := c.status()
+	leading := 0.0
+	if s.Leading {
+		leading = 1
+	}
+	gauge := func(d *prometheus.Desc, v float64) {
+		to <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v)
+	}
+	gauge(c.leading, leading)
+	gauge(c.load, s.Load)
+	gauge(c.heldAnswers, float64(s.HeldAnswers))
+	gauge(c.machines, float64(s.Machines))
+	to <- prometheus.MustNewConstMetric(c.termsLed, prometheus.CounterValue, float64(s.TermsLed))
+}
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -7,6 +7,7 @@
 
 	"bitternwing/internal/call"
 	"bitternwing/internal/core"
+	"bitternwing/internal/metrics"
 	"bitternwing/internal/wire"
 )
 
@@ -33,7 +34,7 @@
 	case core.WorkerOrders, core.WorkerInspect, core.PrefetchImage:
 		n.askWorker(ctx, e)
 	case core.ProbeReplica:
-		n.do(ctx, e.ID, e.Timeout, func(ctx context.Context, r *core.Result) {
+		n.do(ctx, callName{metrics.Replica, "probe"}, e.ID, e.Timeout, func(ctx context.Context, r *core.Result) {
 			r.Probe, r.Outcome = n.probes.Ask(ctx, e.Probe, e.Checks), call.OK
 		})
 	case core.PeerAsk:
@@ -60,21 +61,21 @@
 func (n *Node) askState(ctx context.Context, e core.Effect) {
 	switch e := e.(type) {
 	case core.StateGet:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Item, r.Outcome = n.state.Get(ctx, e.Key) })
+		n.do(ctx, callName{metrics.StateService, "get"}, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Item, r.Outcome = n.state.Get(ctx, e.Key) })
 	case core.StateList:
-		n.do(ctx, e.ID, listPatience*n.patient, func(ctx context.Context, r *core.Result) {
+		n.do(ctx, callName{metrics.StateService, "list"}, e.ID, listPatience*n.patient, func(ctx context.Context, r *core.Result) {
 			r.Page, r.Outcome = n.state.List(ctx, e.Prefix, e.After, pageItems)
 		})
 	case core.StateTxn:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Txn, r.Outcome = n.state.Txn(ctx, e.Txn) })
+		n.do(ctx, callName{metrics.StateService, "txn"}, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Txn, r.Outcome = n.state.Txn(ctx, e.Txn) })
 	case core.StateGrant:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Lease, r.Outcome = n.state.Grant(ctx, e.TTL) })
+		n.do(ctx, callName{metrics.StateService, "grant"}, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Lease, r.Outcome = n.state.Grant(ctx, e.TTL) })
 	case core.StateExtend:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Outcome = n.state.Extend(ctx, e.Lease) })
+		n.do(ctx, callName{metrics.StateService, "extend"}, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Outcome = n.state.Extend(ctx, e.Lease) })
 	case core.StateRevoke:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Outcome = n.state.Revoke(ctx, e.Lease) })
+		n.do(ctx, callName{metrics.StateService, "revoke"}, e.ID, n.patient, func(ctx context.Context, r *core.Result) { r.Outcome = n.state.Revoke(ctx, e.Lease) })
 	case core.StateWatch:
-		n.do(ctx, e.ID, e.Wait+watchPatience*n.patient, func(ctx context.Context, r *core.Result) {
+		n.do(ctx, callName{metrics.StateService, "watch"}, e.ID, e.Wait+watchPatience*n.patient, func(ctx context.Context, r *core.Result) {
 			r.Changes, r.Outcome = n.state.Watch(ctx, e.Prefix, e.After, e.Wait)
 		})
 	}
@@ -85,16 +86,16 @@
 	patience := cloudPatience * n.patient
 	switch e := e.(type) {
 	case core.CloudCatalog:
-		n.do(ctx, e.ID, patience, func(ctx context.Context, r *core.Result) { r.Catalog, r.Outcome = n.cloud.Catalog(ctx) })
+		n.do(ctx, callName{metrics.Cloud, "catalog"}, e.ID, patience, func(ctx context.Context, r *core.Result) { r.Catalog, r.Outcome = n.cloud.Catalog(ctx) })
 	case core.CloudRent:
-		n.do(ctx, e.ID, patience, func(ctx context.Context, r *core.Result) {
+		n.do(ctx, callName{metrics.Cloud, "rent"}, e.ID, patience, func(ctx context.Context, r *core.Result) {
 			names, o := n.cloud.Rent(ctx, e.Request)
 			r.Names, r.Outcome = names.Machines, o
 		})
 	case core.CloudRelease:
-		n.do(ctx, e.ID, patience, func(ctx context.Context, r *core.Result) { r.Outcome = n.cloud.Release(ctx, e.Names) })
+		n.do(ctx, callName{metrics.Cloud, "release"}, e.ID, patience, func(ctx context.Context, r *core.Result) { r.Outcome = n.cloud.Release(ctx, e.Names) })
 	case core.CloudList:
-		n.do(ctx, e.ID, patience, func(ctx context.Context, r *core.Result) { r.Machines, r.Outcome = n.cloud.List(ctx, e.After) })
+		n.do(ctx, callName{metrics.Cloud, "list"}, e.ID, patience, func(ctx context.Context, r *core.Result) { r.Machines, r.Outcome = n.cloud.List(ctx, e.After) })
 	}
 }
 
@@ -102,18 +103,18 @@
 func (n *Node) askWorker(ctx context.Context, e core.Effect) {
 	switch e := e.(type) {
 	case core.WorkerOrders:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
+		n.do(ctx, callName{metrics.Worker, "orders"}, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
 			r.Outcome = n.workers.Do(ctx, http.MethodPost, "http://"+e.Addr+wire.OrdersPath,
 				wire.Orders{Token: e.Token, Session: e.Session, Commands: e.Commands}, &r.Report)
 		})
 	case core.PrefetchImage:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
+		n.do(ctx, callName{metrics.Worker, "prefetch"}, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
 			var ready wire.PrefetchAnswer
 			r.Outcome = n.workers.Do(ctx, http.MethodPost, "http://"+e.Addr+wire.PrefetchPath, wire.Prefetch{Image: e.Image, GB: e.GB}, &ready)
 			r.ReadyS = ready.ReadyS
 		})
 	case core.WorkerInspect:
-		n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
+		n.do(ctx, callName{metrics.Worker, "inspect"}, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
 			r.Outcome = n.workers.Do(ctx, http.MethodGet, "http://"+e.Addr+wire.InspectPath, nil, &r.Report)
 		})
 	}
@@ -121,7 +122,7 @@
 
 // askPeer asks another node for its status.
 func (n *Node) askPeer(ctx context.Context, e core.PeerAsk) {
-	n.do(ctx, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
+	n.do(ctx, callName{metrics.Peer, "status"}, e.ID, n.patient, func(ctx context.Context, r *core.Result) {
 		if p := n.peers[e.Node]; p != nil {
 			r.Peer, r.Outcome = p.Status(ctx, e.Cancellations)
 		}
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"bitternwing/internal/core"
+	"bitternwing/internal/metrics"
+	"bitternwing/internal/server"
+)
+
+// scrapeTime is how long a scrape may take. Scrapers wait ten seconds by default.
+const scrapeTime = 5 * time.Second
+
+// metricsConns is how many connections scrapers may have, as a part of the sockets that the process may hold.
+const metricsConns = 100
+
+// newRecorder makes the recorder of a node's metrics; nil if the operators' settings name no address for them.
+func (n *Node) newRecorder() *metrics.Recorder {
+	if n.set.Operator.Metrics.Listen == "" {
+		return nil
+	}
+	return metrics.New(func() metrics.Status {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return metrics.Status(n.core.Status(n.steady()))
+	})
+}
+
+// serveMetrics serves the metrics until the context ends. An address that can't be had is logged, and the node goes on
+// without: a fleet must not stop for its metrics.
+func (n *Node) serveMetrics(ctx context.Context) {
+	if n.metrics == nil {
+		return
+	}
+	setting := n.set.Operator.Metrics
+	failed := func(err error) {
+		n.log.Error("metrics are not served", "setting", "metrics.listen", "address", setting.Listen, "error", err.Error())
+	}
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp4", setting.Listen)
+	if err != nil {
+		failed(err)
+		return
+	}
+	s := metrics.NewServer(n.metrics, metrics.Options{Connections: max(2, n.set.Params.Limits.MaxConnections/metricsConns),
+		RequestTime: scrapeTime, Profiles: setting.Pprof}, n.log)
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+	n.log.Info("serving metrics", "address", setting.Listen, "profiles", setting.Pprof)
+	go func() {
+		if err := s.Serve(l); err != nil && ctx.Err() == nil {
+			failed(err)
+		}
+	}()
+}
+
+// observer gives what counts the requests that are answered; nil if nothing does.
+func (n *Node) observer() server.Observer {
+	if n.metrics == nil {
+		return nil
+	}
+	return n.metrics.Request
+}
+
+// inputKind names an input of the core in the metrics.
+func inputKind(in core.Input) string {
+	switch in.(type) {
+	case core.Tick:
+		return "tick"
+	case core.Submit:
+		return "submit"
+	case core.Poll:
+		return "poll"
+	case core.Cancel:
+		return "cancel"
+	case core.Checkin:
+		return "report"
+	case core.CancellationsReceived:
+		return "cancellations"
+	case core.Result:
+		return "result"
+	}
+	return "operator"
+}
+
+// callName names a kind of call in the metrics.
+type callName struct {
+	service   metrics.Service
+	operation string
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"bitternwing/internal/cloud"
 	"bitternwing/internal/config"
 	"bitternwing/internal/core"
+	"bitternwing/internal/metrics"
 	"bitternwing/internal/operators"
 	"bitternwing/internal/peer"
 	"bitternwing/internal/probe"
@@ -49,6 +50,7 @@
 	peers   map[string]*peer.Client
 	probes  *probe.Prober
 	patient time.Duration // how long a call may take
+	metrics *metrics.Recorder
 }
 
 // arrival is an input that waits for the core. A request is of no use to anybody after its
@@ -89,6 +91,7 @@
 		// is twice as long.
 		patient: config.HeartbeatInterval(p.Workers),
 	}
+	n.metrics = n.newRecorder()
 	for _, s := range set.Peers {
 		c, err := peer.NewClient(set.Node, s.Addr, n.patient)
 		if err != nil {
@@ -119,7 +122,8 @@
 	defer cancel()
 	ps := peer.NewServer(n.set.Node, n.heard, n.peerStatus)
 	operators.Register(ps.Registrar(), n, n.connectionTo)
-	hs := server.New(n, publicSockets(n.set))
+	hs := server.New(n, publicSockets(n.set), n.observer())
+	n.serveMetrics(ctx)
 	errs := make(chan error, 2)
 	go func() { errs <- ps.Serve(inner) }()
 	go func() { errs <- hs.Serve(public) }()
@@ -166,6 +170,7 @@
 		now.Took, now.Waited = took, waited
 		effects := n.core.Step(now, in)
 		took = n.steady() - now.Steady
+		n.metrics.Input(inputKind(in), took)
 		for _, e := range effects {
 			n.carryOut(ctx, e)
 		}
@@ -247,7 +252,7 @@
 //
 // Its time counts from the decision: what a standstill has held up until after that is not sent
 // any more, since it was decided on what was known before.
-func (n *Node) do(ctx context.Context, id uint64, patience time.Duration, f func(context.Context, *core.Result)) {
+func (n *Node) do(ctx context.Context, name callName, id uint64, patience time.Duration, f func(context.Context, *core.Result)) {
 	sent := n.steady()
 	until := time.Now().Add(patience)
 	go func() {
@@ -258,6 +263,7 @@
 			r.Outcome = call.Unknown
 			f(callCtx, &r)
 		}
+		n.metrics.Call(name.service, name.operation, r.Outcome.String())
 		select {
 		case n.results <- r: // the loop may be behind; it still has to learn of this
 		case <-ctx.Done():
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -36,8 +36,8 @@
 	peers  map[string]string
 	cancel map[string]context.CancelFunc
 	done   map[string]chan struct{}
-	next   *config.NextLimits
 	model  *modelserver.Server // nil: rollouts are off
+	siteOptions
 
 	mu     sync.Mutex
 	jobs   map[string]*wire.Job
@@ -85,11 +85,21 @@
 // Count counts no messages.
 func (s *site) Count(string, hollow.Kind, int, int) {}
 
-func newSite(t *testing.T) *site { return newSiteWith(t, nil, false) }
+// siteOptions is what a site may have beyond the usual.
+type siteOptions struct {
+	next     *config.NextLimits                    // limits of the state service to come, in the nodes' settings
+	rollouts bool                                  // are switched on
+	operator func(node string, o *config.Operator) // changes a node's operators' settings; nil: none
+	log      io.Writer                             // what the nodes log; nil: it is lost
+}
+
+func newSite(t *testing.T) *site { return newSiteWith(t, siteOptions{}) }
 
-// newSiteWith has limits of the state service to come in the nodes' settings, and rollouts switched on or off.
-func newSiteWith(t *testing.T, next *config.NextLimits, rollouts bool) *site {
-	s := &site{t: t, next: next, state: standin.NewStateServer(), addrs: map[string]string{}, peers: map[string]string{},
+func newSiteWith(t *testing.T, options siteOptions) *site {
+	if options.log == nil {
+		options.log = io.Discard
+	}
+	s := &site{t: t, siteOptions: options, state: standin.NewStateServer(), addrs: map[string]string{}, peers: map[string]string{},
 		cancel: map[string]context.CancelFunc{}, done: map[string]chan struct{}{}, jobs: map[string]*wire.Job{}, starts: map[string]int{}}
 	types := []wire.MachineType{{Name: "g8", CPUs: 64, GPUs: 8, MemoryGB: 512, CacheGB: 300, FetchGBPerS: 4,
 		Price: 16, SpotPrice: 5, BootS: 5, Zones: []string{"z1"}}}
@@ -104,7 +114,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if rollouts {
+	if s.rollouts {
 		listener, err := hollow.ListenLoopback()
 		if err != nil {
 			t.Fatal(err)
@@ -145,7 +155,10 @@
 		set.Operator.Rollouts = config.Rollouts{Enabled: true, ModelPort: s.model.Port(), RouterLeaseS: 2, CheckIntervalS: 0.2,
 			CheckTimeoutS: 1, MostPlans: 4, MostRouters: 4}
 	}
-	n, err := node.New(set, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if s.operator != nil {
+		s.operator(name, set.Operator)
+	}
+	n, err := node.New(set, slog.New(slog.NewTextHandler(s.log, nil)))
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/node/rollout_test.go
+++ b/internal/node/rollout_test.go
@@ -29,7 +29,7 @@
 
 // rolloutSite has the old version serve, a plan applied through a node, and a router.
 func rolloutSite(t *testing.T, plan string) (*site, *operators.Client, *router.Router) {
-	s := newSiteWith(t, nil, true)
+	s := newSiteWith(t, siteOptions{rollouts: true})
 	for _, id := range []string{"run-000001", "run-000002"} {
 		s.submit("a", id, wire.KindService, 1, 4)
 		s.eventually(id+" runs", func() bool { return s.fleet.Running(id) == 1 })
@@ -131,7 +131,7 @@
 
 // TestOperatorsErrors tells the kinds of errors apart.
 func TestOperatorsErrors(t *testing.T) {
-	s := newSiteWith(t, nil, true)
+	s := newSiteWith(t, siteOptions{rollouts: true})
 	s.leader()
 	client, err := operators.NewClient(s.peers["c"])
 	if err != nil {
--- a/internal/node/standstill_test.go
+++ b/internal/node/standstill_test.go
@@ -10,6 +10,7 @@
 	"bitternwing/internal/call"
 	"bitternwing/internal/config"
 	"bitternwing/internal/core"
+	"bitternwing/internal/metrics"
 )
 
 // TestStandstill: a process that stood still while its clocks ran on serves nobody who has gone,
@@ -27,7 +28,7 @@
 	defer cancel()
 
 	// A call whose time was over before it went out.
-	n.do(ctx, 7, -time.Second, func(context.Context, *core.Result) { t.Error("it was sent after its time") })
+	n.do(ctx, callName{metrics.StateService, "get"}, 7, -time.Second, func(context.Context, *core.Result) { t.Error("it was sent after its time") })
 	if r := <-n.results; r.ID != 7 || r.Outcome != call.Dropped {
 		t.Errorf("the core is told %v", r)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -31,6 +31,9 @@
 	workerPatience = 3 * time.Second
 )
 
+// Observer is told of each request that was answered, by endpoint and status.
+type Observer func(endpoint string, status int)
+
 // Server serves a node's public address.
 type Server struct {
 	core  Core
@@ -48,15 +51,18 @@
 	open      atomic.Int64
 }
 
-// New makes a server that holds at most conns connections open, a third of them for users.
-func New(c Core, conns int) *Server {
+// New makes a server that holds at most conns connections open, a third of them for users. observe may be nil.
+func New(c Core, conns int, observe Observer) *Server {
 	s := &Server{core: c, conns: conns, userShare: int64(max(1, conns/3)), keepUntil: int64(conns - conns/10)}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", s.health)
-	mux.HandleFunc("POST "+wire.JobsPath, s.forUsers(s.submit))
-	mux.HandleFunc("GET "+wire.JobsPath+"/{id}", s.forUsers(s.poll))
-	mux.HandleFunc("POST "+wire.JobsPath+"/{id}"+wire.CancelSuffix, s.forUsers(s.cancel))
-	mux.HandleFunc("POST "+wire.ReportPath, s.checkin)
+	handle := func(pattern, endpoint string, h http.HandlerFunc) {
+		mux.HandleFunc(pattern, observed(observe, endpoint, h))
+	}
+	handle("GET /healthz", "health", s.health)
+	handle("POST "+wire.JobsPath, "submit", s.forUsers(s.submit))
+	handle("GET "+wire.JobsPath+"/{id}", "poll", s.forUsers(s.poll))
+	handle("POST "+wire.JobsPath+"/{id}"+wire.CancelSuffix, "cancel", s.forUsers(s.cancel))
+	handle("POST "+wire.ReportPath, "report", s.checkin)
 	s.http = &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: 10 * time.Second,
@@ -70,6 +76,30 @@
 	return s
 }
 
+// observed has an observer told of a handler's answers.
+func observed(observe Observer, endpoint string, h http.HandlerFunc) http.HandlerFunc {
+	if observe == nil {
+		return h
+	}
+	return func(w http.ResponseWriter, r *http.Request) {
+		sw := &statusWriter{ResponseWriter: w}
+		h(sw, r)
+		observe(endpoint, sw.status)
+	}
+}
+
+// statusWriter keeps the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // Serve serves a listener until Close.
 func (s *Server) Serve(l net.Listener) error {
 	return s.http.Serve(&listener{netutil.LimitListener(l, s.conns), s})
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(fixed{}, 9)
+	s := New(fixed{}, 9, nil)
 	go func() { _ = s.Serve(l) }()
 	defer func() { _ = s.Close() }()
 	url := "http://" + l.Addr().String()
@@ -70,7 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(fixed{}, 20)
+	s := New(fixed{}, 20, nil)
 	go func() { _ = s.Serve(l) }()
 	defer func() { _ = s.Close() }()
 	workers := make([]*http.Client, 40)
