A leader does not make way for a next node that is out of reach and keeps workers

At 313 s two zones lose each other; at 323.9 s the leader makes way (another node is better placed), since the node that workers try after it, in the other zone, has not answered for a lease. The takeover in the middle of the partition cost ten machines their leases at 334 s. That node was there all the time and kept workers for the leader.

Change: a node that passes on reports by the state service counts as there, although it is out of reach (election.beforeGap). The trace keeper_after_leader plays it; without the change the leader makes way in the midst of it.

--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -106,7 +106,8 @@
 
 // beforeGap tells whether the node that workers try after this one has not answered for a
 // while. Were this one to lead and then to stand still, its workers would wait for both in
-// turn, which takes all of their lease.
+// turn, which takes all of their lease. A node that keeps workers, as while two zones are apart, is there
+// although it is out of reach.
 func (e *election) beforeGap(node string, quiet time.Duration) bool {
 	c := e.c
 	next := ""
@@ -121,7 +122,8 @@
 	}
 	for _, p := range c.peers {
 		if p.node == next {
-			return p.tried && !p.reached && c.now.Steady-p.heardAt > quiet
+			keeps := p.relayedAt != 0 && c.now.Steady-p.relayedAt < c.t.lease
+			return p.tried && !p.reached && c.now.Steady-p.heardAt > quiet && !keeps
 		}
 	}
 	return false
--- a/internal/core/lease_relay.go
+++ b/internal/core/lease_relay.go
@@ -338,6 +338,7 @@
 	if c.lead == nil || value == nil || !strings.HasPrefix(key, keyRelayed) {
 		return
 	}
+	c.noticeRelay(key)
 	for _, r := range decodeRelayed(value) {
 		if r != nil && r.Machine != "" && termOf(r.Token) <= c.lead.term {
 			c.lead.relayed(r, false)
@@ -345,6 +346,16 @@
 	}
 }
 
+// noticeRelay notes that a node keeps workers, whether this one reaches it or not.
+func (c *Core) noticeRelay(key string) {
+	node, _, _ := strings.Cut(strings.TrimPrefix(key, keyRelayed), "/")
+	for _, p := range c.peers {
+		if p.node == node {
+			p.relayedAt = c.now.Steady
+		}
+	}
+}
+
 // relayed takes in a report that came by another node, or that the worker was asked for.
 // It is evidence, and the machine is alive; but starts can't reach it that way.
 func (l *leader) relayed(r *wire.Report, asked bool) {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -12,7 +12,9 @@
 	backAt  time.Duration // since when it has answered each time
 	tried   bool          // a question was answered, or had its time
 	reached bool          // the last one was answered
-	status  PeerStatus
+	// relayedAt is when it last passed on reports of workers by the state service; 0: never.
+	relayedAt time.Duration
+	status    PeerStatus
 	// unsettled are the cancelled jobs of the same name in its status.
 	unsettled map[string]bool
 
--- a/internal/core/trace_harness_test.go
+++ b/internal/core/trace_harness_test.go
@@ -358,7 +358,7 @@
 		return r, true
 	case core.PeerAsk:
 		p := w.nodes[e.Node]
-		if p == nil || w.cut == "cut" || w.cut == "zones" && w.zones[n.name] != w.zones[e.Node] {
+		if p == nil || w.cut == "cut" || w.cut == e.Node || w.cut == n.name || w.cut == "zones" && w.zones[n.name] != w.zones[e.Node] {
 			return core.Result{ID: e.ID, Outcome: call.Unknown}, true
 		}
 		if len(e.Cancellations) > 0 {
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -43,7 +43,7 @@
 //	state a nolist         the answers to its readings of many keys get lost
 //	state a serve          all is well again
 //	outage / outage over   the state service refuses all; leases start anew after
-//	peers cut / peers join
+//	peers cut / peers join / peers NODE   none reaches another; all do; none reaches NODE, nor it them
 //	peers zones            nodes reach those of their own zone only
 //	zones b=z2             where nodes are; z1 unless named
 //	budget 1e-9            nodes that start from here on have this round_budget
