One search for free ports; the moments of what need not be in time are among the other times

scalerun's own search for free ports is gone (standin.FreeAddr), and a quarter of a heartbeat interval stands in one place. No change of what is done.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -65,6 +65,7 @@
 	listLag   time.Duration
 	probe     time.Duration // how often the state service is looked at
 	retry     time.Duration // pause after a refusal
+	moment    time.Duration // apart are the moments at which what need not be in time is done
 	quiet     time.Duration // a machine that is silent for longer gets no work
 	round     time.Duration
 	eventGap  time.Duration // least time between rounds that events ask for
@@ -88,6 +89,7 @@
 	t.heartbeat = config.HeartbeatInterval(p.Workers)
 	t.probe = t.heartbeat
 	t.retry = t.heartbeat / 4
+	t.moment = t.heartbeat / 4
 	t.eventGap = t.round / 40
 	t.quiet = max(3*t.report/2, 3*t.heartbeat)
 	// A node's polls use at most a sixth of its share of the requests, a watch
@@ -173,8 +175,7 @@
 // aligned puts a time off to one of the moments at which what need not be in time is done, so that a node wakes
 // for many such things at once.
 func (c *Core) aligned(t time.Duration) time.Duration {
-	moment := c.t.heartbeat / 4
-	return (t + moment - 1) / moment * moment
+	return (t + c.t.moment - 1) / c.t.moment * c.t.moment
 }
 
 func (c *Core) at(t time.Duration) {
--- a/internal/core/lookups.go
+++ b/internal/core/lookups.go
@@ -90,7 +90,7 @@
 	u.checkedAt = c.now.Steady
 	u.checkAt = c.now.Steady + c.t.batchGap
 	if len(u.checks) == 0 {
-		gap := time.Duration(float64(c.t.heartbeat/4) * c.slower())
+		gap := time.Duration(float64(c.t.moment) * c.slower())
 		u.checkAt = c.aligned(c.now.Steady + max(c.t.batchGap, gap))
 	}
 	id := c.stateCall(func(r Result) {
--- a/internal/scalerun/controllers.go
+++ b/internal/scalerun/controllers.go
@@ -14,6 +14,7 @@
 
 	"bitternwing/internal/config"
 	"bitternwing/internal/scalerun/measure"
+	"bitternwing/internal/standin"
 )
 
 // controller is a controller process, with all that it needs to be started again.
@@ -45,14 +46,14 @@
 
 // plan gives controllers names, zones and addresses, and connects them by relays.
 func (c *controllers) plan(s *Scenario, basePort int, traffic *measure.Traffic) error {
-	ports := newFreePorts(basePort)
+	free := addresses{basePort}
 	for i := range s.Controllers.Count {
 		x := &controller{name: fmt.Sprintf("controller-%02d", i), zone: s.Zones[i%len(s.Zones)]}
 		var err error
-		if x.listen, err = ports.address(basePort == 0); err != nil {
+		if x.listen, err = free.next(); err != nil {
 			return err
 		}
-		if x.internal, err = ports.address(basePort == 0); err != nil {
+		if x.internal, err = free.next(); err != nil {
 			return err
 		}
 		c.all = append(c.all, x)
@@ -72,39 +73,21 @@
 	return nil
 }
 
-// The controllers' ports are below those that the system gives to outgoing connections, so that one that is
-// started again finds its own free.
-const (
-	firstPort = 20_000
-	lastPort  = 32_000
-)
-
-// freePorts looks for ports that are free.
-type freePorts struct{ next int }
+// addresses gives controllers addresses on loopback, from a port on, or any free ones for port 0.
+type addresses struct{ port int }
 
-// newFreePorts begins at a base, or for base 0 at a place that differs between processes.
-func newFreePorts(base int) *freePorts {
-	if base > 0 {
-		return &freePorts{base}
+// next gives another address; an error names the port that is not free.
+func (a *addresses) next() (string, error) {
+	if a.port == 0 {
+		return standin.FreeAddr(), nil
 	}
-	const apart = 64 // ports of two runs that are started one after the other
-	return &freePorts{firstPort + os.Getpid()*apart%(lastPort-firstPort)}
-}
-
-// address gives the next free address; an error names the first port that is not, if it has to be this one.
-func (f *freePorts) address(any bool) (string, error) {
-	for {
-		port := f.next
-		f.next++
-		addr := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp4", addr)
-		if err == nil {
-			return addr, l.Close()
-		}
-		if !any || port >= lastPort {
-			return "", fmt.Errorf("port %d: %w", port, err)
-		}
+	addr := fmt.Sprintf("127.0.0.1:%d", a.port)
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return "", fmt.Errorf("port %d: %w", a.port, err)
 	}
+	a.port++
+	return addr, l.Close()
 }
 
 // writeSettings writes the settings files of all controllers.
