Limits across regions: allowances that regions hold and hand on by committed, numbered transfers

Need: a team's limit and guarantee over regions that lose each other, each with controllers and a state service of its own (docs/design.md, Regions, on paper until now). No two regions may together take a team past its limit.

Change: internal/allowance (pure) has the account that a region holds of a team. A region gives by committing a smaller account with a numbered transfer, and sends that until the other one has committed it; copies and late messages change nothing. The leader goes by what it holds (jobs point to the team as this region may use it), counts the lesser while a write is in doubt, keeps what its tasks use and half of what else it could use, and asks the others for what its work lacks. Accounts are written on the term and on their version. Messages go by gRPC between the controllers of regions, any of which hands them to its leader. A node whose settings name no regions does not lead where limits are divided. Off unless the operators' settings name regions.

Tests: two and three regions of three controllers, state service and machines each, in which leaders end or freeze at each moment of a transfer, answers of writes are lost, writes come late, regions are cut off both ways or one, messages come twice. The troubles of the state service stand once for both worlds.

--- /dev/null
+++ b/internal/allowance/allowance_test.go
@@ -0,0 +1,149 @@
+package allowance
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func regionsOf(parts ...float64) []Region {
+	var regions []Region
+	for i, part := range parts {
+		regions = append(regions, Region{Name: fmt.Sprint("r", i), Part: part})
+	}
+	return regions
+}
+
+// The parts that regions begin with add up to the whole, however they are cut.
+func TestInitial(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 7).Draw(t, "regions")
+		regions, left := regionsOf(make([]float64, n)...), 1.0
+		for i := range regions {
+			regions[i].Part = left * rapid.Float64Range(0, 1).Draw(t, "part")
+			if i == n-1 {
+				regions[i].Part = left
+			}
+			left -= regions[i].Part
+		}
+		whole := Share{Limit: AtMost(rapid.Float64Range(0, 9999).Draw(t, "gpus"), 17), Guarantee: AtMost(24.5, 0)}
+		var sum Share
+		for _, r := range regions {
+			sum = sum.Plus(Initial(whole, regions, r.Name).Held)
+		}
+		if sum != whole {
+			t.Fatalf("%+v of %+v", sum, whole)
+		}
+	})
+}
+
+// What regions hold and what is on its way is the whole at each moment, with messages that are lost, repeated, late and in
+// any order.
+func TestTransfers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole := Share{Limit: AtMost(48, 0), Guarantee: AtMost(24, 0)}
+		regions := regionsOf(0.5, 0.3, 0.2)
+		accounts := map[string]*Account{}
+		for _, r := range regions {
+			accounts[r.Name] = Initial(whole, regions, r.Name)
+		}
+		var sent []Transfer // all that ever was; each may come at any time, again
+		name := rapid.SampledFrom([]string{"r0", "r1", "r2"})
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			from, to := name.Draw(t, "from"), name.Draw(t, "to")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				amount := func(what string) Amount { return AtMost(rapid.Float64Range(0, 30).Draw(t, what), 0) }
+				needed := Share{Limit: amount("needed"), Guarantee: amount("needed guarantee")}
+				if next := accounts[from].Give(from, to, Share{Limit: amount("asked"), Guarantee: amount("asked guarantee")}, needed); next != nil && from != to {
+					sent = append(sent, next.Outgoing[len(next.Outgoing)-1])
+					accounts[from] = next
+				}
+			case 1:
+				if len(sent) > 0 {
+					x := rapid.SampledFrom(sent).Draw(t, "transfer")
+					next, receipt := accounts[x.To].Take(x)
+					accounts[x.To] = next
+					if receipt != OutOfOrder && rapid.Bool().Draw(t, "answered") {
+						accounts[x.From] = accounts[x.From].Settle(x.To, x.Number)
+					}
+				}
+			default:
+				accounts[from] = stored(t, accounts[from])
+			}
+			checkWhole(t, accounts, whole)
+		}
+	})
+}
+
+// stored gives an account as it comes back from the state service.
+func stored(t *rapid.T, a *Account) *Account {
+	data, err := json.Marshal(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func checkWhole(t *rapid.T, accounts map[string]*Account, whole Share) {
+	var sum Share
+	for _, a := range accounts {
+		sum = sum.Plus(a.Held)
+		for _, x := range a.Outgoing {
+			if accounts[x.To].Received[x.From] < x.Number {
+				sum = sum.Plus(x.Share)
+			}
+		}
+	}
+	if sum != whole {
+		t.Fatalf("%+v of %+v", sum, whole)
+	}
+}
+
+// A region gives what it does not need, to one region once at a time, and asks for what it lacks of the whole.
+func TestGiveAndAsk(t *testing.T) {
+	gpus := func(limit, guarantee float64) Share {
+		return Share{Limit: AtMost(limit, 0), Guarantee: AtMost(guarantee, 0)}
+	}
+	a := &Account{Whole: gpus(48, 24), Held: gpus(24, 12)}
+	given := a.Give("r0", "r1", gpus(20, 20), gpus(10, 10))
+	if given == nil || given.Held != gpus(10, 10) || !slices.Equal(given.Outgoing, []Transfer{{From: "r0", To: "r1", Number: 1, Share: gpus(14, 2)}}) {
+		t.Errorf("%+v", given)
+	}
+	if again := given.Give("r0", "r1", gpus(20, 20), Share{}); again != nil {
+		t.Errorf("a second transfer while the first is on its way: %+v", again)
+	}
+	if nothing := a.Give("r0", "r1", gpus(20, 20), gpus(30, 30)); nothing != nil {
+		t.Errorf("given although all is needed: %+v", nothing)
+	}
+	if missing := a.Missing(gpus(100, 100)); missing != gpus(24, 12) {
+		t.Errorf("%+v is missing", missing)
+	}
+	if next, receipt := a.Take(Transfer{From: "r1", To: "r0", Number: 2, Share: gpus(1, 0)}); receipt != OutOfOrder || next != a {
+		t.Errorf("the second transfer comes first: %v", receipt)
+	}
+	if _, err := Decode([]byte(`{"w":3}`)); err == nil {
+		t.Error("an account of another form is read")
+	}
+}
+
+// Amounts of floating-point numbers neither grow beyond a limit nor hide a use.
+func TestAmounts(t *testing.T) {
+	x := 0.0
+	for range 10 {
+		x += 0.1
+	}
+	if AtMost(x, 0) != AtLeast(x, 0) || AtMost(x, 0) != AtMost(1, 0) {
+		t.Errorf("ten tenths are %+v and %+v", AtMost(x, 0), AtLeast(x, 0))
+	}
+	if AtMost(0.0015, 0).GPUs != 1 || AtLeast(0.0015, 0).GPUs != 2 {
+		t.Error("parts of a thousandth are not rounded to the safe side")
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -35,6 +35,8 @@
 	Spread Spread `json:"spread"`
 	// Metrics says where a node shows what it does.
 	Metrics Metrics `json:"metrics"`
+	// Regions are those that share the teams' limits and guarantees.
+	Regions Regions `json:"regions"`
 }
 
 // Metrics says where a node serves metrics, and whether it serves profiles there.
@@ -115,7 +117,7 @@
 	if err := json.Unmarshal(data, o); err != nil {
 		return nil, err
 	}
-	return o, o.Metrics.check()
+	return o, errors.Join(o.Metrics.check(), o.Regions.check())
 }
 
 // check checks what the schema can't tell.
--- /dev/null
+++ b/internal/config/regions.go
@@ -0,0 +1,91 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+)
+
+// Regions are the regions that share the teams' limits and guarantees, each with controllers and a state service of its
+// own. All of them have the same list, in the same order.
+type Regions struct {
+	Name string   `json:"name"` // of this one; empty: the limits are not divided
+	All  []Region `json:"all"`
+}
+
+// Region is one of them.
+type Region struct {
+	Name string `json:"name"`
+	// Part of each limit and guarantee that it begins with, from 0 to 1.
+	Part float64 `json:"part"`
+	// Controllers are the internal addresses of its controllers.
+	Controllers []string `json:"controllers"`
+}
+
+// Enabled tells whether limits are divided.
+func (r *Regions) Enabled() bool { return r.Name != "" }
+
+// Others names the other regions.
+func (r *Regions) Others() []string {
+	var names []string
+	for _, region := range r.All {
+		if region.Name != r.Name {
+			names = append(names, region.Name)
+		}
+	}
+	return names
+}
+
+// Other tells whether there is another region of a name.
+func (r *Regions) Other(name string) bool {
+	for _, region := range r.All {
+		if region.Name == name {
+			return name != r.Name
+		}
+	}
+	return false
+}
+
+// partsTolerance is what the parts of all regions may differ from 1 by rounding.
+const partsTolerance = 1e-9
+
+// check checks what the schema can't tell.
+func (r *Regions) check() error {
+	if !r.Enabled() {
+		if len(r.All) > 0 {
+			return errors.New("/regions/name: is missing")
+		}
+		return nil
+	}
+	seen, sum := map[string]bool{}, 0.0
+	for i, region := range r.All {
+		if seen[region.Name] {
+			return fmt.Errorf("/regions/all/%d/name: %q is used twice", i, region.Name)
+		}
+		seen[region.Name] = true
+		sum += region.Part
+		if err := region.checkControllers(); err != nil {
+			return fmt.Errorf("/regions/all/%d/controllers%w", i, err)
+		}
+	}
+	if !seen[r.Name] {
+		return fmt.Errorf("/regions/name: %q is not among the regions", r.Name)
+	}
+	if math.Abs(sum-1) > partsTolerance {
+		return fmt.Errorf("/regions/all: the parts add up to %v, not to 1", sum)
+	}
+	return nil
+}
+
+func (r *Region) checkControllers() error {
+	if len(r.Controllers) == 0 {
+		return errors.New(": there is none")
+	}
+	for i, addr := range r.Controllers {
+		if _, port, err := net.SplitHostPort(addr); err != nil || port == "" {
+			return fmt.Errorf("/%d: %q is no address of the form host:port", i, addr)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/allowance_records.go
@@ -0,0 +1,55 @@
+package core
+
+import (
+	"encoding/json"
+	"net/url"
+
+	"bitternwing/internal/allowance"
+)
+
+// keyAllowances is where this region's accounts of the teams' allowances are, by team. Without regions there is none.
+const keyAllowances = "w/q/"
+
+// allowanceKey gives the key of a team's account. Names of teams may hold what keys may not.
+func allowanceKey(team string) string { return keyAllowances + url.PathEscape(team) }
+
+// storedAccount is an account as a node has read it.
+type storedAccount struct {
+	account *allowance.Account
+	problem error // why it can't be read; nil: it can
+	version uint64
+}
+
+// accountsOf keeps the accounts that are watched, by key.
+type accountsOf map[string]*storedAccount
+
+// apply takes an account's value. Accounts are never deleted; an end that is seen all the same is taken for one that
+// can't be read, since a fresh account would be a second one.
+func (a accountsOf) apply(key string, value json.RawMessage, version uint64) {
+	if old := a[key]; old != nil && old.version >= version {
+		return
+	}
+	account, err := allowance.Decode(value)
+	if err != nil {
+		account = nil
+	}
+	a[key] = &storedAccount{account: account, problem: err, version: version}
+}
+
+// reread takes accounts that were read anew, up to a revision. What was heard of since stays.
+func (a accountsOf) reread(read accountsOf, revision uint64) {
+	for key, old := range a {
+		if now := read[key]; now == nil && old.version <= revision {
+			delete(a, key)
+		}
+	}
+	for key, now := range read {
+		if old := a[key]; old == nil || old.version < now.version {
+			a[key] = now
+		}
+	}
+}
+
+// dividedElsewhere tells whether this region's limits are divided among regions while this node's settings know of none:
+// it would go by the whole limits, and so must not lead.
+func (c *Core) dividedElsewhere() bool { return len(c.dir.accounts) > 0 && !c.op.Regions.Enabled() }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -151,6 +151,10 @@
 		c.showPlan(in)
 	case RoutePlan:
 		c.routePlan(in)
+	case AskAllowance:
+		c.askAllowance(in)
+	case DeliverAllowance:
+		c.deliverAllowance(in)
 	case ShowPlacements:
 		c.showPlacements(in)
 	case Result:
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -100,6 +100,7 @@
 	termGuarded bool // older versions than those that know plans can't read it
 	catalog     []wire.MachineType
 	plans       plansOf
+	accounts    accountsOf
 	layout      record.Layout // the zero value: the first one
 	layoutAt    uint64        // version of its key
 	countShards map[string]*storedValue[map[string]counts]
@@ -119,7 +120,7 @@
 
 func newDirectory() *directory {
 	return &directory{jobs: map[string]*entry{}, countShards: map[string]*storedValue[map[string]counts]{}, images: map[string]*storedValue[map[string][]string]{},
-		plans: newPlansOf(), unreachable: map[string]unreachablePart{}, finals: map[string]finalValue{}}
+		plans: newPlansOf(), accounts: accountsOf{}, unreachable: map[string]unreachablePart{}, finals: map[string]finalValue{}}
 }
 
 func (d *directory) leadCond() wire.Cond { return wire.Cond{Key: keyLead, Version: d.leadVersion} }
@@ -135,6 +136,8 @@
 		d.applyTerm(value, version)
 	case below(key, keyPlans):
 		d.plans.apply(key[len(keyPlans):], value, version)
+	case below(key, keyAllowances):
+		d.accounts.apply(key, value, version)
 	case key == keyCatalog:
 		if types, ok := decode[[]wire.MachineType](value); ok {
 			d.catalog = types
@@ -353,6 +356,7 @@
 		d.countShards, d.images, d.revision = l.countShards, l.images, l.revision
 		d.unreachable = l.unreachable
 		d.plans.reread(l.plans, l.revision)
+		d.accounts.reread(l.accounts, l.revision)
 		if l.catalog != nil {
 			d.catalog = l.catalog
 		}
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -27,6 +27,7 @@
 	vacantAt time.Duration // since when no leader is known; 0: one is
 	ttl      time.Duration // of the lease
 	ledTerm  uint64        // the last term that this process led
+	barred   bool          // it is logged that this node must not lead
 	termsLed uint64        // by this process, all in all
 	history  termHistory
 }
@@ -73,6 +74,13 @@
 	if c.stateDown {
 		return
 	}
+	if c.dividedElsewhere() {
+		if !e.barred {
+			e.barred = true
+			c.log(Error, "this node must not lead: the teams' limits are divided among regions, and its settings name none")
+		}
+		return
+	}
 	e.campaign()
 }
 
@@ -344,6 +352,7 @@
 	c.log(Info, "no longer leading", "term", c.lead.term, "why", why)
 	c.lead.refuseHeld()
 	c.lead.plans.refuseWaiting()
+	c.lead.allowances.refuseWaiting()
 	c.lead = nil
 	e.lease = 0
 	e.notNow = c.now.Steady + c.t.retry
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -275,7 +275,7 @@
 // addJob takes a job up. One that needs others waits until they are done.
 func (l *leader) addJob(id string, e *entry) *job {
 	status := l.c.deps.graph.Of(id)
-	j := &job{id: id, spec: e.Job, at: e.AtMS, queuedAt: e.AtMS, version: e.version, team: l.c.team(e.Job.Team),
+	j := &job{id: id, spec: e.Job, at: e.AtMS, queuedAt: e.AtMS, version: e.version, team: l.teamOf(e.Job.Team),
 		rank: status.Priority, latestEnd: status.LatestEndMS, chunks: map[int]*chunk{}, placed: map[int]*placement{}, zones: map[string]int{}, replicas: l.replicas}
 	l.jobs[id] = j
 	j.waiting = len(e.Job.Needs) > 0
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -41,6 +41,7 @@
 	change     layoutChange
 	guard      termGuard
 	plans      *planRuns
+	allowances *allowances
 	evaluated  uint64                   // evaluations of the dependency graph that are taken in
 	released   map[string]time.Duration // names given back, so that late reports of them don't count
 	// changes counts what reports change, and evidenceCount the reports that were taken as evidence.
@@ -66,6 +67,7 @@
 		runs: map[string]wire.Item{}, jobs: map[string]*job{}, machines: map[string]*machine{},
 		room: capacity.NewIndex[*host](), replicas: spread.NewLedger(), released: map[string]time.Duration{}, cutZones: map[string]bool{}, outAt: map[string]time.Duration{}}
 	l.plans = newPlanRuns(l)
+	l.allowances = newAllowances(l)
 	l.writes.init(l)
 	l.rentals.init(l)
 	l.rounds.at = c.now.Steady
@@ -99,6 +101,7 @@
 		}
 	}
 	l.followDependencies()
+	l.allowances.run()
 	if now := l.c.now.Steady; now >= l.tendAt {
 		l.tendAt = l.c.aligned(now + 1)
 		l.watchMachines()
--- /dev/null
+++ b/internal/core/region_world_test.go
@@ -0,0 +1,361 @@
+package core_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"bitternwing/internal/allowance"
+	"bitternwing/internal/call"
+	"bitternwing/internal/config"
+	"bitternwing/internal/core"
+	"bitternwing/internal/wire"
+)
+
+// regionWorld is several regions, each with three controllers, a state service and machines of its own, that share the
+// limits of two teams. At each step it checks that no team uses more than its limit in all regions together, and that
+// what the regions hold of it and what is on its way add up to the whole.
+type regionWorld struct {
+	t       reporter
+	regions []*worldRegion
+	// cut tells whether messages from one region to another are lost.
+	cut      map[[2]int]bool
+	repeat   bool // messages come twice, the second time late
+	messages []regionMessage
+	jobs     int
+
+	overshoot float64 // the most GPUs that a team used beyond its limit
+	shortfall time.Duration
+	transfers int // messages of transfers
+}
+
+// worldRegion is one of the regions.
+type worldRegion struct {
+	*scaleCluster
+	stateTroubles
+	number  int
+	pending map[uint64]func(core.Answer) // answers that other regions wait for
+	waiting []string                     // jobs that are not known to be accepted: users hand them in again
+	askedAt time.Duration                // when they did
+}
+
+// regionMessage is a message on its way to a region.
+type regionMessage struct {
+	due      time.Duration
+	to       int
+	node     int
+	input    func(req uint64) core.Input
+	answered func(outcome call.Outcome)
+}
+
+const (
+	regionGuarantee = 24 // GPUs of each team
+	regionLimit     = 48
+	regionLatency   = 40 * time.Millisecond
+	regionMachines  = 16 // of 8 GPUs each
+)
+
+func regionName(i int) string { return fmt.Sprintf("region-%d", i) }
+
+// newRegionWorld has regions with equal parts of two teams' limits.
+func newRegionWorld(t reporter, regions int) *regionWorld {
+	w := &regionWorld{t: t, cut: map[[2]int]bool{}}
+	for i := range regions {
+		w.regions = append(w.regions, w.newRegion(i, regions))
+	}
+	w.advance(15 * time.Second)
+	return w
+}
+
+func (w *regionWorld) newRegion(number, regions int) *worldRegion {
+	r := &worldRegion{scaleCluster: newScaleCluster(w.t, 3, 0), number: number, pending: map[uint64]func(core.Answer){}}
+	r.op.IdleBoots = 100
+	r.op.Regions = config.Regions{Name: regionName(number)}
+	for i := range regions {
+		r.op.Regions.All = append(r.op.Regions.All, config.Region{Name: regionName(i), Part: 1 / float64(regions)})
+	}
+	r.adjust = func(p *config.Params) {
+		p.Teams = []config.Team{{Name: "t1", GPUs: regionGuarantee, GPUsMax: regionLimit}, {Name: "t2", GPUs: regionGuarantee, GPUsMax: regionLimit}}
+	}
+	r.intercept = func(n *scaleNode, e core.Effect) (core.Result, bool) {
+		if e, ok := e.(core.RegionCall); ok {
+			w.send(r, n, e)
+			return core.Result{}, false
+		}
+		return r.interceptState(n.name, r.store, e)
+	}
+	r.onAnswer = func(a core.Answer) bool {
+		answered := r.pending[a.Req]
+		delete(r.pending, a.Req)
+		if answered != nil {
+			answered(a)
+		}
+		return answered != nil
+	}
+	r.restart()
+	r.have(regionMachines, "z1", "z2")
+	return r
+}
+
+// send puts a message on its way, and a copy where messages are repeated.
+func (w *regionWorld) send(from *worldRegion, n *scaleNode, e core.RegionCall) {
+	to := slices.IndexFunc(w.regions, func(r *worldRegion) bool { return regionName(r.number) == e.Region })
+	if to < 0 {
+		return // it is being set up
+	}
+	if e.Deliver != nil {
+		w.transfers++
+	}
+	process, sent, over := n.core, from.now, false
+	message := regionMessage{due: from.now + regionLatency, to: to, node: e.Attempt % 3, input: func(req uint64) core.Input {
+		if e.Ask != nil {
+			ask := *e.Ask
+			ask.Req = req
+			return ask
+		}
+		deliver := *e.Deliver
+		deliver.Req = req
+		return deliver
+	}, answered: func(outcome call.Outcome) {
+		// The answer goes back to the process that asked, if it is still there.
+		if n.core == process && !over {
+			over = true
+			if w.cut[[2]int{to, from.number}] {
+				outcome = call.Unknown
+			}
+			n.results = append(n.results, core.Result{ID: e.ID, Outcome: outcome, Sent: sent})
+		}
+	}}
+	if w.cut[[2]int{from.number, to}] {
+		w.messages = append(w.messages, regionMessage{due: from.now + 3*time.Second, to: -1, answered: message.answered})
+		return
+	}
+	w.messages = append(w.messages, message)
+	if w.repeat {
+		late := message
+		late.due += 5 * time.Second
+		w.messages = append(w.messages, late)
+	}
+}
+
+// carry brings the messages that are due to their regions.
+func (w *regionWorld) carry() {
+	now := w.regions[0].now
+	due := slices.DeleteFunc(slices.Clone(w.messages), func(m regionMessage) bool { return m.due > now })
+	w.messages = slices.DeleteFunc(w.messages, func(m regionMessage) bool { return m.due <= now })
+	for _, m := range due {
+		if m.to < 0 {
+			m.answered(call.Unknown) // its time is over
+			continue
+		}
+		r := w.regions[m.to]
+		r.hear(r.nodes[m.node], m, false)
+	}
+}
+
+// hear hands a message to a node, which names the leader if it is not the one.
+func (r *worldRegion) hear(n *scaleNode, m regionMessage, relayed bool) {
+	if n.name == r.frozen {
+		m.answered(call.Unknown)
+		return
+	}
+	r.req++
+	req := r.req << 16
+	r.pending[req] = func(a core.Answer) {
+		to, redirected := a.Body.(wire.Redirect)
+		leader := slices.IndexFunc(r.nodes, func(x *scaleNode) bool { return redirected && x.name == to.Leader })
+		switch {
+		case a.Status == 200:
+			m.answered(call.OK)
+		case leader >= 0 && !relayed:
+			r.hear(r.nodes[leader], m, true)
+		default:
+			m.answered(call.Unknown)
+		}
+	}
+	r.step(n, m.input(req))
+}
+
+// advance lets time pass in all regions, and checks at each step.
+func (w *regionWorld) advance(d time.Duration) {
+	w.t.Helper()
+	for end := w.regions[0].now + d; w.regions[0].now < end; {
+		for _, r := range w.regions {
+			r.pass(scaleStep)
+		}
+		w.carry()
+		w.check()
+		for _, r := range w.regions {
+			r.resubmit()
+		}
+	}
+}
+
+// submit has users hand in services of one task in a region.
+func (w *regionWorld) submit(region int, team string, tasks int, gpus float64) []string {
+	var ids []string
+	r := w.regions[region]
+	for range tasks {
+		w.jobs++
+		id := fmt.Sprintf("run-%06d", w.jobs)
+		r.hand(r.nodes[w.jobs%3], &wire.Job{ID: id, Kind: wire.KindService, Class: "c", Team: team, Tasks: 1, CPUs: 4, GPUs: gpus, MemoryGB: 20,
+			Priority: "prod", Image: "img-1", ImageGB: 4})
+		ids = append(ids, id)
+	}
+	r.waiting = append(r.waiting, ids...)
+	return ids
+}
+
+// submitFor hands in services and waits until all are accepted.
+func (w *regionWorld) submitFor(region int, team string, tasks int, gpus float64) []string {
+	w.t.Helper()
+	ids := w.submit(region, team, tasks, gpus)
+	w.until("all are accepted", func() bool { return len(w.regions[region].waiting) == 0 })
+	return ids
+}
+
+// resubmit has users hand in once a second what is not accepted.
+func (r *worldRegion) resubmit() {
+	if r.now < r.askedAt+time.Second {
+		return
+	}
+	r.askedAt = r.now
+	r.waiting = slices.DeleteFunc(r.waiting, r.accepted)
+	for _, id := range r.waiting {
+		r.hand(r.nodes[int(r.now/time.Second)%3], r.specs[id])
+	}
+}
+
+// accepted tells whether a job is there, or was.
+func (r *worldRegion) accepted(id string) bool {
+	_, active := r.store.Get("w/a/" + id)
+	_, ended := r.store.Get("f/" + id)
+	return active == call.OK || ended == call.OK
+}
+
+// cancel has users cancel jobs, again until that is written.
+func (w *regionWorld) cancel(region int, ids []string) {
+	r := w.regions[region]
+	for _, id := range ids {
+		for range 50 {
+			if _, outcome := r.store.Get("f/" + id); outcome == call.OK {
+				break
+			}
+			r.req++
+			r.step(r.nodes[w.jobs%3], core.Cancel{Req: r.req << 16, ID: id})
+			w.advance(100 * time.Millisecond)
+		}
+	}
+}
+
+// used adds up what a team's tasks have on the machines of a region.
+func (r *worldRegion) used(team string) float64 {
+	sum := 0.0
+	for task, holder := range r.holders {
+		job := r.specs[task[:len("run-000000")]]
+		if job.Team == team && !holder.dead && holder.machine.Holds(task) {
+			sum += job.GPUs
+		}
+	}
+	return sum
+}
+
+// usedBy adds up what a team's tasks have in all regions.
+func (w *regionWorld) usedBy(team string) float64 {
+	sum := 0.0
+	for _, r := range w.regions {
+		sum += r.used(team)
+	}
+	return sum
+}
+
+// account gives a team's account as a region's state service holds it; nil: there is none yet.
+func (r *worldRegion) account(team string) *allowance.Account {
+	item, outcome := r.store.Get("w/q/" + team)
+	if outcome != call.OK {
+		return nil
+	}
+	a, err := allowance.Decode(item.Value)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return a
+}
+
+// check checks the limits, and that nothing of them is lost or made.
+func (w *regionWorld) check() {
+	w.t.Helper()
+	for _, team := range []string{"t1", "t2"} {
+		w.overshoot = max(w.overshoot, w.usedBy(team)-regionLimit)
+		if w.overshoot > 0 {
+			w.t.Fatalf("%v: %s uses %g GPUs", w.regions[0].now, team, w.usedBy(team))
+		}
+		w.checkSum(team)
+	}
+}
+
+// checkSum checks that the accounts of a team, with what is on its way between them, add up to the whole.
+func (w *regionWorld) checkSum(team string) {
+	accounts := map[string]*allowance.Account{}
+	for _, r := range w.regions {
+		a := r.account(team)
+		if a == nil {
+			return
+		}
+		accounts[regionName(r.number)] = a
+	}
+	var sum allowance.Share
+	for _, a := range accounts {
+		sum = sum.Plus(a.Held)
+		for _, t := range a.Outgoing {
+			if accounts[t.To].Received[t.From] < t.Number {
+				sum = sum.Plus(t.Share)
+			}
+		}
+	}
+	if whole := accounts[regionName(0)].Whole; sum != whole {
+		w.t.Fatalf("%v: the regions have %+v of %s, not %+v", w.regions[0].now, sum, team, whole)
+	}
+}
+
+// until lets time pass until something holds.
+func (w *regionWorld) until(what string, holds func() bool) time.Duration {
+	w.t.Helper()
+	begin := w.regions[0].now
+	for range 1200 {
+		if holds() {
+			return w.regions[0].now - begin
+		}
+		w.advance(100 * time.Millisecond)
+	}
+	w.t.Fatalf("never: %s", what)
+	return 0
+}
+
+// usesAll lets time pass until a team uses all of its limit, and some more, since a late message may yet bring too much.
+func (w *regionWorld) usesAll(team string) {
+	w.t.Helper()
+	w.until("all of the limit is used", func() bool { return w.usedBy(team) == regionLimit })
+	w.advance(6 * time.Second)
+	if used := w.usedBy(team); used != regionLimit {
+		w.t.Fatalf("%s uses %g GPUs a while later", team, used)
+	}
+}
+
+// cutOff loses, or no longer loses, the messages between a region and all others.
+func (w *regionWorld) cutOff(region int, cut bool) {
+	for i := range w.regions {
+		w.cut[[2]int{region, i}], w.cut[[2]int{i, region}] = cut, cut
+	}
+}
+
+// heal ends all troubles.
+func (w *regionWorld) heal() {
+	clear(w.cut)
+	w.repeat = false
+	for _, r := range w.regions {
+		r.stateTroubles.end()
+		r.settleLate(r.store)
+		r.frozen = ""
+	}
+}
--- a/internal/core/rollout_test.go
+++ b/internal/core/rollout_test.go
@@ -140,13 +140,13 @@
 			"ends":             func(w *rolloutWorld) { w.crashAny() },
 			"answer lost":      func(w *rolloutWorld) { w.loseAnswers = 1 },
 			"lost, then ends":  func(w *rolloutWorld) { w.loseAnswers = 1; w.advance(300 * time.Millisecond); w.crashAny() },
-			"transaction late": func(w *rolloutWorld) { w.delay = 2; w.advance(2 * time.Second); w.settleLate() },
+			"transaction late": func(w *rolloutWorld) { w.delay = 2; w.advance(2 * time.Second); w.settleLate(w.store) },
 			"late, then ends": func(w *rolloutWorld) {
 				w.delay = 2
 				w.advance(time.Second)
 				w.crashAny()
 				w.advance(6 * time.Second)
-				w.settleLate()
+				w.settleLate(w.store)
 			},
 		} {
 			t.Run(fmt.Sprint(phase, " ", name), func(t *testing.T) {
@@ -509,7 +509,7 @@
 			case "delay":
 				w.delay = 2
 			case "late":
-				w.settleLate()
+				w.settleLate(w.store)
 			case "down":
 				w.stateDown = !w.stateDown
 			case "refuse":
@@ -533,7 +533,7 @@
 			}
 		}
 		w.heal()
-		w.settleLate()
+		w.settleLate(w.store)
 		w.unreachable = nil
 		w.advance(5 * time.Second)
 		w.tryChange(rollout.Resume)
@@ -549,7 +549,7 @@
 
 // heal ends the troubles of the network and the state service.
 func (w *rolloutWorld) heal() {
-	w.stateDown, w.refused, w.loseAnswers, w.delay = false, "", 0, 0
+	w.stateTroubles.end()
 	w.routers[0].cut, w.routers[1].cutFrom = false, ""
 }
 
@@ -582,7 +582,7 @@
 	w := newRolloutWorld(t)
 	w.start()
 	w.advance(1200 * time.Millisecond)
-	w.settleLate()
+	w.settleLate(w.store)
 	w.advance(1600 * time.Millisecond)
 	w.refused = w.leaderNode().name
 	w.advance(4 * time.Second)
@@ -634,7 +634,7 @@
 	for south.grantedAt < cutUntil {
 		w.advance(100 * time.Millisecond)
 	}
-	w.settleLate()
+	w.settleLate(w.store)
 	w.advance(200 * time.Millisecond)
 	w.crashAny()
 	w.until(rollout.Completed)
--- a/internal/core/rollout_world_test.go
+++ b/internal/core/rollout_world_test.go
@@ -25,13 +25,9 @@
 	wrongAt     time.Duration          // since when
 	tolerance   time.Duration          // for how long it may go on then
 	unreachable func(task string) bool // whether probes don't reach a replica; nil: they do
-	refused     string                 // a node that the state service refuses
-	stateDown   bool                   // the state service refuses all
-	loseAnswers int                    // transactions that are carried out without an answer
-	delay       int                    // transactions without an answer that are carried out later
-	late        []core.StateTxn
-	outdated    string // a node of a version without plans
-	taken       bool   // machines were taken away: the promise is not the rollout's alone any more
+	outdated    string                 // a node of a version without plans
+	taken       bool                   // machines were taken away: the promise is not the rollout's alone any more
+	stateTroubles
 
 	asked     time.Duration
 	lastPhase rollout.Phase
@@ -132,24 +128,8 @@
 			answer = rollout.Answer{Verdict: rollout.NotCompared, Check: "as before"}
 		}
 		return core.Result{ID: e.ID, Outcome: call.OK, Probe: answer}, true
-	case core.StateTxn:
-		if len(e.Txn.Then) > 0 && !w.stateDown && w.refused != n.name {
-			switch {
-			case w.loseAnswers > 0:
-				w.loseAnswers--
-				w.store.Txn(e.Txn)
-				return core.Result{ID: e.ID, Outcome: call.Unknown}, true
-			case w.delay > 0:
-				w.delay--
-				w.late = append(w.late, e)
-				return core.Result{ID: e.ID, Outcome: call.Unknown}, true
-			}
-		}
-	}
-	if id, ok := stateCallID(e); ok && (w.stateDown || w.refused == n.name) {
-		return core.Result{ID: id, Outcome: call.Refused}, true
 	}
-	return core.Result{}, false
+	return w.interceptState(n.name, w.store, e)
 }
 
 // stateCallID gives the id of a call to the state service; watches stay open through an outage.
@@ -388,21 +368,6 @@
 	w.t.Fatalf("%s is not reached: %v, %+v", phase, w.phases, w.record())
 }
 
-// settleLate carries out the transactions that were held up.
-func (w *rolloutWorld) settleLate() {
-	for _, e := range w.late {
-		w.store.Txn(e.Txn)
-	}
-	w.late = nil
-}
-
-// crashAny ends the process of the node that leads, if one does.
-func (w *rolloutWorld) crashAny() {
-	if w.leaderNode() != nil {
-		w.crash()
-	}
-}
-
 // params gives the teams their limits.
 func (w *rolloutWorld) limitTeam(gpus float64) {
 	w.adjust = func(p *config.Params) { p.Teams[1].GPUsMax = gpus }
--- a/internal/core/scale_cluster_test.go
+++ b/internal/core/scale_cluster_test.go
@@ -260,6 +260,13 @@
 	y.t.Fatal("no node leads")
 }
 
+// crashAny does the same, if a node leads.
+func (y *scaleCluster) crashAny() {
+	if y.leaderNode() != nil {
+		y.crash()
+	}
+}
+
 // day plays a fleet that fills up and stays full.
 func (y *scaleCluster) day(services, arrays int, seconds int) {
 	for i := 0; i < services; i++ {
--- a/internal/metrics/recorder.go
+++ b/internal/metrics/recorder.go
@@ -33,6 +33,7 @@
 	Worker       Service = "worker"
 	Peer         Service = "peer"
 	Replica      Service = "replica"
+	Region       Service = "region"
 )
 
 // Recorder counts what a node does. A nil Recorder counts nothing.
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -8,6 +8,7 @@
 	"bitternwing/internal/call"
 	"bitternwing/internal/core"
 	"bitternwing/internal/metrics"
+	"bitternwing/internal/operators"
 	"bitternwing/internal/wire"
 )
 
@@ -39,6 +40,8 @@
 		})
 	case core.PeerAsk:
 		n.askPeer(ctx, e)
+	case core.RegionCall:
+		n.callRegion(ctx, e)
 	default:
 		n.askState(ctx, e)
 	}
@@ -128,3 +131,16 @@
 		}
 	})
 }
+
+// regionPatience is how long a message to another region may take, in the node's patience: it is handed on to the leader
+// there, which commits it.
+const regionPatience = 3
+
+// callRegion sends a message to a controller of another region, another one with each attempt.
+func (n *Node) callRegion(ctx context.Context, e core.RegionCall) {
+	n.do(ctx, callName{metrics.Region, "allowance"}, e.ID, regionPatience*n.patient, func(ctx context.Context, r *core.Result) {
+		if clients := n.regions[e.Region]; len(clients) > 0 {
+			r.Outcome = operators.CallRegion(ctx, clients[e.Attempt%len(clients)].Conn(), e)
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 	cloud   *cloud.Client
 	workers *call.Client
 	peers   map[string]*peer.Client
+	regions map[string][]*peer.Client // the controllers of other regions
 	probes  *probe.Prober
 	patient time.Duration // how long a call may take
 	metrics *metrics.Recorder
@@ -86,6 +87,7 @@
 		// As many calls a second as it may hold sockets, which follows the number of workers.
 		workers: call.Any(float64(p.Limits.MaxConnections), 1, max(4, p.Limits.MaxConnections/12), 1<<20),
 		peers:   map[string]*peer.Client{},
+		regions: map[string][]*peer.Client{},
 		probes:  probe.New(max(4, p.Limits.MaxConnections/40)),
 		// Workers wait four seconds at the most, users two for a poll, and a leader's lease
 		// is twice as long.
@@ -99,9 +101,29 @@
 		}
 		n.peers[s.Node] = c
 	}
+	if err := n.connectRegions(); err != nil {
+		return nil, err
+	}
 	return n, nil
 }
 
+// connectRegions makes clients of the controllers of other regions. They connect when they are needed.
+func (n *Node) connectRegions() error {
+	for _, region := range n.set.Operator.Regions.All {
+		for _, addr := range region.Controllers {
+			if region.Name == n.set.Operator.Regions.Name {
+				continue
+			}
+			c, err := peer.NewClient(n.set.Node, addr, n.patient)
+			if err != nil {
+				return err
+			}
+			n.regions[region.Name] = append(n.regions[region.Name], c)
+		}
+	}
+	return nil
+}
+
 // publicSockets is how many sockets users and workers may have open. Each holds one request at most, and
 // finds room for it among the inputs: after a leader's end all workers report at once.
 func publicSockets(set *config.Settings) int { return set.Params.Limits.MaxConnections * 3 / 4 }
@@ -140,6 +162,11 @@
 	for _, c := range n.peers {
 		_ = c.Close()
 	}
+	for _, clients := range n.regions {
+		for _, c := range clients {
+			_ = c.Close()
+		}
+	}
 	return err
 }
 
--- /dev/null
+++ b/internal/operators/regions.go
@@ -0,0 +1,75 @@
+package operators
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+
+	"bitternwing/internal/allowance"
+	"bitternwing/internal/call"
+	"bitternwing/internal/core"
+	"bitternwing/internal/operators/operatorpb"
+)
+
+// regions implements the service for other regions.
+type regions struct {
+	operatorpb.UnimplementedRegionsServer
+	server *Server
+}
+
+// Ask implements the service.
+func (r *regions) Ask(ctx context.Context, q *operatorpb.AllowanceAsk) (*operatorpb.AllowanceReply, error) {
+	return ask(ctx, r.server, q.GetRelayed(), func(req uint64) core.Input {
+		return core.AskAllowance{Req: req, From: q.GetFrom(), Team: q.GetTeam(), Whole: shareOf(q.GetWhole()), Share: shareOf(q.GetShare())}
+	}, func(ctx context.Context, leader grpc.ClientConnInterface) (*operatorpb.AllowanceReply, error) {
+		q.Relayed = true
+		return operatorpb.NewRegionsClient(leader).Ask(ctx, q)
+	}, allowanceReply)
+}
+
+// Deliver implements the service.
+func (r *regions) Deliver(ctx context.Context, q *operatorpb.AllowanceDelivery) (*operatorpb.AllowanceReply, error) {
+	return ask(ctx, r.server, q.GetRelayed(), func(req uint64) core.Input {
+		return core.DeliverAllowance{Req: req, Team: q.GetTeam(), Whole: shareOf(q.GetWhole()),
+			Transfer: allowance.Transfer{From: q.GetFrom(), To: q.GetTo(), Number: q.GetNumber(), Share: shareOf(q.GetShare())}}
+	}, func(ctx context.Context, leader grpc.ClientConnInterface) (*operatorpb.AllowanceReply, error) {
+		q.Relayed = true
+		return operatorpb.NewRegionsClient(leader).Deliver(ctx, q)
+	}, allowanceReply)
+}
+
+func allowanceReply(core.Answer) (*operatorpb.AllowanceReply, error) {
+	return &operatorpb.AllowanceReply{}, nil
+}
+
+// CallRegion sends a message to a controller of another region and says what became of it.
+func CallRegion(ctx context.Context, conn grpc.ClientConnInterface, e core.RegionCall) call.Outcome {
+	client := operatorpb.NewRegionsClient(conn)
+	var err error
+	switch {
+	case e.Ask != nil:
+		_, err = client.Ask(ctx, &operatorpb.AllowanceAsk{From: e.Ask.From, Team: e.Ask.Team, Whole: shareMessage(e.Ask.Whole), Share: shareMessage(e.Ask.Share)})
+	case e.Deliver != nil:
+		t := e.Deliver.Transfer
+		_, err = client.Deliver(ctx, &operatorpb.AllowanceDelivery{From: t.From, To: t.To, Team: e.Deliver.Team, Number: t.Number,
+			Whole: shareMessage(e.Deliver.Whole), Share: shareMessage(t.Share)})
+	}
+	if err != nil {
+		return call.Unknown
+	}
+	return call.OK
+}
+
+func shareOf(s *operatorpb.AllowanceShare) allowance.Share {
+	amount := func(a *operatorpb.AllowanceAmount) allowance.Amount {
+		return allowance.Amount{GPUs: max(0, a.GetGpus()), CPUs: max(0, a.GetCpus())}
+	}
+	return allowance.Share{Limit: amount(s.GetLimit()), Guarantee: amount(s.GetGuarantee())}
+}
+
+func shareMessage(s allowance.Share) *operatorpb.AllowanceShare {
+	amount := func(a allowance.Amount) *operatorpb.AllowanceAmount {
+		return &operatorpb.AllowanceAmount{Gpus: a.GPUs, Cpus: a.CPUs}
+	}
+	return &operatorpb.AllowanceShare{Limit: amount(s.Limit), Guarantee: amount(s.Guarantee)}
+}
--- a/internal/operators/server.go
+++ b/internal/operators/server.go
@@ -44,6 +44,7 @@
 	server := &Server{core: c, peer: peer}
 	operatorpb.RegisterRolloutsServer(to, server)
 	operatorpb.RegisterPlacementsServer(to, &placements{server: server})
+	operatorpb.RegisterRegionsServer(to, &regions{server: server})
 }
 
 // ask has the core answer, or the leader where the core names it; a request that was handed on goes no further.
