--- a/internal/core/allowances.go
+++ b/internal/core/allowances.go
@@ -232,12 +232,12 @@
 	c, in := a.l.c, t.deliveries[0]
 	t.deliveries = t.deliveries[1:]
 	next, receipt := t.account.Take(in.Transfer)
-	switch {
-	case receipt == allowance.OutOfOrder:
+	switch receipt {
+	case allowance.OutOfOrder:
 		c.later(in.Req, 503, transferFirst)
-	case receipt == allowance.Known:
+	case allowance.Known:
 		c.answer(in.Req, 200, nil)
-	default:
+	case allowance.Taken:
 		a.commit(t, next, func(r Result) { c.confirm(in.Req, r) })
 	}
 }
--- a/internal/core/region_world_test.go
+++ b/internal/core/region_world_test.go
@@ -26,8 +26,7 @@
 	machines int // in each region
 
 	overshoot float64 // the most GPUs that a team used beyond its limit
-	shortfall time.Duration
-	transfers int // messages of transfers
+	transfers int     // messages of transfers
 }
 
 // worldRegion is one of the regions.
@@ -360,7 +359,7 @@
 	clear(w.cut)
 	w.repeat = false
 	for _, r := range w.regions {
-		r.stateTroubles.end()
+		r.endStateTroubles()
 		r.settleLate(r.store)
 		r.frozen = ""
 	}
--- a/internal/core/rollout_test.go
+++ b/internal/core/rollout_test.go
@@ -549,7 +549,7 @@
 
 // heal ends the troubles of the network and the state service.
 func (w *rolloutWorld) heal() {
-	w.stateTroubles.end()
+	w.endStateTroubles()
 	w.routers[0].cut, w.routers[1].cutFrom = false, ""
 }
 
--- a/internal/core/state_troubles_test.go
+++ b/internal/core/state_troubles_test.go
@@ -50,7 +50,7 @@
 	s.late = nil
 }
 
-// end ends the troubles, but for the transactions that are held up.
-func (s *stateTroubles) end() {
+// endStateTroubles ends them, but for the transactions that are held up.
+func (s *stateTroubles) endStateTroubles() {
 	s.stateDown, s.refused, s.loseAnswers, s.delay, s.delayKey = false, "", 0, 0, ""
 }
