--- a/internal/core/allowance_test.go
+++ b/internal/core/allowance_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"bitternwing/internal/call"
 	"bitternwing/internal/config"
 	"bitternwing/internal/core"
 	"bitternwing/internal/wire"
@@ -229,6 +230,23 @@
 	w.usesAll("t1")
 }
 
+// TestOlderVersionCannotLead has limits be divided: from then on no version that knows nothing of that can read the term, so none
+// can win one; this version can, after any number of changes.
+func TestOlderVersionCannotLead(t *testing.T) {
+	w := newRegionWorld(t, 2)
+	r := w.regions[0]
+	for range 3 {
+		item, outcome := r.store.Get("w/term")
+		if outcome != call.OK || core.ReadableWithPlans(item.Value) {
+			t.Fatalf("an older version reads %s", item.Value)
+		}
+		r.crashAny()
+		w.advance(6 * time.Second)
+	}
+	w.submit(0, "t1", 24, 2)
+	w.usesAll("t1")
+}
+
 // TestOtherLimits has a region whose settings give a team another limit: it gets nothing of it, and gives nothing.
 func TestOtherLimits(t *testing.T) {
 	w := newRegionWorld(t, 2)
--- a/internal/core/allowances.go
+++ b/internal/core/allowances.go
@@ -214,6 +214,8 @@
 func (a *allowances) write(name string, t *teamAllowance, need teamNeed) {
 	c := a.l.c
 	switch {
+	case t.account == nil && c.dir.accounts[t.key] == nil && c.dir.termForm < regionsTerm:
+		a.l.guard.want(regionsTerm)
 	case t.account == nil && c.dir.accounts[t.key] == nil:
 		a.commit(t, allowance.Initial(t.whole, c.regionParts(), c.op.Regions.Name), func(Result) {})
 	case t.account == nil:
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -75,7 +75,8 @@
 	if t, ok := decode[fencedTerm](value); ok {
 		return termValue(t), true
 	}
-	return decodeGuardedTerm(value)
+	t, _, ok := decodeGuardedTerm(value)
+	return t, ok
 }
 
 // counts of a job: running, done.
@@ -97,7 +98,7 @@
 	leadVersion uint64
 	term        termValue
 	termVersion uint64
-	termGuarded bool // older versions than those that know plans can't read it
+	termForm    termForm // which versions can read it
 	catalog     []wire.MachineType
 	plans       plansOf
 	accounts    accountsOf
@@ -208,7 +209,9 @@
 func (d *directory) applyTerm(value json.RawMessage, version uint64) {
 	if v, ok := decodeTerm(value); ok && version > d.termVersion {
 		d.term, d.termVersion = v, version
-		_, d.termGuarded = decodeGuardedTerm(value)
+		if _, form, ok := decodeGuardedTerm(value); ok {
+			d.termForm = form
+		}
 	}
 }
 
@@ -351,7 +354,7 @@
 		}
 		d.jobs, d.lead, d.leadVersion = l.jobs, l.lead, l.leadVersion
 		if l.termVersion > d.termVersion {
-			d.term, d.termVersion, d.termGuarded = l.term, l.termVersion, l.termGuarded
+			d.term, d.termVersion, d.termForm = l.term, l.termVersion, l.termForm
 		}
 		d.countShards, d.images, d.revision = l.countShards, l.images, l.revision
 		d.unreachable = l.unreachable
--- a/internal/core/export_test.go
+++ b/internal/core/export_test.go
@@ -98,6 +98,12 @@
 	return plain || fenced
 }
 
+// ReadableWithPlans tells whether the version before allowances can read a term.
+func ReadableWithPlans(value json.RawMessage) bool {
+	_, plans := decode[plansTermValue](value)
+	return plans || ReadableBefore(value)
+}
+
 // LeaseTTL gives the life of the lease of a leader whose term begins now, after terms that began at some times.
 func LeaseTTL(now, lease, leaderTTL time.Duration, begins []time.Duration) time.Duration {
 	h := &termHistory{}
--- a/internal/core/plan_records.go
+++ b/internal/core/plan_records.go
@@ -5,10 +5,7 @@
 	"maps"
 	"slices"
 
-	"bitternwing/internal/call"
-	"bitternwing/internal/record"
 	"bitternwing/internal/rollout"
-	"bitternwing/internal/wire"
 )
 
 // keyPlans is where the plans of rollouts are, by name. Without plans there is no key.
@@ -73,65 +70,7 @@
 	p.index()
 }
 
-// A version that knows nothing of plans would start the jobs that they hold as soon as it leads. So before the
-// first plan is taken every controller has to say that it knows them, and the term is written in a form that older
-// versions can't read: none of them wins a term again. Later terms keep the form.
-
-// guardedTerm is a term in that form.
-type guardedTerm struct {
-	Term [1]uint64 `json:"term"`
-	Node string    `json:"node"`
-}
-
-func decodeGuardedTerm(value json.RawMessage) (termValue, bool) {
-	t, ok := decode[guardedTerm](value)
-	return termValue{Term: t.Term[0], Node: t.Node}, ok
-}
-
-// encodeTermIn gives a term as it is to be written: guarded if it is so already, else in the form of a layout.
-func (c *Core) encodeTermIn(t termValue, layout record.Layout) (json.RawMessage, error) {
-	if c.dir.termGuarded {
-		return json.Marshal(guardedTerm{Term: [1]uint64{t.Term}, Node: t.Node})
-	}
-	return encodeTerm(t, layout)
-}
-
 // allKnowPlans tells whether all other nodes have said that their version knows plans.
 func (c *Core) allKnowPlans() bool {
 	return !slices.ContainsFunc(c.peers, func(p *peer) bool { return !p.knowsPlans })
 }
-
-// termGuard has the term written in the guarded form, once.
-type termGuard struct {
-	wanted bool // nothing else is written until it is settled
-	busy   bool
-}
-
-// guardTerm writes the term anew where that is wanted, once no other write is on its way.
-func (l *leader) guardTerm() {
-	c, g := l.c, &l.guard
-	if !g.wanted || g.busy || l.writes.inFlight > 0 || l.change.wanted || c.stateDown || !c.elect.inTime() {
-		return
-	}
-	value, err := json.Marshal(guardedTerm{Term: [1]uint64{l.term}, Node: c.set.Node})
-	if err != nil {
-		return
-	}
-	g.busy = true
-	id := l.stateCall(func(r Result) {
-		g.busy, g.wanted = false, false
-		switch r.Outcome {
-		case call.OK:
-			l.version = r.Txn.Revision
-			if l.version > c.dir.termVersion {
-				c.dir.term, c.dir.termVersion, c.dir.termGuarded = termValue{l.term, c.set.Node}, l.version, true
-			}
-			c.log(Info, "only versions that know rollout plans may lead from now on", "term", l.term)
-		case call.Conflict, call.Unknown:
-			// It was applied, its outcome unknown, or the term has moved on. The next leader finds out.
-			c.elect.stepDown("the form of the term may have changed")
-		}
-	})
-	c.send(StateTxn{ID: id, Txn: wire.Txn{If: []wire.Cond{{Key: keyTerm, Version: l.version}},
-		Then: []wire.Op{{Put: keyTerm, Value: value}}}})
-}
--- a/internal/core/plan_requests.go
+++ b/internal/core/plan_requests.go
@@ -107,8 +107,8 @@
 		c.later(in.Req, 503, notAvailable)
 	case !c.allKnowPlans():
 		c.later(in.Req, 503, "not every controller is known to run a version with rollouts")
-	case !c.dir.termGuarded:
-		l.guard.wanted = true
+	case c.dir.termForm < plansTerm:
+		l.guard.want(plansTerm)
 		c.later(in.Req, 503, notAvailable)
 	default:
 		if err := l.checkPlan(in.Plan); err != nil {
--- a/internal/core/writer.go
+++ b/internal/core/writer.go
@@ -72,7 +72,7 @@
 		c.at(w.notBefore)
 		return
 	}
-	if w.l.change.wanted || w.l.guard.wanted {
+	if w.l.change.wanted || w.l.guard.wanted != openTerm {
 		return
 	}
 	for w.inFlight < 2 && !c.stateDown {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -142,3 +142,16 @@
 		}
 	}
 }
+
+// BenchmarkRecorder takes what a report costs the recorder, off and on: an input, a request and a call.
+func BenchmarkRecorder(b *testing.B) {
+	for name, r := range map[string]*Recorder{"off": nil, "on": New(func() Status { return Status{} })} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				r.Input("report", time.Millisecond)
+				r.Request("report", http.StatusOK)
+				r.Call(StateService, "txn", "ok")
+			}
+		})
+	}
+}
