Waits of requests hold back renting alone, not decisions and answers

A moment with many requests, as after a takeover, made rounds and polls wait up to four times as long, when they were needed most.

Change: what is learned from waits says only whether machines are rented.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,7 +51,8 @@
 	// shedding tells that users are sent to other nodes.
 	shedding bool
 	pacer    *pacing.Pacer
-	load     *pacing.Load
+	load     *pacing.Load // by late timers
+	backlog  *pacing.Load // by requests that have waited, too
 	sized    sizeWarnings
 }
 
@@ -109,6 +110,7 @@
 		pending: map[uint64]func(Result){}, lastReport: -1}
 	c.pacer = pacing.NewPacer(c.t.report, c.t.lease, wire.ReportTimeout)
 	c.load = pacing.NewLoad(c.t.heartbeat, c.t.lease)
+	c.backlog = pacing.NewLoad(c.t.heartbeat, c.t.lease)
 	c.dir = newDirectory()
 	c.deps = newDependencies(c)
 	c.limits = newLimits(s.Params.State)
--- a/internal/core/load.go
+++ b/internal/core/load.go
@@ -1,5 +1,7 @@
 package core
 
+import "time"
+
 // A node that is short of processor time does what matters first: reports are answered, seldomer (held_answers.go);
 // users are sent to nodes with time to spare; polls and rounds wait longer for others of their kind.
 
@@ -18,20 +20,25 @@
 	return 1 + (slowestFactor-1)*c.load.Level(c.now.Steady)
 }
 
-// observeLoad takes in how late this step comes: the last one asked to be woken before, or its input has waited.
+// observeLoad takes in how late this step comes: the last one asked to be woken before. Its input may have waited besides.
 func (c *Core) observeLoad() {
-	late := c.now.Waited
+	late := time.Duration(0)
 	if c.wake != 0 {
-		late = max(late, c.now.Steady-c.wake)
+		late = max(0, c.now.Steady-c.wake)
 	}
 	if late > 0 {
 		c.load.Observe(c.now.Steady, late)
 	}
+	if waited := max(late, c.now.Waited); waited > 0 {
+		c.backlog.Observe(c.now.Steady, waited)
+	}
 	c.shedUsers()
 }
 
 // overloaded tells whether this node has so little processor time to spare that a larger fleet would be too much for it.
-func (c *Core) overloaded() bool { return c.load.Level(c.now.Steady) > shedAbove }
+// Requests that have waited tell it as well as late timers: a core that takes one input after the other has its timers in
+// time. They tell nothing else, since a moment with many requests is no reason to decide later.
+func (c *Core) overloaded() bool { return c.backlog.Level(c.now.Steady) > shedAbove }
 
 // shedUsers decides whether the load balancer is to send users elsewhere. The leader alone does: it has work that
 // nobody else can do, and the others keep each other's users.
