A limit that changes over regions; accounts are written two at a time, read when they change, asked for seldomer in vain

Need: a limit that was lowered in all settings was not kept (accounts still added up to the old one), and 350 accounts would have been written at once.

Change: accounts keep parts of the whole that was divided first, and are gone by as the same parts of what the settings have now, rounded down: never above the limit, nor above the higher one while regions differ. No message is needed. Accounts are written two at a time and within the leader's write rate; a region that gets nothing asks up to ten times as seldom.

Tests: TestLimitChanges (lowered in one region after the other, raised), TestOtherWhole (drawn).

--- a/internal/allowance/account.go
+++ b/internal/allowance/account.go
@@ -74,6 +74,33 @@
 	return a
 }
 
+// Usable gives what of a whole may be used by an account of it. Accounts keep parts of the whole that was divided first; where
+// the whole is another one by now, the parts are parts of that: rounded down, so that those of all regions are not above it.
+// What had no limit when it was divided is divided by the parts that regions began with.
+func (a *Account) Usable(held, whole Share, initial Share) Share {
+	usable := Share{Limit: held.Limit.scaled(a.Whole.Limit, whole.Limit, false),
+		Guarantee: held.Guarantee.scaled(a.Whole.Guarantee, whole.Guarantee, false)}
+	usable.Limit = usable.Limit.where(a.Whole.Limit, initial.Limit)
+	usable.Guarantee = usable.Guarantee.where(a.Whole.Guarantee, initial.Guarantee)
+	return usable
+}
+
+// where gives the amounts, but others where a whole has nothing.
+func (a Amount) where(whole, others Amount) Amount {
+	if whole.GPUs == 0 {
+		a.GPUs = others.GPUs
+	}
+	if whole.CPUs == 0 {
+		a.CPUs = others.CPUs
+	}
+	return a
+}
+
+// Stored gives a share of a whole as accounts keep it, rounded up: for what is needed.
+func (a *Account) Stored(s, whole Share) Share {
+	return Share{Limit: s.Limit.scaled(whole.Limit, a.Whole.Limit, true), Guarantee: s.Guarantee.scaled(whole.Guarantee, a.Whole.Guarantee, true)}
+}
+
 // upTo gives a fraction of a share, rounded down.
 func (s Share) upTo(fraction float64) Share {
 	part := func(x int64) int64 { return int64(float64(x)*fraction + roundingError) }
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -134,6 +134,31 @@
 	}
 }
 
+// However the limit changes after it was divided, what regions may use of it is not above it, and what is needed of it
+// is not below when it is kept as a part of what was divided.
+func TestOtherWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		divided := Share{Limit: AtMost(float64(rapid.IntRange(1, 5000).Draw(t, "divided")), 0)}
+		now := Share{Limit: AtMost(float64(rapid.IntRange(1, 5000).Draw(t, "now")), 30)}
+		regions := regionsOf(0.5, 0.3, 0.2)
+		var usable Share
+		for _, r := range regions {
+			a := Initial(divided, regions, r.Name)
+			mine := a.Usable(a.Held, now, Initial(now, regions, r.Name).Held)
+			usable = usable.Plus(mine)
+			if kept := a.Stored(mine, now); !mine.Minus(a.Usable(kept, now, Share{Limit: Amount{CPUs: mine.Limit.CPUs}})).Zero() {
+				t.Fatalf("%+v is kept as %+v, which is too little", mine, kept)
+			}
+		}
+		if !usable.Minus(now).Zero() {
+			t.Fatalf("%+v may be used of %+v", usable, now)
+		}
+		if usable.Limit.CPUs != now.Limit.CPUs {
+			t.Fatalf("%+v may be used of a limit that is new, of %+v", usable, now)
+		}
+	})
+}
+
 // Amounts of floating-point numbers neither grow beyond a limit nor hide a use.
 func TestAmounts(t *testing.T) {
 	x := 0.0
--- a/internal/allowance/amount.go
+++ b/internal/allowance/amount.go
@@ -5,7 +5,10 @@
 // says what an account becomes; the caller commits that before anybody acts by it.
 package allowance
 
-import "math"
+import (
+	"math"
+	"math/bits"
+)
 
 // Amount is a number of GPUs and CPUs, in thousandths: sums of it are exact.
 type Amount struct {
@@ -47,6 +50,23 @@
 // Zero tells whether there is nothing.
 func (a Amount) Zero() bool { return a == Amount{} }
 
+// scaled gives an amount that is to another whole what this one is to its own, rounded down, or up. What is beyond its own is
+// cut off.
+func (a Amount) scaled(from, to Amount, up bool) Amount {
+	part := func(x, from, to int64) int64 {
+		if from == 0 || from == to {
+			return x
+		}
+		high, low := bits.Mul64(uint64(min(x, from)), uint64(to))
+		whole, rest := bits.Div64(high, low, uint64(from))
+		if up && rest > 0 {
+			whole++
+		}
+		return int64(whole)
+	}
+	return Amount{part(a.GPUs, from.GPUs, to.GPUs), part(a.CPUs, from.CPUs, to.CPUs)}
+}
+
 // Share is a part of a team's limit and of its guarantee.
 type Share struct {
 	Limit     Amount `json:"l,omitzero"`
@@ -66,5 +86,10 @@
 // Min gives the lesser of each.
 func (s Share) Min(t Share) Share { return Share{s.Limit.Min(t.Limit), s.Guarantee.Min(t.Guarantee)} }
 
+// Half gives half of each, rounded down.
+func (s Share) Half() Share {
+	return Share{Limit: Amount{s.Limit.GPUs / 2, s.Limit.CPUs / 2}, Guarantee: Amount{s.Guarantee.GPUs / 2, s.Guarantee.CPUs / 2}}
+}
+
 // Zero tells whether there is nothing.
 func (s Share) Zero() bool { return s.Limit.Zero() && s.Guarantee.Zero() }
--- /dev/null
+++ b/internal/core/allowance_messages.go
@@ -0,0 +1,83 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bitternwing/internal/call"
+)
+
+// deliver sends the transfers that are on their way, the oldest to each region, until their receivers have them.
+func (a *allowances) deliver(name string, t *teamAllowance) {
+	c := a.l.c
+	for _, transfer := range t.account.Outgoing {
+		to := transfer.To
+		if t.delivering[to] {
+			continue
+		}
+		t.delivering[to] = true
+		t.attempts++
+		id := a.l.call(func(r Result) {
+			delete(t.delivering, to)
+			if r.Outcome == call.OK {
+				a.settle(t, to, transfer.Number)
+			}
+		})
+		c.send(RegionCall{ID: id, Region: to, Attempt: t.attempts, Deliver: &DeliverAllowance{Team: name, Whole: t.whole, Transfer: transfer}})
+	}
+}
+
+// settle takes a transfer out of the account whose receiver has it. A write that can't be made now is made after the next
+// delivery, which the receiver knows already.
+func (a *allowances) settle(t *teamAllowance, to string, number uint64) {
+	c := a.l.c
+	if t.writing || t.account == nil || !a.mayWrite() || !c.elect.inTime() || c.stateDown {
+		return
+	}
+	if next := t.account.Settle(to, number); next != t.account {
+		a.commit(t, next, func(Result) {})
+	}
+}
+
+// mostAskHeartbeats is how long a region that gets nothing waits between two requests for a team, in heartbeat intervals.
+const mostAskHeartbeats = 10
+
+// ask asks the other regions, one after the other, for what this one's work lacks.
+func (a *allowances) ask(name string, t *teamAllowance, need teamNeed) {
+	c := a.l.c
+	missing := t.account.Missing(t.account.Stored(both(need.used.Plus(need.waiting)), t.whole))
+	others := c.op.Regions.Others()
+	if missing.Zero() || t.asking || c.now.Steady < t.askAt || len(others) == 0 {
+		return
+	}
+	t.asking = true
+	t.attempts++
+	region := others[t.nextRegion%len(others)]
+	t.nextRegion++
+	id := a.l.call(func(Result) {
+		t.asking = false
+		t.asked++
+		t.askAt = c.now.Steady + c.t.heartbeat*time.Duration(min(1+t.asked/len(others), mostAskHeartbeats))
+	})
+	c.send(RegionCall{ID: id, Region: region, Attempt: t.attempts,
+		Ask: &AskAllowance{From: c.op.Regions.Name, Team: name, Whole: t.whole, Share: missing}})
+}
+
+// refuse tells the regions whose messages wait to come back.
+func (t *teamAllowance) refuse(c *Core) {
+	for _, in := range t.asks {
+		c.later(in.Req, 503, notAvailable)
+	}
+	for _, in := range t.deliveries {
+		c.later(in.Req, 503, notAvailable)
+	}
+	t.asks, t.deliveries = nil, nil
+}
+
+// refuseWaiting tells all regions whose messages wait to come back, at the end of this term.
+func (a *allowances) refuseWaiting() {
+	for _, name := range slices.Sorted(maps.Keys(a.teams)) {
+		a.teams[name].refuse(a.l.c)
+	}
+}
--- a/internal/core/allowance_records.go
+++ b/internal/core/allowance_records.go
@@ -20,36 +20,45 @@
 	version uint64
 }
 
-// accountsOf keeps the accounts that are watched, by key.
-type accountsOf map[string]*storedAccount
+// accountsOf keeps the accounts that are watched.
+type accountsOf struct {
+	byKey   map[string]*storedAccount
+	changes uint64
+}
+
+func newAccountsOf() accountsOf { return accountsOf{byKey: map[string]*storedAccount{}} }
 
 // apply takes an account's value. Accounts are never deleted; an end that is seen all the same is taken for one that
 // can't be read, since a fresh account would be a second one.
-func (a accountsOf) apply(key string, value json.RawMessage, version uint64) {
-	if old := a[key]; old != nil && old.version >= version {
+func (a *accountsOf) apply(key string, value json.RawMessage, version uint64) {
+	if old := a.byKey[key]; old != nil && old.version >= version {
 		return
 	}
+	a.changes++
 	account, err := allowance.Decode(value)
 	if err != nil {
 		account = nil
 	}
-	a[key] = &storedAccount{account: account, problem: err, version: version}
+	a.byKey[key] = &storedAccount{account: account, problem: err, version: version}
 }
 
 // reread takes accounts that were read anew, up to a revision. What was heard of since stays.
-func (a accountsOf) reread(read accountsOf, revision uint64) {
-	for key, old := range a {
-		if now := read[key]; now == nil && old.version <= revision {
-			delete(a, key)
+func (a *accountsOf) reread(read accountsOf, revision uint64) {
+	a.changes++
+	for key, old := range a.byKey {
+		if now := read.byKey[key]; now == nil && old.version <= revision {
+			delete(a.byKey, key)
 		}
 	}
-	for key, now := range read {
-		if old := a[key]; old == nil || old.version < now.version {
-			a[key] = now
+	for key, now := range read.byKey {
+		if old := a.byKey[key]; old == nil || old.version < now.version {
+			a.byKey[key] = now
 		}
 	}
 }
 
 // dividedElsewhere tells whether this region's limits are divided among regions while this node's settings know of none:
 // it would go by the whole limits, and so must not lead.
-func (c *Core) dividedElsewhere() bool { return len(c.dir.accounts) > 0 && !c.op.Regions.Enabled() }
+func (c *Core) dividedElsewhere() bool {
+	return len(c.dir.accounts.byKey) > 0 && !c.op.Regions.Enabled()
+}
--- a/internal/core/allowance_test.go
+++ b/internal/core/allowance_test.go
@@ -247,6 +247,26 @@
 	w.usesAll("t1")
 }
 
+// TestLimitChanges lowers the limit in one region after the other, and raises it: none is past the old one before all have the
+// new one, and then all of that is used.
+func TestLimitChanges(t *testing.T) {
+	w := newRegionWorld(t, 2)
+	w.setLimit(0, 24)
+	w.submit(0, "t1", 24, 2)
+	ids := w.submit(1, "t1", 24, 2)
+	w.advance(20 * time.Second)
+	if north, south := w.regions[0].used("t1"), w.regions[1].used("t1"); north != 12 || south != 24 {
+		t.Errorf("the regions use %g and %g while their limits differ, not their parts of them", north, south)
+	}
+	w.cancel(1, ids)
+	w.setLimit(1, 24)
+	w.submit(1, "t1", 24, 2)
+	w.usesAll("t1")
+	w.setLimit(0, 72)
+	w.setLimit(1, 72)
+	w.usesAll("t1")
+}
+
 // TestOtherLimits has a region whose settings give a team another limit: it gets nothing of it, and gives nothing.
 func TestOtherLimits(t *testing.T) {
 	w := newRegionWorld(t, 2)
--- a/internal/core/allowances.go
+++ b/internal/core/allowances.go
@@ -1,30 +1,30 @@
 package core
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"time"
 
 	"bitternwing/internal/allowance"
-	"bitternwing/internal/call"
 	"bitternwing/internal/config"
-	"bitternwing/internal/wire"
 )
 
 // allowances keeps a leader within what its region holds of the teams' limits and guarantees, hands parts of it to
 // regions that lack them, and asks for what its own work lacks. An account is committed before anybody acts by it.
 type allowances struct {
-	l     *leader
-	at    time.Duration
-	teams map[string]*teamAllowance
+	l        *leader
+	at       time.Duration
+	teams    map[string]*teamAllowance
+	inFlight int    // writes of accounts
+	seen     uint64 // changes of the directory's accounts that were taken in
 }
 
 // teamAllowance is a team's allowance while a leader goes by it.
 type teamAllowance struct {
 	// effective is the team with the limits and guarantees that may be gone by now; jobs of the team point to it.
 	effective config.Team
-	whole     allowance.Share
+	whole     allowance.Share // by the settings
+	initial   allowance.Share // what this region would begin with
 	key       string
 	account   *allowance.Account // as it is stored; nil: it is not there, or can't be read
 	version   uint64
@@ -39,6 +39,7 @@
 	asking     bool
 	nextRegion int // that is asked
 	askAt      time.Duration
+	asked      int // times, since something came last
 	attempts   int
 	differs    bool // a region has another limit of the team
 }
@@ -55,6 +56,7 @@
 	for _, team := range l.c.set.Params.Teams {
 		t := &teamAllowance{effective: team, key: allowanceKey(team.Name), delivering: map[string]bool{},
 			whole: allowance.Share{Limit: allowance.AtMost(team.GPUsMax, team.CPUsMax), Guarantee: allowance.AtMost(team.GPUs, team.CPUs)}}
+		t.initial = allowance.Initial(t.whole, l.c.regionParts(), l.c.op.Regions.Name).Held
 		t.goBy(allowance.Share{}, team)
 		a.teams[team.Name] = t
 	}
@@ -92,6 +94,14 @@
 	t.effective.GPUs, t.effective.CPUs = part(team.GPUs, guaranteeGPUs), part(team.CPUs, guaranteeCPUs)
 }
 
+// usable gives what of the team's limits, as the settings have them now, may be used here.
+func (t *teamAllowance) usable() allowance.Share {
+	if t.account == nil {
+		return allowance.Share{}
+	}
+	return t.account.Usable(t.held(), t.whole, t.initial)
+}
+
 // held gives what may be gone by: the least of what is stored and of what may yet be.
 func (t *teamAllowance) held() allowance.Share {
 	if t.account == nil {
@@ -110,7 +120,10 @@
 	if len(a.teams) == 0 {
 		return
 	}
-	a.readStored()
+	if a.seen != c.dir.accounts.changes {
+		a.seen = c.dir.accounts.changes
+		a.readStored()
+	}
 	if c.now.Steady < a.at {
 		c.at(a.at)
 		return
@@ -125,7 +138,7 @@
 			t.refuse(c)
 			continue
 		}
-		if !t.writing && c.now.Steady >= t.retryAt {
+		if !t.writing && c.now.Steady >= t.retryAt && a.mayWrite() {
 			a.write(name, t, needs[name])
 		}
 		if t.account != nil {
@@ -138,7 +151,7 @@
 // readStored takes in the accounts as the watch shows them.
 func (a *allowances) readStored() {
 	for _, t := range a.teams {
-		stored := a.l.c.dir.accounts[t.key]
+		stored := a.l.c.dir.accounts.byKey[t.key]
 		if stored == nil || stored.version <= t.version {
 			continue
 		}
@@ -151,6 +164,9 @@
 
 // take goes by an account as it is stored. What was sent to be written before can't be applied any more.
 func (a *allowances) take(t *teamAllowance, account *allowance.Account, version uint64) {
+	if t.account == nil || account == nil || !account.Held.Minus(t.account.Held).Zero() {
+		t.asked = 0
+	}
 	t.account, t.version, t.unsettled = account, version, nil
 	a.refresh(t)
 }
@@ -159,7 +175,7 @@
 func (a *allowances) refresh(t *teamAllowance) {
 	before := t.effective
 	if team := a.l.c.team(t.effective.Name); team != nil {
-		t.goBy(t.held(), *team)
+		t.goBy(t.usable(), *team)
 	}
 	if before != t.effective {
 		a.l.wantRound()
@@ -194,199 +210,14 @@
 	return needs
 }
 
-// all gives the share that all of a team's work takes.
-func (n teamNeed) all() allowance.Share {
-	sum := n.used.Plus(n.waiting)
-	return allowance.Share{Limit: sum, Guarantee: sum}
-}
-
-// kept gives what a region keeps when another one asks: what is used, and of the rest what its own waiting work takes,
-// but no more than half. So neither region's work waits for all of the other's.
-func (n teamNeed) kept(held allowance.Share) allowance.Share {
-	keep := func(held allowance.Amount) allowance.Amount {
-		free := held.Minus(n.used)
-		return n.used.Plus(n.waiting.Min(allowance.Amount{GPUs: free.GPUs / 2, CPUs: free.CPUs / 2}))
-	}
-	return allowance.Share{Limit: keep(held.Limit), Guarantee: keep(held.Guarantee)}
-}
-
-// write commits the first change that an account waits for: the beginning, transfers that came in, requests of others.
-func (a *allowances) write(name string, t *teamAllowance, need teamNeed) {
-	c := a.l.c
-	switch {
-	case t.account == nil && c.dir.accounts[t.key] == nil && c.dir.termForm < regionsTerm:
-		a.l.guard.want(regionsTerm)
-	case t.account == nil && c.dir.accounts[t.key] == nil:
-		a.commit(t, allowance.Initial(t.whole, c.regionParts(), c.op.Regions.Name), func(Result) {})
-	case t.account == nil:
-		t.refuse(c) // it can't be read
-	case len(t.deliveries) > 0:
-		a.takeDelivery(t)
-	case len(t.asks) > 0:
-		a.grant(name, t, need)
-	case len(t.unsettled) > 0:
-		a.commit(t, t.account, func(Result) {}) // so that what was sent before can't be applied any more
-	}
-}
-
-// takeDelivery commits a transfer that came in, and then says so.
-func (a *allowances) takeDelivery(t *teamAllowance) {
-	c, in := a.l.c, t.deliveries[0]
-	t.deliveries = t.deliveries[1:]
-	next, receipt := t.account.Take(in.Transfer)
-	switch receipt {
-	case allowance.OutOfOrder:
-		c.later(in.Req, 503, transferFirst)
-	case allowance.Known:
-		c.answer(in.Req, 200, nil)
-	case allowance.Taken:
-		a.commit(t, next, func(r Result) { c.confirm(in.Req, r) })
-	}
-}
-
-// grant commits a transfer to a region that asks, if there is something to give.
-func (a *allowances) grant(name string, t *teamAllowance, need teamNeed) {
-	c, in := a.l.c, t.asks[0]
-	t.asks = t.asks[1:]
-	next := t.account.Give(c.op.Regions.Name, in.From, in.Share, need.kept(t.held()))
-	if next == nil {
-		c.answer(in.Req, 200, nil)
-		return
-	}
-	c.log(Debug, "allowance given", "team", name, "region", in.From, "gpus", next.Outgoing[len(next.Outgoing)-1].Share.Limit.GPUs)
-	a.commit(t, next, func(r Result) { c.confirm(in.Req, r) })
-}
-
-// confirm answers a region whose message took a commit.
-func (c *Core) confirm(req uint64, r Result) {
-	if r.Outcome == call.OK {
-		c.answer(req, 200, nil)
-		return
-	}
-	c.later(req, 503, notAvailable)
-}
-
-// commit writes an account, on the term and on what it was before. Until that is settled the lesser of both counts.
-func (a *allowances) commit(t *teamAllowance, next *allowance.Account, then func(Result)) {
-	l := a.l
-	value, err := json.Marshal(next)
-	if err != nil {
-		return
-	}
-	t.writing = true
-	t.unsettled = append(t.unsettled, next)
-	a.refresh(t)
-	l.writes.tokens--
-	id := l.stateCall(func(r Result) {
-		t.writing = false
-		a.written(t, next, r)
-		then(r)
-	})
-	l.c.send(StateTxn{ID: id, Txn: wire.Txn{
-		If:   []wire.Cond{{Key: keyTerm, Version: l.version}, {Key: t.key, Version: t.version}},
-		Then: []wire.Op{{Put: t.key, Value: value}},
-	}})
-}
-
-// written takes what became of a write of an account.
-func (a *allowances) written(t *teamAllowance, next *allowance.Account, r Result) {
-	c := a.l.c
-	switch {
-	case r.Outcome == call.OK:
-		a.take(t, next, r.Txn.Revision)
-	case r.Outcome == call.Conflict && slices.Contains(r.Txn.Failed, keyTerm):
-		c.elect.stepDown("the term moved on")
-	case r.Outcome == call.Conflict, r.Outcome == call.Unknown:
-		a.reread(t)
-	default:
-		// It was certainly not carried out.
-		t.unsettled = t.unsettled[:len(t.unsettled)-1]
-		a.refresh(t)
-		t.retryAt = c.now.Steady + c.t.retry
-	}
-}
-
-// reread finds out how an account stands. One that is as it was may yet be changed by the write in doubt.
-func (a *allowances) reread(t *teamAllowance) {
-	c := a.l.c
-	t.writing = true
-	id := a.l.stateCall(func(r Result) {
-		t.writing = false
-		t.retryAt = c.now.Steady + c.t.retry
-		if r.Outcome == call.OK && r.Item.Version > t.version {
-			c.dir.accounts.apply(t.key, r.Item.Value, r.Item.Version)
-			a.readStored()
-		}
-	})
-	c.send(StateGet{ID: id, Key: t.key})
-}
-
-// deliver sends the transfers that are on their way, the oldest to each region, until their receivers have them.
-func (a *allowances) deliver(name string, t *teamAllowance) {
-	c := a.l.c
-	for _, transfer := range t.account.Outgoing {
-		to := transfer.To
-		if t.delivering[to] {
-			continue
-		}
-		t.delivering[to] = true
-		t.attempts++
-		id := a.l.call(func(r Result) {
-			delete(t.delivering, to)
-			if r.Outcome == call.OK {
-				a.settle(t, to, transfer.Number)
-			}
-		})
-		c.send(RegionCall{ID: id, Region: to, Attempt: t.attempts, Deliver: &DeliverAllowance{Team: name, Whole: t.whole, Transfer: transfer}})
-	}
-}
+// both gives an amount as a share: of the limit and of the guarantee.
+func both(a allowance.Amount) allowance.Share { return allowance.Share{Limit: a, Guarantee: a} }
 
-// settle takes a transfer out of the account whose receiver has it. A write that can't be made now is made after the next
-// delivery, which the receiver knows already.
-func (a *allowances) settle(t *teamAllowance, to string, number uint64) {
-	c := a.l.c
-	if t.writing || t.account == nil || !c.elect.inTime() || c.stateDown {
-		return
-	}
-	if next := t.account.Settle(to, number); next != t.account {
-		a.commit(t, next, func(Result) {})
-	}
-}
-
-// ask asks the other regions, one after the other, for what this one's work lacks.
-func (a *allowances) ask(name string, t *teamAllowance, need teamNeed) {
-	c := a.l.c
-	missing := t.account.Missing(need.all())
-	others := c.op.Regions.Others()
-	if missing.Zero() || t.asking || c.now.Steady < t.askAt || len(others) == 0 {
-		return
-	}
-	t.asking = true
-	t.attempts++
-	region := others[t.nextRegion%len(others)]
-	t.nextRegion++
-	id := a.l.call(func(Result) {
-		t.asking = false
-		t.askAt = c.now.Steady + c.t.heartbeat
-	})
-	c.send(RegionCall{ID: id, Region: region, Attempt: t.attempts,
-		Ask: &AskAllowance{From: c.op.Regions.Name, Team: name, Whole: t.whole, Share: missing}})
-}
-
-// refuse tells the regions whose messages wait to come back.
-func (t *teamAllowance) refuse(c *Core) {
-	for _, in := range t.asks {
-		c.later(in.Req, 503, notAvailable)
-	}
-	for _, in := range t.deliveries {
-		c.later(in.Req, 503, notAvailable)
-	}
-	t.asks, t.deliveries = nil, nil
-}
-
-// refuseWaiting tells all regions whose messages wait to come back, at the end of this term.
-func (a *allowances) refuseWaiting() {
-	for _, name := range slices.Sorted(maps.Keys(a.teams)) {
-		a.teams[name].refuse(a.l.c)
-	}
+// kept gives what a region keeps when another one asks, as accounts count: what is used, and of the rest what its own
+// waiting work takes, but no more than half. So neither region's work waits for all of the other's.
+func (t *teamAllowance) kept(n teamNeed) allowance.Share {
+	held := t.held()
+	used, all := t.account.Stored(both(n.used), t.whole), t.account.Stored(both(n.used.Plus(n.waiting)), t.whole)
+	free := held.Minus(used)
+	return used.Plus(all.Minus(used).Min(free.Half()))
 }
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -121,7 +121,7 @@
 
 func newDirectory() *directory {
 	return &directory{jobs: map[string]*entry{}, countShards: map[string]*storedValue[map[string]counts]{}, images: map[string]*storedValue[map[string][]string]{},
-		plans: newPlansOf(), accounts: accountsOf{}, unreachable: map[string]unreachablePart{}, finals: map[string]finalValue{}}
+		plans: newPlansOf(), accounts: newAccountsOf(), unreachable: map[string]unreachablePart{}, finals: map[string]finalValue{}}
 }
 
 func (d *directory) leadCond() wire.Cond { return wire.Cond{Key: keyLead, Version: d.leadVersion} }
--- a/internal/core/region_world_test.go
+++ b/internal/core/region_world_test.go
@@ -34,6 +34,7 @@
 	*scaleCluster
 	stateTroubles
 	number  int
+	limit   float64                      // of each team, by its settings
 	pending map[uint64]func(core.Answer) // answers that other regions wait for
 	waiting []string                     // jobs that are not known to be accepted: users hand them in again
 	askedAt time.Duration                // when they did
@@ -73,14 +74,14 @@
 }
 
 func (w *regionWorld) newRegion(number, regions int) *worldRegion {
-	r := &worldRegion{scaleCluster: newScaleCluster(w.t, 3, 0), number: number, pending: map[uint64]func(core.Answer){}}
+	r := &worldRegion{scaleCluster: newScaleCluster(w.t, 3, 0), number: number, limit: regionLimit, pending: map[uint64]func(core.Answer){}}
 	r.op.IdleBoots = 100
 	r.op.Regions = config.Regions{Name: regionName(number)}
 	for i := range regions {
 		r.op.Regions.All = append(r.op.Regions.All, config.Region{Name: regionName(i), Part: 1 / float64(regions)})
 	}
 	r.adjust = func(p *config.Params) {
-		p.Teams = []config.Team{{Name: "t1", GPUs: regionGuarantee, GPUsMax: regionLimit}, {Name: "t2", GPUs: regionGuarantee, GPUsMax: regionLimit}}
+		p.Teams = []config.Team{{Name: "t1", GPUs: regionGuarantee, GPUsMax: r.limit}, {Name: "t2", GPUs: regionGuarantee, GPUsMax: r.limit}}
 	}
 	r.intercept = func(n *scaleNode, e core.Effect) (core.Result, bool) {
 		if e, ok := e.(core.RegionCall); ok {
@@ -287,11 +288,30 @@
 	return a
 }
 
+// limit gives the limit that is in force: a change is once all regions have it, and until then the higher one counts.
+func (w *regionWorld) limit() float64 {
+	limit := 0.0
+	for _, r := range w.regions {
+		limit = max(limit, r.limit)
+	}
+	return limit
+}
+
+// setLimit gives a region's controllers another limit of each team in their settings, and starts them anew.
+func (w *regionWorld) setLimit(region int, limit float64) {
+	w.regions[region].limit = limit
+	for i, n := range w.regions[region].nodes {
+		w.regions[region].start(i)
+		w.regions[region].step(n, core.Tick{})
+	}
+	w.advance(8 * time.Second)
+}
+
 // check checks the limits, and that nothing of them is lost or made.
 func (w *regionWorld) check() {
 	w.t.Helper()
 	for _, team := range []string{"t1", "t2"} {
-		w.overshoot = max(w.overshoot, w.usedBy(team)-regionLimit)
+		w.overshoot = max(w.overshoot, w.usedBy(team)-w.limit())
 		if w.overshoot > 0 {
 			w.t.Fatalf("%v: %s uses %g GPUs", w.regions[0].now, team, w.usedBy(team))
 		}
@@ -340,9 +360,9 @@
 // usesAll lets time pass until a team uses all of its limit, and some more, since a late message may yet bring too much.
 func (w *regionWorld) usesAll(team string) {
 	w.t.Helper()
-	w.until("all of the limit is used", func() bool { return w.usedBy(team) == regionLimit })
+	w.until("all of the limit is used", func() bool { return w.usedBy(team) == w.limit() })
 	w.advance(6 * time.Second)
-	if used := w.usedBy(team); used != regionLimit {
+	if used := w.usedBy(team); used != w.limit() {
 		w.t.Fatalf("%s uses %g GPUs a while later", team, used)
 	}
 }
