Rereading: one merge of what was read anew, one transaction on term and version, one status, one decoding of a term

No change of what is done; found in rereading the whole change.

- What was heard of while the directory was read anew was kept by three pieces of code (jobs, plans, accounts): keepHeardSince serves all.
- Accounts wrote out the transaction that plans had already: keyTxn. planLeader answers for regions too: answeringLeader.
- metrics.Status was a copy of core.Status.
A term was decoded twice to learn its form.
- Accounts: the beginning of each was worked out again for its first write, the regions' parts once for each team, names were sorted and teams looked up each quarter of a heartbeat interval; the other regions were listed before it was known whether to ask.
OnItsWay was used by nobody.
- Settings: the form of addresses is checked in one place; core_share and memory_mb are checked once, by their bounds (the line for 0 names these now).
- Tests: the doubtful gift of two tests is set up once; a number in scripts is read as one.

--- a/internal/allowance/account.go
+++ b/internal/allowance/account.go
@@ -164,12 +164,3 @@
 
 // Missing gives what a region should ask for: what its work needs beyond what it holds, and no more than the whole.
 func (a *Account) Missing(needed Share) Share { return needed.Min(a.Whole).Minus(a.Held) }
-
-// OnItsWay adds up what was handed out and is not known to have come.
-func (a *Account) OnItsWay() Share {
-	var sum Share
-	for _, t := range a.Outgoing {
-		sum = sum.Plus(t.Share)
-	}
-	return sum
-}
--- a/internal/config/regions.go
+++ b/internal/config/regions.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"net"
 )
 
 // Regions are the regions that share the teams' limits and guarantees, each with controllers and a state service of its
@@ -83,8 +82,8 @@
 		return errors.New(": there is none")
 	}
 	for i, addr := range r.Controllers {
-		if _, port, err := net.SplitHostPort(addr); err != nil || port == "" {
-			return fmt.Errorf("/%d: %q is no address of the form host:port", i, addr)
+		if err := checkAddress(addr); err != nil {
+			return fmt.Errorf("/%d: %w", i, err)
 		}
 	}
 	return nil
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -232,6 +232,14 @@
 	return nil
 }
 
+// checkAddress checks the form of an address.
+func checkAddress(addr string) error {
+	if _, port, err := net.SplitHostPort(addr); err != nil || port == "" {
+		return fmt.Errorf("%q is no address of the form host:port", addr)
+	}
+	return nil
+}
+
 // servicesTable is the table of the addresses of other services, of which two may be the same.
 const servicesTable = "outside."
 
@@ -253,8 +261,8 @@
 			return fmt.Errorf("%s: %q is %s already", a.field, a.value, other)
 		}
 		used[a.value] = a.field
-		if _, port, err := net.SplitHostPort(a.value); err != nil || port == "" {
-			return fmt.Errorf("%s: %q is no address of the form host:port", a.field, a.value)
+		if err := checkAddress(a.value); err != nil {
+			return fmt.Errorf("%s: %w", a.field, err)
 		}
 	}
 	return nil
@@ -281,8 +289,6 @@
 		{"params.state.txn_ops", float64(p.State.TxnOps)},
 		{"params.cloud.rps", p.Cloud.RPS},
 		{"params.cloud.list_lag_s", p.Cloud.ListLagS},
-		{"params.limits.core_share", p.Limits.CPUShare},
-		{"params.limits.memory_mb", p.Limits.MemoryMB},
 		{"params.limits.max_connections", float64(p.Limits.MaxConnections)},
 	}
 	for _, f := range append(fields, p.State.Next.positiveFields()...) {
@@ -308,7 +314,7 @@
 		{"params.limits.core_share", p.Limits.CPUShare, leastCPUShare, mostCPUShare},
 		{"params.limits.memory_mb", p.Limits.MemoryMB, leastMemoryMB, mostMemoryMB},
 	} {
-		if bounded.v < bounded.least || bounded.v > bounded.most {
+		if !(bounded.v >= bounded.least && bounded.v <= bounded.most) {
 			return fmt.Errorf("%s: must be from %v to %v, is %v", bounded.field, bounded.least, bounded.most, bounded.v)
 		}
 	}
--- a/internal/core/allowance_messages.go
+++ b/internal/core/allowance_messages.go
@@ -1,15 +1,13 @@
 package core
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"bitternwing/internal/call"
 )
 
 // deliver sends the transfers that are on their way, the oldest to each region, until their receivers have them.
-func (a *allowances) deliver(name string, t *teamAllowance) {
+func (a *allowances) deliver(t *teamAllowance) {
 	c := a.l.c
 	for _, transfer := range t.account.Outgoing {
 		to := transfer.To
@@ -24,7 +22,7 @@
 				a.settle(t, to, transfer.Number)
 			}
 		})
-		c.send(RegionCall{ID: id, Region: to, Attempt: t.attempts, Deliver: &DeliverAllowance{Team: name, Whole: t.whole, Transfer: transfer}})
+		c.send(RegionCall{ID: id, Region: to, Attempt: t.attempts, Deliver: &DeliverAllowance{Team: t.settings.Name, Whole: t.whole, Transfer: transfer}})
 	}
 }
 
@@ -44,11 +42,17 @@
 const mostAskHeartbeats = 10
 
 // ask asks the other regions, one after the other, for what this one's work lacks.
-func (a *allowances) ask(name string, t *teamAllowance, need teamNeed) {
+func (a *allowances) ask(t *teamAllowance, need teamNeed) {
 	c := a.l.c
+	if t.asking || c.now.Steady < t.askAt {
+		return
+	}
 	missing := t.account.Missing(t.account.Stored(both(need.used.Plus(need.waiting)), t.whole))
+	if missing.Zero() {
+		return
+	}
 	others := c.op.Regions.Others()
-	if missing.Zero() || t.asking || c.now.Steady < t.askAt || len(others) == 0 {
+	if len(others) == 0 {
 		return
 	}
 	t.asking = true
@@ -61,7 +65,7 @@
 		t.askAt = c.now.Steady + c.t.heartbeat*time.Duration(min(1+t.asked/len(others), mostAskHeartbeats))
 	})
 	c.send(RegionCall{ID: id, Region: region, Attempt: t.attempts,
-		Ask: &AskAllowance{From: c.op.Regions.Name, Team: name, Whole: t.whole, Share: missing}})
+		Ask: &AskAllowance{From: c.op.Regions.Name, Team: t.settings.Name, Whole: t.whole, Share: missing}})
 }
 
 // refuse tells the regions whose messages wait to come back.
@@ -77,7 +81,7 @@
 
 // refuseWaiting tells all regions whose messages wait to come back, at the end of this term.
 func (a *allowances) refuseWaiting() {
-	for _, name := range slices.Sorted(maps.Keys(a.teams)) {
-		a.teams[name].refuse(a.l.c)
+	for _, t := range a.inOrder {
+		t.refuse(a.l.c)
 	}
 }
--- a/internal/core/allowance_records.go
+++ b/internal/core/allowance_records.go
@@ -44,17 +44,9 @@
 
 // reread takes accounts that were read anew, up to a revision. What was heard of since stays.
 func (a *accountsOf) reread(read accountsOf, revision uint64) {
+	keepHeardSince(read.byKey, a.byKey, revision)
+	a.byKey = read.byKey
 	a.changes++
-	for key, old := range a.byKey {
-		if now := read.byKey[key]; now == nil && old.version <= revision {
-			delete(a.byKey, key)
-		}
-	}
-	for key, now := range read.byKey {
-		if old := a.byKey[key]; old == nil || old.version < now.version {
-			a.byKey[key] = now
-		}
-	}
 }
 
 // dividedElsewhere tells whether this region's limits are divided among regions while this node's settings know of none:
--- a/internal/core/allowance_requests.go
+++ b/internal/core/allowance_requests.go
@@ -48,7 +48,7 @@
 
 // allowancesFor gives the account that a message is about; nil if the message is answered.
 func (c *Core) allowancesFor(req uint64, from, team string, whole allowance.Share) *teamAllowance {
-	l := c.planLeader(req)
+	l := c.answeringLeader(req)
 	if l == nil {
 		return nil
 	}
--- a/internal/core/allowance_test.go
+++ b/internal/core/allowance_test.go
@@ -177,14 +177,21 @@
 	t.Logf("after %v", took)
 }
 
+// giftInDoubt has a region ask the other one for what it lacks, whose write of the transfer is held up, as are so many of its
+// writes of the account.
+func giftInDoubt(t *testing.T, heldUp int) (w *regionWorld, giver *worldRegion) {
+	w = newRegionWorld(t, 2)
+	giver = w.regions[1]
+	giver.delayKey, giver.delay = "w/q/t1", heldUp
+	w.submit(0, "t1", 24, 2)
+	w.until("a transfer is in doubt", func() bool { return len(giver.late) > 0 })
+	return w, giver
+}
+
 // TestGivenInDoubt has a region's write of a transfer be in doubt for a while in which work comes there. It must not use what
 // it may have given; the write is carried out later.
 func TestGivenInDoubt(t *testing.T) {
-	w := newRegionWorld(t, 2)
-	giver := w.regions[1]
-	giver.delayKey, giver.delay = "w/q/t1", 1000
-	w.submit(0, "t1", 24, 2)
-	w.until("a transfer is in doubt", func() bool { return len(giver.late) > 0 })
+	w, _ := giftInDoubt(t, 1000)
 	w.submit(1, "t1", 12, 2)
 	w.advance(4 * time.Second)
 	w.heal()
@@ -194,11 +201,7 @@
 // TestLateGift has the write of a transfer come after its leader has ended, and the next one has given the room to work of
 // its own: the write must not be carried out.
 func TestLateGift(t *testing.T) {
-	w := newRegionWorld(t, 2)
-	giver := w.regions[1]
-	giver.delayKey, giver.delay = "w/q/t1", 1
-	w.submit(0, "t1", 24, 2)
-	w.until("a transfer is in doubt", func() bool { return len(giver.late) > 0 })
+	w, giver := giftInDoubt(t, 1)
 	late := giver.late
 	giver.late = nil
 	w.cutOff(0, true) // so that nothing else is given
--- a/internal/core/allowance_writes.go
+++ b/internal/core/allowance_writes.go
@@ -18,19 +18,19 @@
 }
 
 // write commits the first change that an account waits for: the beginning, transfers that came in, requests of others.
-func (a *allowances) write(name string, t *teamAllowance, need teamNeed) {
+func (a *allowances) write(t *teamAllowance, need teamNeed) {
 	c := a.l.c
 	switch {
 	case t.account == nil && c.dir.accounts.byKey[t.key] == nil && c.dir.termForm < regionsTerm:
 		a.l.guard.want(regionsTerm)
 	case t.account == nil && c.dir.accounts.byKey[t.key] == nil:
-		a.commit(t, allowance.Initial(t.whole, c.regionParts(), c.op.Regions.Name), func(Result) {})
+		a.commit(t, t.initial, func(Result) {})
 	case t.account == nil:
 		t.refuse(c) // it can't be read
 	case len(t.deliveries) > 0:
 		a.takeDelivery(t)
 	case len(t.asks) > 0:
-		a.grant(name, t, need)
+		a.grant(t, need)
 	case len(t.unsettled) > 0:
 		a.commit(t, t.account, func(Result) {}) // so that what was sent before can't be applied any more
 	}
@@ -52,7 +52,7 @@
 }
 
 // grant commits a transfer to a region that asks, if there is something to give.
-func (a *allowances) grant(name string, t *teamAllowance, need teamNeed) {
+func (a *allowances) grant(t *teamAllowance, need teamNeed) {
 	c, in := a.l.c, t.asks[0]
 	t.asks = t.asks[1:]
 	next := t.account.Give(c.op.Regions.Name, in.From, in.Share, t.kept(need))
@@ -60,7 +60,7 @@
 		c.answer(in.Req, 200, nil)
 		return
 	}
-	c.log(Debug, "allowance given", "team", name, "region", in.From, "gpus", next.Outgoing[len(next.Outgoing)-1].Share.Limit.GPUs)
+	c.log(Debug, "allowance given", "team", t.settings.Name, "region", in.From, "gpus", next.Outgoing[len(next.Outgoing)-1].Share.Limit.GPUs)
 	a.commit(t, next, func(r Result) { c.confirm(in.Req, r) })
 }
 
@@ -91,10 +91,7 @@
 		a.written(t, next, r)
 		then(r)
 	})
-	l.c.send(StateTxn{ID: id, Txn: wire.Txn{
-		If:   []wire.Cond{{Key: keyTerm, Version: l.version}, {Key: t.key, Version: t.version}},
-		Then: []wire.Op{{Put: t.key, Value: value}},
-	}})
+	l.c.send(StateTxn{ID: id, Txn: l.keyTxn(t.key, t.version, wire.Op{Put: t.key, Value: value})})
 }
 
 // written takes what became of a write of an account.
--- a/internal/core/allowances.go
+++ b/internal/core/allowances.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"bitternwing/internal/allowance"
@@ -15,16 +13,18 @@
 	l        *leader
 	at       time.Duration
 	teams    map[string]*teamAllowance
-	inFlight int    // writes of accounts
-	seen     uint64 // changes of the directory's accounts that were taken in
+	inOrder  []*teamAllowance // as the settings have them
+	inFlight int              // writes of accounts
+	seen     uint64           // changes of the directory's accounts that were taken in
 }
 
 // teamAllowance is a team's allowance while a leader goes by it.
 type teamAllowance struct {
 	// effective is the team with the limits and guarantees that may be gone by now; jobs of the team point to it.
 	effective config.Team
-	whole     allowance.Share // by the settings
-	initial   allowance.Share // what this region would begin with
+	settings  *config.Team
+	whole     allowance.Share    // by the settings
+	initial   *allowance.Account // with which this region would begin
 	key       string
 	account   *allowance.Account // as it is stored; nil: it is not there, or can't be read
 	version   uint64
@@ -53,12 +53,15 @@
 	if !l.c.op.Regions.Enabled() {
 		return a
 	}
-	for _, team := range l.c.set.Params.Teams {
-		t := &teamAllowance{effective: team, key: allowanceKey(team.Name), delivering: map[string]bool{},
+	parts := l.c.regionParts()
+	for i := range l.c.set.Params.Teams {
+		team := &l.c.set.Params.Teams[i]
+		t := &teamAllowance{effective: *team, settings: team, key: allowanceKey(team.Name), delivering: map[string]bool{},
 			whole: allowance.Share{Limit: allowance.AtMost(team.GPUsMax, team.CPUsMax), Guarantee: allowance.AtMost(team.GPUs, team.CPUs)}}
-		t.initial = allowance.Initial(t.whole, l.c.regionParts(), l.c.op.Regions.Name).Held
-		t.goBy(allowance.Share{}, team)
+		t.initial = allowance.Initial(t.whole, parts, l.c.op.Regions.Name)
+		t.goBy(allowance.Share{})
 		a.teams[team.Name] = t
+		a.inOrder = append(a.inOrder, t)
 	}
 	return a
 }
@@ -81,7 +84,8 @@
 }
 
 // goBy sets the effective limits and guarantees to what is held; where the whole has none there is none.
-func (t *teamAllowance) goBy(held allowance.Share, team config.Team) {
+func (t *teamAllowance) goBy(held allowance.Share) {
+	team := t.settings
 	part := func(whole, held float64) float64 {
 		if whole == 0 {
 			return 0
@@ -99,7 +103,7 @@
 	if t.account == nil {
 		return allowance.Share{}
 	}
-	return t.account.Usable(t.held(), t.whole, t.initial)
+	return t.account.Usable(t.held(), t.whole, t.initial.Held)
 }
 
 // held gives what may be gone by: the least of what is stored and of what may yet be.
@@ -132,25 +136,25 @@
 	c.at(a.at)
 	mayWrite := c.elect.inTime() && !c.stateDown
 	needs := a.needs()
-	for _, name := range slices.Sorted(maps.Keys(a.teams)) {
-		t := a.teams[name]
+	for _, t := range a.inOrder {
 		if !mayWrite {
 			t.refuse(c)
 			continue
 		}
+		need := needs[t.settings.Name]
 		if !t.writing && c.now.Steady >= t.retryAt && a.mayWrite() {
-			a.write(name, t, needs[name])
+			a.write(t, need)
 		}
 		if t.account != nil {
-			a.deliver(name, t)
-			a.ask(name, t, needs[name])
+			a.deliver(t)
+			a.ask(t, need)
 		}
 	}
 }
 
 // readStored takes in the accounts as the watch shows them.
 func (a *allowances) readStored() {
-	for _, t := range a.teams {
+	for _, t := range a.inOrder {
 		stored := a.l.c.dir.accounts.byKey[t.key]
 		if stored == nil || stored.version <= t.version {
 			continue
@@ -174,9 +178,7 @@
 // refresh brings the effective limits up to date, and has a round held.
 func (a *allowances) refresh(t *teamAllowance) {
 	before := t.effective
-	if team := a.l.c.team(t.effective.Name); team != nil {
-		t.goBy(t.usable(), *team)
-	}
+	t.goBy(t.usable())
 	if before != t.effective {
 		a.l.wantRound()
 	}
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -67,16 +67,15 @@
 	return json.Marshal(t)
 }
 
-// decodeTerm reads a term in either form.
-func decodeTerm(value json.RawMessage) (termValue, bool) {
+// decodeTerm reads a term in any form, and tells which one it is.
+func decodeTerm(value json.RawMessage) (termValue, termForm, bool) {
 	if t, ok := decode[termValue](value); ok {
-		return t, true
+		return t, openTerm, true
 	}
 	if t, ok := decode[fencedTerm](value); ok {
-		return termValue(t), true
+		return termValue(t), openTerm, true
 	}
-	t, _, ok := decodeGuardedTerm(value)
-	return t, ok
+	return decodeGuardedTerm(value)
 }
 
 // counts of a job: running, done.
@@ -199,6 +198,27 @@
 	}
 }
 
+// versioned is a value of a key as it was read at a version.
+type versioned interface {
+	comparable
+	readAt() uint64
+}
+
+func (e *entry) readAt() uint64         { return e.version }
+func (p *storedPlan) readAt() uint64    { return p.version }
+func (a *storedAccount) readAt() uint64 { return a.version }
+
+// keepHeardSince adds to what was read anew, up to a revision, what was heard of since the reading began. The watch brings
+// that, or its end, once more; until then it must not be forgotten.
+func keepHeardSince[V versioned](read, before map[string]V, revision uint64) {
+	var none V
+	for key, old := range before {
+		if now := read[key]; old.readAt() > revision && (now == none || now.readAt() < old.readAt()) {
+			read[key] = old
+		}
+	}
+}
+
 func (d *directory) applyLead(value json.RawMessage, version uint64) {
 	d.leadVersion, d.lead = 0, leadValue{}
 	if v, ok := decode[leadValue](value); ok {
@@ -207,11 +227,8 @@
 }
 
 func (d *directory) applyTerm(value json.RawMessage, version uint64) {
-	if v, ok := decodeTerm(value); ok && version > d.termVersion {
-		d.term, d.termVersion = v, version
-		if _, form, ok := decodeGuardedTerm(value); ok {
-			d.termForm = form
-		}
+	if v, form, ok := decodeTerm(value); ok && version > d.termVersion {
+		d.term, d.termVersion, d.termForm = v, version, max(d.termForm, form)
 	}
 }
 
@@ -345,13 +362,7 @@
 			return
 		}
 		old := d.jobs
-		for id, e := range old {
-			// Heard of since the reading began: the watch brings it, or its end, once more. Until
-			// then it must not be forgotten.
-			if x := l.jobs[id]; e.version > l.revision && (x == nil || x.version < e.version) {
-				l.jobs[id] = e
-			}
-		}
+		keepHeardSince(l.jobs, old, l.revision)
 		d.jobs, d.lead, d.leadVersion = l.jobs, l.lead, l.leadVersion
 		if l.termVersion > d.termVersion {
 			d.term, d.termVersion, d.termForm = l.term, l.termVersion, l.termForm
--- a/internal/core/placement_requests.go
+++ b/internal/core/placement_requests.go
@@ -29,7 +29,7 @@
 
 // showPlacements answers with the places of a job's replicas, and tells of that job alone.
 func (c *Core) showPlacements(in ShowPlacements) {
-	l := c.planLeader(in.Req)
+	l := c.answeringLeader(in.Req)
 	if l == nil {
 		return
 	}
--- a/internal/core/plan_records.go
+++ b/internal/core/plan_records.go
@@ -61,11 +61,7 @@
 
 // reread takes plans that were read anew, up to a revision. What was heard of since stays.
 func (p *plansOf) reread(read plansOf, revision uint64) {
-	for name, old := range p.byName {
-		if now := read.byName[name]; old.version > revision && (now == nil || now.version < old.version) {
-			read.byName[name] = old
-		}
-	}
+	keepHeardSince(read.byName, p.byName, revision)
 	*p = read
 	p.index()
 }
--- a/internal/core/plan_requests.go
+++ b/internal/core/plan_requests.go
@@ -66,8 +66,8 @@
 	notAvailable = "can't be confirmed now"
 )
 
-// planLeader gives the leader if it may answer; else the request is answered.
-func (c *Core) planLeader(req uint64) *leader {
+// answeringLeader gives the leader if it may answer; else the request is answered.
+func (c *Core) answeringLeader(req uint64) *leader {
 	l := c.lead
 	if l == nil {
 		to := ""
@@ -89,7 +89,7 @@
 
 // applyPlanRequest takes a plan, if its jobs and its team allow it.
 func (c *Core) applyPlanRequest(in ApplyPlan) {
-	l := c.planLeader(in.Req)
+	l := c.answeringLeader(in.Req)
 	if l == nil {
 		return
 	}
@@ -205,7 +205,7 @@
 
 // newPlanTxn writes a plan on the condition that its jobs are as they were seen.
 func (l *leader) newPlanTxn(plan *rollout.Plan, value json.RawMessage) wire.Txn {
-	txn := l.planTxn(plan.Name, 0, wire.Op{Put: keyPlans + plan.Name, Value: value})
+	txn := l.keyTxn(keyPlans+plan.Name, 0, wire.Op{Put: keyPlans + plan.Name, Value: value})
 	for _, id := range plan.Jobs() {
 		cond := wire.Cond{Key: keyFinal + id}
 		if e := l.c.dir.jobs[id]; e != nil {
@@ -241,7 +241,7 @@
 
 // changePlan takes a change of an operator, which is answered once it is committed.
 func (c *Core) changePlan(in ChangePlan) {
-	l := c.planLeader(in.Req)
+	l := c.answeringLeader(in.Req)
 	if l == nil {
 		return
 	}
@@ -282,7 +282,7 @@
 
 // showPlan answers how a plan stands.
 func (c *Core) showPlan(in ShowPlan) {
-	l := c.planLeader(in.Req)
+	l := c.answeringLeader(in.Req)
 	if l == nil {
 		return
 	}
--- a/internal/core/plan_routers.go
+++ b/internal/core/plan_routers.go
@@ -28,7 +28,7 @@
 
 // routePlan gives a router its routing, with a lease.
 func (c *Core) routePlan(in RoutePlan) {
-	l := c.planLeader(in.Req)
+	l := c.answeringLeader(in.Req)
 	if l == nil {
 		return
 	}
--- a/internal/core/plan_runs.go
+++ b/internal/core/plan_runs.go
@@ -334,9 +334,9 @@
 	}
 }
 
-// planTxn is a change of a plan, conditional on the term and on the plan's version.
-func (l *leader) planTxn(name string, version uint64, op wire.Op) wire.Txn {
-	return wire.Txn{If: []wire.Cond{{Key: keyTerm, Version: l.version}, {Key: keyPlans + name, Version: version}}, Then: []wire.Op{op}}
+// keyTxn is a change of a key, conditional on the term and on the key's version.
+func (l *leader) keyTxn(key string, version uint64, op wire.Op) wire.Txn {
+	return wire.Txn{If: []wire.Cond{{Key: keyTerm, Version: l.version}, {Key: key, Version: version}}, Then: []wire.Op{op}}
 }
 
 // commitPlan writes a plan's next record. Nothing is done by it before that is known to be written.
@@ -357,7 +357,7 @@
 		}
 		then(r)
 	})
-	c.send(StateTxn{ID: id, Txn: l.planTxn(run.name, stored.version, wire.Op{Put: keyPlans + run.name, Value: value})})
+	c.send(StateTxn{ID: id, Txn: l.keyTxn(keyPlans+run.name, stored.version, wire.Op{Put: keyPlans + run.name, Value: value})})
 }
 
 // commitTransition writes a plan's next phase, or an operator's change, and logs it.
@@ -418,7 +418,7 @@
 		run.writing = false
 		l.planWritten(run, r, nil)
 	})
-	l.c.send(StateTxn{ID: id, Txn: l.planTxn(run.name, stored.version, wire.Op{Delete: keyPlans + run.name})})
+	l.c.send(StateTxn{ID: id, Txn: l.keyTxn(keyPlans+run.name, stored.version, wire.Op{Delete: keyPlans + run.name})})
 }
 
 // applyPlan takes a plan's key as it was read, written or heard of.
--- a/internal/core/production_format_test.go
+++ b/internal/core/production_format_test.go
@@ -120,7 +120,7 @@
 		if _, ok := decode[productionTerm](value); ok != c.reads {
 			t.Errorf("%s is read: %v", value, ok)
 		}
-		if term, ok := decodeTerm(value); !ok || term != (termValue{12, "a"}) {
+		if term, _, ok := decodeTerm(value); !ok || term != (termValue{12, "a"}) {
 			t.Errorf("%s is %+v here", value, term)
 		}
 	}
--- a/internal/core/script_test.go
+++ b/internal/core/script_test.go
@@ -48,7 +48,11 @@
 			continue
 		case "room":
 			begin()
-			s.perZone = int(parseSeconds(t, f[1]).Seconds())
+			rooms, err := strconv.Atoi(f[1])
+			if err != nil {
+				t.Fatalf("not a number: %s", f[1])
+			}
+			s.perZone = rooms
 			continue
 		case "calm", "end":
 			begin()
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"bitternwing/internal/core"
 )
 
 // countingListener counts the connections that are open at the same time.
@@ -54,7 +56,7 @@
 		t.Fatal(err)
 	}
 	l := &countingListener{Listener: inner}
-	s := NewServer(New(func() Status { return Status{Leading: true, Load: 0.5} }), options, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s := NewServer(New(func() core.Status { return core.Status{Leading: true, Load: 0.5} }), options, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return inner.Addr().String(), l
@@ -62,7 +64,7 @@
 
 // Names and help texts follow Prometheus' conventions.
 func TestNames(t *testing.T) {
-	r := New(func() Status { return Status{} })
+	r := New(func() core.Status { return core.Status{} })
 	r.Input("report", time.Millisecond)
 	r.Request("poll", http.StatusOK)
 	r.Call(StateService, "txn", "ok")
@@ -145,7 +147,7 @@
 
 // BenchmarkRecorder takes what a report costs the recorder, off and on: an input, a request and a call.
 func BenchmarkRecorder(b *testing.B) {
-	for name, r := range map[string]*Recorder{"off": nil, "on": New(func() Status { return Status{} })} {
+	for name, r := range map[string]*Recorder{"off": nil, "on": New(func() core.Status { return core.Status{} })} {
 		b.Run(name, func(b *testing.B) {
 			for range b.N {
 				r.Input("report", time.Millisecond)
--- a/internal/metrics/recorder.go
+++ b/internal/metrics/recorder.go
@@ -9,20 +9,13 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"bitternwing/internal/core"
 )
 
 // namespace begins the names of all metrics of a node.
 const namespace = "bitternwing"
 
-// Status is what a node shows of itself at a moment.
-type Status struct {
-	Leading     bool
-	TermsLed    uint64  // since the process began
-	Load        float64 // how short of processor time it is, between 0 and 1
-	HeldAnswers int     // to reports, that are held back
-	Machines    int     // that a leader looks after
-}
-
 // Service names what a node makes calls to.
 type Service string
 
@@ -46,7 +39,7 @@
 }
 
 // New makes a recorder; status is asked at each scrape.
-func New(status func() Status) *Recorder {
+func New(status func() core.Status) *Recorder {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 	}
@@ -89,11 +82,11 @@
 
 // statusCollector gives a node's status as metrics.
 type statusCollector struct {
-	status                                         func() Status
+	status                                         func() core.Status
 	leading, termsLed, load, heldAnswers, machines *prometheus.Desc
 }
 
-func newStatusCollector(status func() Status) *statusCollector {
+func newStatusCollector(status func() core.Status) *statusCollector {
 	desc := func(name, help string) *prometheus.Desc {
 		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, nil, nil)
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -21,10 +21,10 @@
 	if n.set.Operator.Metrics.Listen == "" {
 		return nil
 	}
-	return metrics.New(func() metrics.Status {
+	return metrics.New(func() core.Status {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		return metrics.Status(n.core.Status(n.steady()))
+		return n.core.Status(n.steady())
 	})
 }
 
