Logs and metrics: who leads and may act, what was read, by which basis leases are renewed

All answers that renew a lease go through one function now, which counts them by basis; debug lines tell of terms, commands, cancellations and reads, and are not made at info.

--- a/internal/core/cancellations.go
+++ b/internal/core/cancellations.go
@@ -241,19 +241,18 @@
 // serves this node.
 func (c *Core) receiveCancellations(items []Cancellation) {
 	for _, it := range items {
-		c.learn(it.Job, it.Value, it.Version)
+		c.learn(it.Job, it.Value, it.Version, fromPeer)
 	}
 }
 
 // learn takes in a job's key as it was read, written or heard of, without waiting for the
 // watch. What is no newer than the watch has come to is in the directory already, or was
 // deleted since.
-func (c *Core) learn(id string, value json.RawMessage, version uint64) {
+func (c *Core) learn(id string, value json.RawMessage, version uint64, source knowledgeSource) {
 	if version <= c.dir.revision && c.dir.ready {
 		return
 	}
-	c.dir.apply(keyActive+id, value, version)
-	c.noticeJob(keyActive + id)
+	c.applyKey(keyActive+id, value, version, source)
 }
 
 // setOf gives the set of some names; nil for none.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,6 +54,8 @@
 	load     *pacing.Load // by late timers
 	backlog  *pacing.Load // by requests that have waited, too
 	sized    sizeWarnings
+	renewals leaseRenewals
+	quiet    bool // debug lines are not made
 }
 
 // times are the durations derived from the settings, each a ratio of one of them.
@@ -253,7 +255,13 @@
 	c.send(Answer{Req: req, Status: status, Body: wire.ErrorBody{Error: why}, RetryAfter: 1})
 }
 
+// OmitDebugLines has the core make no log lines of level Debug, for a node that would drop them.
+func (c *Core) OmitDebugLines() { c.quiet = true }
+
 func (c *Core) log(l Level, msg string, pairs ...any) {
+	if c.quiet && l == Debug {
+		return
+	}
 	c.send(Log{Level: l, Message: msg, Pairs: pairs})
 }
 
--- a/internal/core/dependent_cancellations.go
+++ b/internal/core/dependent_cancellations.go
@@ -50,7 +50,7 @@
 func (w *writer) settleCancel(x cancelledJob, r Result, failed map[string]bool) {
 	switch {
 	case r.Outcome == call.OK:
-		w.l.c.learn(x.job.id, x.value, r.Txn.Revision)
+		w.l.c.learn(x.job.id, x.value, r.Txn.Revision, fromWrite)
 	case failed[keyActive+x.job.id]:
 		w.rereadJob(x.job) // another node was quicker
 	}
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -304,13 +304,35 @@
 			c.applyPlan(key, value, e.Version)
 			continue
 		}
-		c.dir.apply(key, value, e.Version)
-		c.noticeJob(key)
+		c.applyKey(key, value, e.Version, fromWatch)
 		c.noticeRelayed(key, value)
 	}
 	c.dir.revision = max(c.dir.revision, ch.Revision)
 }
 
+// knowledgeSource is how a node learned of a change of a job.
+type knowledgeSource string
+
+// The sources.
+const (
+	fromWatch knowledgeSource = "watch"
+	fromPeer  knowledgeSource = "peer"
+	fromWrite knowledgeSource = "write" // of its own
+	fromRead  knowledgeSource = "read"  // of the key
+)
+
+// applyKey takes a key's value and hands it to those who follow jobs. That a job is cancelled is logged when it is known
+// here first: from then on whatever this node answers has to stop it.
+func (c *Core) applyKey(key string, value json.RawMessage, version uint64, source knowledgeSource) {
+	id, _ := strings.CutPrefix(key, keyActive)
+	before := c.dir.jobs[id]
+	c.dir.apply(key, value, version)
+	if after := c.dir.jobs[id]; after != before && after != nil && after.CancelledMS != 0 && (before == nil || before.CancelledMS == 0) {
+		c.log(Debug, "cancellation known", "job", id, "version", version, "from", source)
+	}
+	c.noticeJob(key)
+}
+
 // noticeEnd remembers a job's final state from the end of its active key: only the
 // write of its final state deletes that key, and the watch lacks no change before
 // it, so what the job was last is what it ended as.
@@ -378,6 +400,7 @@
 			d.layout, d.layoutAt = l.layout, l.layoutAt
 		}
 		d.loading, d.busy, d.ready = nil, false, true
+		c.log(Debug, "jobs read", "read_up_to", d.revision, "jobs", len(d.jobs))
 		c.deps.reload()
 		if c.lead != nil {
 			for id := range old {
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -278,6 +278,8 @@
 	e.extendAt = c.now.Steady
 	e.extend = false
 	c.log(Info, "leading", "term", term)
+	c.log(Debug, "term begins", "term", term, "token", firstToken(term), "entitled_ms", (e.deadline - c.now.Steady).Milliseconds(),
+		"won_at_revision", version, "read_up_to", c.dir.revision)
 	c.lead = newLeader(c, term, version)
 	if version > c.dir.termVersion {
 		c.dir.term, c.dir.termVersion = termValue{term, c.set.Node}, version
@@ -324,6 +326,9 @@
 		e.extend = false
 		switch r.Outcome {
 		case call.OK:
+			if c.now.Steady >= e.deadline {
+				c.log(Debug, "entitled again", "term", c.lead.term, "after_ms", (c.now.Steady - e.deadline).Milliseconds())
+			}
 			e.deadline = max(e.deadline, r.Sent+e.leaseDuration())
 			e.extendAt = r.Sent + e.ttl/4
 		case call.Missing:
--- a/internal/core/held_answers.go
+++ b/internal/core/held_answers.go
@@ -65,17 +65,20 @@
 		l.c.answer(held.req, 421, wire.Redirect{})
 		return
 	}
-	commands := []wire.Command{}
-	if l.machines[m.name] == m && l.mayWait(m, held.report) {
+	basis, commands := LeaderBasis, []wire.Command{}
+	switch {
+	case l.machines[m.name] != m:
+		basis = GoneMachineBasis
+	case l.mayWait(m, held.report):
 		commands = l.commands(m, held.report)
 	}
-	l.c.answer(held.req, 200, wire.ReportAnswer{Token: max(l.token(m), held.report.Token), Commands: commands})
+	l.c.renewLease(held.req, basis, wire.ReportAnswer{Token: max(l.token(m), held.report.Token), Commands: commands})
 }
 
 // dropHeld ends a held answer whose worker has sent a newer report, and so has given it up.
 func (l *leader) dropHeld(m *machine) {
 	if m.held != nil {
-		l.c.answer(m.held.req, 200, wire.ReportAnswer{Token: m.held.report.Token, Commands: []wire.Command{}})
+		l.c.renewLease(m.held.req, LateReportBasis, wire.ReportAnswer{Token: m.held.report.Token, Commands: []wire.Command{}})
 		m.held = nil
 	}
 }
--- a/internal/core/job_ends.go
+++ b/internal/core/job_ends.go
@@ -85,7 +85,7 @@
 	id := l.stateCall(func(r Result) {
 		switch r.Outcome {
 		case call.OK:
-			c.learn(j.id, r.Item.Value, r.Item.Version)
+			c.learn(j.id, r.Item.Value, r.Item.Version, fromRead)
 			l.jobChanged(j.id)
 			if j.final {
 				w.finish(j)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -22,11 +22,13 @@
 	version uint64 // of the term key; every write is conditional on it
 	since   time.Duration
 
-	loaded  bool // the records are read
-	reading bool
-	readAt  time.Duration        // no reading before this
-	runs    map[string]wire.Item // records read so far
-	runsAll bool
+	loaded    bool // the records are read
+	reading   bool
+	readAt    time.Duration        // no reading before this
+	runs      map[string]wire.Item // records read so far
+	runsAll   bool
+	runsAllAt time.Duration // when all were
+	unread    unreadTerm
 
 	jobs       map[string]*job
 	order      []*job // by acceptance
@@ -139,6 +141,7 @@
 		l.readRuns("")
 	}
 	if !l.runsAll || l.c.dir.revision < l.version {
+		l.warnUnread()
 		return
 	}
 	l.layout = l.c.layout()
@@ -160,6 +163,7 @@
 		l.finishIfDone(j)
 	}
 	l.c.log(Info, "records read", "term", l.term, "jobs", len(l.jobs))
+	l.logTakeover()
 	l.wantRound()
 }
 
@@ -180,7 +184,7 @@
 			l.readRuns(r.Page.Items[n-1].Key)
 			return
 		}
-		l.runsAll = true
+		l.runsAll, l.runsAllAt = true, l.c.now.Steady
 	})
 	l.c.send(StateList{ID: id, Prefix: keyRuns, After: after})
 }
@@ -366,8 +370,10 @@
 		case p.stop != keep && p.phase >= sent && !p.stopOut:
 			// A stop names its attempt; late or repeated it does no harm.
 			p.stopOut = true
+			l.logCommand(wire.OpStop, p, "direct")
 			o.commands = append(o.commands, p.stopCommand())
 		case mayStart && p.phase == committed && p.stop == keep && !p.job.cancelled:
+			l.logCommand(wire.OpStart, p, "direct")
 			o.starts = append(o.starts, p)
 			o.commands = append(o.commands, wire.Command{Op: wire.OpStart, Task: p.name(), Attempt: p.attempt})
 			p.phase, p.direct, p.waits = sent, o.token, true
--- a/internal/core/lease_relay.go
+++ b/internal/core/lease_relay.go
@@ -100,7 +100,7 @@
 		// Sent on to the next node, it might wait for one that is down, and lose its lease
 		// before it has found the next leader. The answer repeats its own token, as that of
 		// renewWithoutState does, and is safe for the same reasons.
-		c.answer(in.Req, 200, wire.ReportAnswer{Token: r.Token, Commands: c.cancelledStops(r)})
+		c.renewLease(in.Req, VacancyBasis, wire.ReportAnswer{Token: r.Token, Commands: c.cancelledStops(r)})
 		return true
 	}
 	term := c.dir.lead.Term
@@ -129,7 +129,7 @@
 		k.term = term
 		c.log(Info, "keeping workers for a leader out of reach", "leader", c.dir.lead.Node, "term", term)
 	}
-	c.answer(in.Req, 200, wire.ReportAnswer{Token: max(firstToken(term), r.Token), Commands: c.cancelledStops(r)})
+	c.renewLease(in.Req, RelayBasis, wire.ReportAnswer{Token: max(firstToken(term), r.Token), Commands: c.cancelledStops(r)})
 	return true
 }
 
@@ -206,10 +206,15 @@
 		k.foreign = true
 	}
 	alone := c.noneServed() && c.leadingPeer() == ""
-	if wholeZone, lastWord := cut && !k.foreign, alone && c.dir.ready; !wholeZone && !lastWord {
+	wholeZone, lastWord := cut && !k.foreign, alone && c.dir.ready
+	if !wholeZone && !lastWord {
 		return false
 	}
-	c.answer(in.Req, 200, wire.ReportAnswer{Token: r.Token, Commands: c.cancelledStops(r)})
+	basis := NoStateBasis
+	if wholeZone {
+		basis = CutZoneBasis
+	}
+	c.renewLease(in.Req, basis, wire.ReportAnswer{Token: r.Token, Commands: c.cancelledStops(r)})
 	return true
 }
 
--- a/internal/core/lookups.go
+++ b/internal/core/lookups.go
@@ -140,12 +140,12 @@
 					return
 				}
 				if v.CancelledMS != 0 {
-					c.learn(l.id, r.Item.Value, r.Item.Version)
+					c.learn(l.id, r.Item.Value, r.Item.Version, fromRead)
 					u.cancelled(l.id, e, end)
 					return
 				}
 				if len(v.Job.Needs) > 0 {
-					c.learn(l.id, r.Item.Value, r.Item.Version)
+					c.learn(l.id, r.Item.Value, r.Item.Version, fromRead)
 					if !u.mayTell(l.id, e, end) {
 						return
 					}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"fmt"
+	"strings"
+	"time"
+)
 
 // peer is what is known of another node.
 type peer struct {
@@ -137,6 +141,24 @@
 	return out && zone != c.set.Zone
 }
 
+// logConfirmed logs that a user is told of a cancellation, and who led by then as far as this node knows: they have said
+// that nothing of the job can start any more.
+func (c *Core) logConfirmed(job string, version uint64) {
+	if c.quiet {
+		return
+	}
+	var leaders []string
+	if c.lead != nil {
+		leaders = append(leaders, fmt.Sprintf("%s:%d", c.set.Node, c.lead.term))
+	}
+	for _, p := range c.peers {
+		if c.fresh(p) && p.status.Leads {
+			leaders = append(leaders, fmt.Sprintf("%s:%d", p.node, p.status.Term))
+		}
+	}
+	c.log(Debug, "cancellation confirmed", "job", job, "version", version, "settled_by", strings.Join(leaders, ","))
+}
+
 // leadingPeer gives the node that says of itself that it leads, with the newest term.
 func (c *Core) leadingPeer() string {
 	name, term := "", uint64(0)
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -34,7 +34,7 @@
 		return
 	}
 	before := l.changes
-	cmds := l.report(r)
+	basis, cmds := l.report(r)
 	token := max(firstToken(l.term), r.Token)
 	if m := l.machines[r.Machine]; m != nil {
 		m.current = max(m.current, token)
@@ -42,24 +42,25 @@
 	}
 	answer := wire.ReportAnswer{Token: token, Commands: cmds}
 	if !l.holdAnswer(in.Req, r, answer) {
-		c.answer(in.Req, 200, answer)
+		c.renewLease(in.Req, basis, answer)
 	}
 	c.eventless = l.loaded && l.changes == before && len(cmds) == 0
 }
 
 // report takes in a report and gives the commands of its answer.
-func (l *leader) report(r *wire.Report) []wire.Command {
+func (l *leader) report(r *wire.Report) (LeaseBasis, []wire.Command) {
 	none := []wire.Command{}
 	if !l.loaded {
-		return none // the answer renews the lease; what runs is not yet known
+		l.unread.renewals++
+		return UnreadLeaderBasis, none // the answer renews the lease; what runs is not yet known
 	}
 	if _, was := l.released[r.Machine]; was {
-		return none
+		return GoneMachineBasis, none
 	}
 	m := l.machine(r.Machine)
 	if m.up && (r.Session < m.session || r.Session == m.session && r.Seq <= m.seq) {
 		// A late copy. It proves nothing, and its answer reaches nobody.
-		return none
+		return LateReportBasis, none
 	}
 	l.dropHeld(m)
 	if r.Session != m.session || !m.up {
@@ -95,7 +96,7 @@
 		l.wantRound()
 	}
 	l.evidence(m, r, false)
-	return l.commands(m, r)
+	return LeaderBasis, l.commands(m, r)
 }
 
 // evidence draws from a report what has ended. A report is newer than all before
@@ -273,15 +274,30 @@
 			if p.stop == stopSaving && p.state == wire.TaskSaving {
 				continue
 			}
+			l.logCommand(wire.OpStop, p, "answer")
 			cmds = append(cmds, p.stopCommand())
 		case p.phase == committed && p.stop == keep && mayStart && !p.job.cancelled:
 			p.phase, p.sentSeq = sent, r.Seq
+			l.logCommand(wire.OpStart, p, "answer")
 			cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: p.name(), Attempt: p.attempt})
 		}
 	}
 	return cmds
 }
 
+// logCommand logs a command for a machine, and by which right it is given.
+func (l *leader) logCommand(op wire.CommandOp, p *placement, way string) {
+	if l.c.quiet {
+		return
+	}
+	right := "lease"
+	if l.c.now.Steady >= l.c.elect.deadline {
+		right = "all nodes refused"
+	}
+	l.c.log(Debug, "command", "op", op, "task", p.name(), "attempt", p.attempt, "machine", p.machine.name, "token", l.token(p.machine),
+		"term", l.term, "way", way, "right", right, "why", p.stopWhy, "state_served", !l.c.stateDown)
+}
+
 // stopCommand stops a task, with time to save where it is to save.
 func (p *placement) stopCommand() wire.Command {
 	grace := 0.0
--- /dev/null
+++ b/internal/core/unread_leader.go
@@ -0,0 +1,29 @@
+package core
+
+// A leader is unread from its win until it has read the run records and all changes up to its win. It answers reports,
+// since the workers' leases would run out, and decides nothing.
+
+// unreadTerm is what a leader keeps of the time in which it was unread.
+type unreadTerm struct {
+	renewals uint64 // answers that renewed leases
+	warned   bool
+}
+
+// warnUnread logs, once, that a leader is unread for longer than reading should take.
+func (l *leader) warnUnread() {
+	c := l.c
+	since := c.now.Steady - l.since
+	if l.unread.warned || since < c.t.heartbeat {
+		return
+	}
+	l.unread.warned = true
+	c.log(Info, "leading without the records", "term", l.term, "records_read", l.runsAll,
+		"read_up_to", c.dir.revision, "needed", l.version, "leases_renewed", l.unread.renewals)
+}
+
+// logTakeover logs what a new leader has waited for, and what it did meanwhile.
+func (l *leader) logTakeover() {
+	now := l.c.now.Steady
+	l.c.log(Debug, "took over", "term", l.term, "after_ms", (now - l.since).Milliseconds(),
+		"records_ms", (l.runsAllAt - l.since).Milliseconds(), "read_up_to", l.c.dir.revision, "leases_renewed", l.unread.renewals)
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -145,9 +145,10 @@
 	request := c.stateCall(func(r Result) {
 		switch r.Outcome {
 		case call.OK:
-			c.learn(id, value, r.Txn.Revision)
+			c.learn(id, value, r.Txn.Revision, fromWrite)
 			c.cancels.confirm(id, &entry{v, r.Txn.Revision}, func(acknowledged bool) {
 				if acknowledged {
+					c.logConfirmed(id, r.Txn.Revision)
 					then(cancelTold)
 				} else {
 					then(cancelUnsure)
--- a/internal/metrics/recorder.go
+++ b/internal/metrics/recorder.go
@@ -84,11 +84,13 @@
 type statusCollector struct {
 	status                                         func() core.Status
 	leading, termsLed, load, heldAnswers, machines *prometheus.Desc
+	term, entitled, unread, revision, stateServed  *prometheus.Desc
+	renewals                                       *prometheus.Desc
 }
 
 func newStatusCollector(status func() core.Status) *statusCollector {
-	desc := func(name, help string) *prometheus.Desc {
-		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, nil, nil)
+	desc := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
 	}
 	return &statusCollector{
 		status:      status,
@@ -97,6 +99,12 @@
 		load:        desc("load_ratio", "How short of processor time this node is: 0 it keeps up, 1 it is overloaded."),
 		heldAnswers: desc("held_answers", "Answers to reports that are held back now."),
 		machines:    desc("machines", "Machines that this node looks after; 0 while it does not lead."),
+		term:        desc("term", "Newest term that this node knows."),
+		entitled:    desc("leader_entitled", "1 while this node leads and may act for the controllers."),
+		unread:      desc("leader_unread_seconds", "How long this node has led without the records; 0 once it has read them."),
+		revision:    desc("read_revision", "Revision of the state service up to which this node has read the changes of jobs."),
+		stateServed: desc("state_served", "1 while the state service serves this node."),
+		renewals:    desc("lease_renewals_total", "Answers to reports that renewed a worker's lease, by why this node may answer.", "basis"),
 	}
 }
 
@@ -106,16 +114,28 @@
 // Collect implements prometheus.Collector.
 func (c *statusCollector) Collect(to chan<- prometheus.Metric) {
 	s := c.status()
-	leading := 0.0
-	if s.Leading {
-		leading = 1
-	}
 	gauge := func(d *prometheus.Desc, v float64) {
 		to <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v)
 	}
-	gauge(c.leading, leading)
+	gauge(c.leading, oneIf(s.Leading))
 	gauge(c.load, s.Load)
 	gauge(c.heldAnswers, float64(s.HeldAnswers))
 	gauge(c.machines, float64(s.Machines))
+	gauge(c.term, float64(s.Term))
+	gauge(c.entitled, oneIf(s.Entitled))
+	gauge(c.unread, s.Unread.Seconds())
+	gauge(c.revision, float64(s.Revision))
+	gauge(c.stateServed, oneIf(!s.StateDown))
+	for basis, answers := range s.Renewals {
+		to <- prometheus.MustNewConstMetric(c.renewals, prometheus.CounterValue, float64(answers), core.LeaseBasis(basis).String())
+	}
 	to <- prometheus.MustNewConstMetric(c.termsLed, prometheus.CounterValue, float64(s.TermsLed))
 }
+
+// oneIf gives 1 for true, and 0 for false.
+func oneIf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,6 +93,9 @@
 		// is twice as long.
 		patient: config.HeartbeatInterval(p.Workers),
 	}
+	if !log.Enabled(context.Background(), slog.LevelDebug) {
+		n.core.OmitDebugLines()
+	}
 	n.metrics = n.newRecorder()
 	for _, s := range set.Peers {
 		c, err := peer.NewClient(set.Node, s.Addr, n.patient)
