--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -22,6 +22,7 @@
 //	room 8                   machines that the cloud has in each zone, if not 4
 //	AT submit run-000001 kind=service tasks=2 gpus=4 team=green run=20 faulty
 //	AT cancel run-000001     AT cancel_at_end run-000001
+//	AT cancel_now            the user of some job that runs cancels it
 //	AT refuse NODE FOR       the state service refuses it; NODE may be "leader"
 //	AT cut NODE state,peers,workers,users FOR
 //	AT upgrade NODE FOR      the same as kill, and back with the new version
--- a/internal/core/script_test.go
+++ b/internal/core/script_test.go
@@ -209,6 +209,8 @@
 			}
 		case "outage":
 			s.outage = max(s.outage, until(1))
+		case "cancel_now":
+			s.cancelRunning()
 		case "slow":
 			s.slow, s.slowUntil = num(1), until(2)
 		case "cloud":
@@ -273,6 +275,29 @@
 	})
 }
 
+// cancelRunning has the user of a job that runs, and of which no cancellation was asked yet, cancel it.
+func (s *sim) cancelRunning() {
+	var running []*simJob
+	for _, j := range s.jobs {
+		if known := s.ruleChecker.jobs[j.spec.ID]; j.accepted && !known.asked && j.cancelAt == 0 && s.runs(j) {
+			running = append(running, j)
+		}
+	}
+	if len(running) > 0 {
+		s.cancelJob(running[s.rnd.IntN(len(running))])
+	}
+}
+
+// runs tells whether a task of a job is on a machine.
+func (s *sim) runs(j *simJob) bool {
+	for task := range j.spec.Tasks {
+		if len(s.ruleChecker.on[wire.TaskName(j.spec.ID, task)]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // pollOnce asks about some job, and counts the answers.
 func (s *sim) pollOnce() {
 	j, sent := s.jobs[s.rnd.IntN(len(s.jobs))], s.now
