Whoever renews a lease stops what it knows to be cancelled: one function makes such answers

Cause: a leader answers reports from its win on, but knew no commands before it had read the records: it renewed leases of tasks whose jobs it knew to be cancelled. An outage in that time made it last. Each of seven places made its answer by itself; three (the lease relay) held the stops, four did not have to: an unread leader, a late report, a machine that is gone, a held answer that is superseded.

Change: newLeaseAnswer begins each such answer with the stops of reported tasks whose jobs the node knows to be cancelled; the leader's commands follow as far as there is room (stops of tasks without a record were not bounded before). renewLease takes nothing else. TestLeaseAnswersStopCancelled: the bound starves none.

--- a/internal/core/held_answers.go
+++ b/internal/core/held_answers.go
@@ -16,10 +16,10 @@
 
 // holdAnswer holds the answer to a report back if it tells nothing and no change is expected that the worker would
 // have to report; false if it has to be answered now.
-func (l *leader) holdAnswer(req uint64, r *wire.Report, answer wire.ReportAnswer) bool {
+func (l *leader) holdAnswer(req uint64, r *wire.Report, token uint64, answer *leaseAnswer) bool {
 	c := l.c
 	m := l.machines[r.Machine]
-	if !c.op.PaceReports || m == nil || c.stateDown || len(answer.Commands) > 0 || answer.Token != r.Token || m.held != nil || !l.mayWait(m, r) {
+	if !c.op.PaceReports || m == nil || c.stateDown || len(answer.commands) > 0 || token != r.Token || m.held != nil || !l.mayWait(m, r) {
 		return false
 	}
 	now := c.now.Steady
@@ -65,20 +65,20 @@
 		l.c.answer(held.req, 421, wire.Redirect{})
 		return
 	}
-	basis, commands := LeaderBasis, []wire.Command{}
+	basis, answer := LeaderBasis, l.c.newLeaseAnswer(held.report)
 	switch {
 	case l.machines[m.name] != m:
 		basis = GoneMachineBasis
 	case l.mayWait(m, held.report):
-		commands = l.commands(m, held.report)
+		l.commands(m, held.report, answer)
 	}
-	l.c.renewLease(held.req, basis, wire.ReportAnswer{Token: max(l.token(m), held.report.Token), Commands: commands})
+	l.c.renewLease(held.req, basis, max(l.token(m), held.report.Token), answer)
 }
 
 // dropHeld ends a held answer whose worker has sent a newer report, and so has given it up.
 func (l *leader) dropHeld(m *machine) {
 	if m.held != nil {
-		l.c.renewLease(m.held.req, LateReportBasis, wire.ReportAnswer{Token: m.held.report.Token, Commands: []wire.Command{}})
+		l.c.renewLease(m.held.req, LateReportBasis, m.held.report.Token, l.c.newLeaseAnswer(m.held.report))
 		m.held = nil
 	}
 }
--- a/internal/core/lease_answers.go
+++ b/internal/core/lease_answers.go
@@ -42,10 +42,67 @@
 	lastAt  [LeaseBases]time.Duration
 }
 
+// leaseAnswer is an answer to a report that renews the worker's lease. Whoever renews a lease lets the worker's tasks go
+// on, so it has to stop what it knows to be cancelled: whether it leads, has read the records, or knows of the placements.
+// newLeaseAnswer alone makes them, with these stops in front; what else the worker is told follows as far as there is room.
+type leaseAnswer struct {
+	commands []wire.Command
+	stopped  map[attemptName]bool // attempts of cancelled jobs that it stops
+}
+
+// mostCommands bounds the commands in an answer, so that its one line stays within the protocol's 64 KiB; the rest
+// follows with the next. Tasks that are stopped exit, so the same ones don't take the room of others twice.
+const mostCommands = 400
+
+// newLeaseAnswer begins an answer to a report with stops of the tasks whose jobs this node knows to be cancelled.
+func (c *Core) newLeaseAnswer(r *wire.Report) *leaseAnswer {
+	a := &leaseAnswer{commands: []wire.Command{}}
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		id, _, ok := wire.ParseTask(t.Task)
+		if !ok || t.State == wire.TaskExited || a.full() || !c.knowsCancelled(id) {
+			continue
+		}
+		if a.stopped == nil {
+			a.stopped = map[attemptName]bool{}
+		}
+		a.stopped[attemptName{t.Task, t.Attempt}] = true
+		a.commands = append(a.commands, stopAtOnce(t))
+	}
+	return a
+}
+
+// stopAtOnce stops a task without time to save.
+func stopAtOnce(t *wire.TaskReport) wire.Command {
+	grace := 0.0
+	return wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace}
+}
+
+// full tells whether there is no room for another command.
+func (a *leaseAnswer) full() bool { return len(a.commands) >= mostCommands }
+
+// add adds a command, unless there is no room or its attempt is stopped already. It tells whether the answer holds it.
+func (a *leaseAnswer) add(command wire.Command) bool {
+	if a.stopped[attemptName{command.Task, command.Attempt}] {
+		return command.Op == wire.OpStop
+	}
+	if a.full() {
+		return false
+	}
+	a.commands = append(a.commands, command)
+	return true
+}
+
 // renewLease answers a report with 200, which renews the worker's lease. No other code does.
-func (c *Core) renewLease(req uint64, basis LeaseBasis, answer wire.ReportAnswer) {
+func (c *Core) renewLease(req uint64, basis LeaseBasis, token uint64, a *leaseAnswer) {
 	c.countRenewal(basis)
-	c.answer(req, 200, answer)
+	c.answer(req, 200, wire.ReportAnswer{Token: token, Commands: a.commands})
+}
+
+// knowsCancelled tells whether this node knows that a job is cancelled.
+func (c *Core) knowsCancelled(job string) bool {
+	e := c.dir.jobs[job]
+	return e != nil && e.CancelledMS != 0 || c.dir.finals[job].State == wire.JobCancelled
 }
 
 // countRenewal counts an answer. The first one on a basis, or the first for a lease, is logged.
--- /dev/null
+++ b/internal/core/lease_answers_test.go
@@ -0,0 +1,104 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"bitternwing/internal/config"
+	"bitternwing/internal/wire"
+)
+
+// newIdleCore makes a core that has done nothing yet.
+func newIdleCore() *Core {
+	set := &config.Settings{Node: "a", Zone: "z1", Operator: config.DefaultOperator()}
+	set.Params.Workers = config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30}
+	set.Params.State = config.State{RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 12}
+	set.Params.Limits = config.Limits{CPUShare: 0.06, MemoryMB: 98, MaxConnections: 600}
+	return New(set, "first")
+}
+
+// drawReport draws a machine's tasks, and makes a part of their jobs known to be cancelled: those that still need attention,
+// and those whose end is known.
+func drawReport(t *rapid.T, c *Core) *wire.Report {
+	states := []wire.TaskState{wire.TaskFetching, wire.TaskRunning, wire.TaskRunning, wire.TaskSaving, wire.TaskExited}
+	r := &wire.Report{Machine: "m1", Session: 1}
+	tasks := rapid.IntRange(0, 3*mostCommands).Draw(t, "tasks")
+	cancelledOf10 := rapid.IntRange(0, 10).Draw(t, "cancelled of 10")
+	for i := range tasks {
+		job := fmt.Sprintf("run-%06d", i)
+		switch {
+		case i%10 >= cancelledOf10:
+			c.dir.jobs[job] = &entry{activeValue: activeValue{Job: &wire.Job{ID: job, Tasks: 1}}}
+		case i%2 == 0:
+			c.dir.jobs[job] = &entry{activeValue: activeValue{Job: &wire.Job{ID: job, Tasks: 1}, CancelledMS: 1}}
+		default:
+			c.dir.finals[job] = finalValue{State: wire.JobCancelled}
+		}
+		state := states[rapid.IntRange(0, len(states)-1).Draw(t, "state")]
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: wire.TaskName(job, 0), Attempt: uint64(i), State: state})
+	}
+	return r
+}
+
+// cancelledLeft counts the tasks of a report that have not exited and whose jobs are known to be cancelled.
+func cancelledLeft(c *Core, r *wire.Report) (left int) {
+	for _, t := range r.Tasks {
+		job, _, _ := wire.ParseTask(t.Task)
+		if t.State != wire.TaskExited && c.knowsCancelled(job) {
+			left++
+		}
+	}
+	return left
+}
+
+// obey has a worker carry out the stops of an answer.
+func obey(r *wire.Report, a *leaseAnswer) {
+	stopped := map[attemptName]bool{}
+	for _, command := range a.commands {
+		stopped[attemptName{command.Task, command.Attempt}] = command.Op == wire.OpStop
+	}
+	for i := range r.Tasks {
+		if t := &r.Tasks[i]; stopped[attemptName{t.Task, t.Attempt}] {
+			t.State = wire.TaskExited
+		}
+	}
+}
+
+// TestLeaseAnswersStopCancelled answers reports of many tasks, with many other commands to give. Each answer stops as many
+// cancelled tasks as it may hold commands, none of them twice; so all of them are stopped after as many answers as they fill.
+func TestLeaseAnswersStopCancelled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newIdleCore()
+		r := drawReport(t, c)
+		others := rapid.IntRange(0, 2*mostCommands).Draw(t, "other commands")
+		for left := cancelledLeft(c, r); ; left = cancelledLeft(c, r) {
+			a := c.newLeaseAnswer(r)
+			for i := range others {
+				a.add(wire.Command{Op: wire.OpForget, Task: wire.TaskName("run-900000", i), Attempt: 1})
+			}
+			for i := range r.Tasks {
+				a.add(stopAtOnce(&r.Tasks[i])) // the leader's own
+			}
+			seen := map[attemptName]bool{}
+			for _, command := range a.commands {
+				name := attemptName{command.Task, command.Attempt}
+				if seen[name] {
+					t.Fatalf("two commands for %v", name)
+				}
+				seen[name] = true
+			}
+			if len(a.commands) > mostCommands {
+				t.Fatalf("%d commands", len(a.commands))
+			}
+			if left == 0 {
+				return
+			}
+			obey(r, a)
+			if after, most := cancelledLeft(c, r), max(0, left-mostCommands); after > most {
+				t.Fatalf("%d of %d cancelled tasks are left after an answer, not %d at most", after, left, most)
+			}
+		}
+	})
+}
--- a/internal/core/lease_relay.go
+++ b/internal/core/lease_relay.go
@@ -100,7 +100,7 @@
 		// Sent on to the next node, it might wait for one that is down, and lose its lease
 		// before it has found the next leader. The answer repeats its own token, as that of
 		// renewWithoutState does, and is safe for the same reasons.
-		c.renewLease(in.Req, VacancyBasis, wire.ReportAnswer{Token: r.Token, Commands: c.cancelledStops(r)})
+		c.renewLease(in.Req, VacancyBasis, r.Token, c.newLeaseAnswer(r))
 		return true
 	}
 	term := c.dir.lead.Term
@@ -129,7 +129,7 @@
 		k.term = term
 		c.log(Info, "keeping workers for a leader out of reach", "leader", c.dir.lead.Node, "term", term)
 	}
-	c.renewLease(in.Req, RelayBasis, wire.ReportAnswer{Token: max(firstToken(term), r.Token), Commands: c.cancelledStops(r)})
+	c.renewLease(in.Req, RelayBasis, max(firstToken(term), r.Token), c.newLeaseAnswer(r))
 	return true
 }
 
@@ -171,23 +171,6 @@
 	k.asked[machine] = k.c.now.Steady
 }
 
-// cancelledStops stops the tasks of a report whose jobs are known to be cancelled.
-func (c *Core) cancelledStops(r *wire.Report) []wire.Command {
-	cmds := []wire.Command{}
-	zero := 0.0
-	for _, t := range r.Tasks {
-		id, _, ok := wire.ParseTask(t.Task)
-		if !ok || t.State == wire.TaskExited || len(cmds) >= mostCommands {
-			continue
-		}
-		e, f := c.dir.jobs[id], c.dir.finals[id]
-		if e != nil && e.CancelledMS != 0 || f.State == wire.JobCancelled {
-			cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
-		}
-	}
-	return cmds
-}
-
 // renewWithoutState keeps a worker alive while this node can't reach the state service and so
 // can't know who leads: with the whole zone cut off, or with every node refused and
 // none left that leads. The answer repeats the worker's own token, so it overrules
@@ -214,7 +197,7 @@
 	if wholeZone {
 		basis = CutZoneBasis
 	}
-	c.renewLease(in.Req, basis, wire.ReportAnswer{Token: r.Token, Commands: c.cancelledStops(r)})
+	c.renewLease(in.Req, basis, r.Token, c.newLeaseAnswer(r))
 	return true
 }
 
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -34,33 +34,32 @@
 		return
 	}
 	before := l.changes
-	basis, cmds := l.report(r)
+	answer := c.newLeaseAnswer(r)
+	basis := l.report(r, answer)
 	token := max(firstToken(l.term), r.Token)
 	if m := l.machines[r.Machine]; m != nil {
 		m.current = max(m.current, token)
 		token = l.token(m)
 	}
-	answer := wire.ReportAnswer{Token: token, Commands: cmds}
-	if !l.holdAnswer(in.Req, r, answer) {
-		c.renewLease(in.Req, basis, answer)
+	if !l.holdAnswer(in.Req, r, token, answer) {
+		c.renewLease(in.Req, basis, token, answer)
 	}
-	c.eventless = l.loaded && l.changes == before && len(cmds) == 0
+	c.eventless = l.loaded && l.changes == before && len(answer.commands) == 0
 }
 
-// report takes in a report and gives the commands of its answer.
-func (l *leader) report(r *wire.Report) (LeaseBasis, []wire.Command) {
-	none := []wire.Command{}
+// report takes in a report and adds commands to its answer.
+func (l *leader) report(r *wire.Report, answer *leaseAnswer) LeaseBasis {
 	if !l.loaded {
 		l.unread.renewals++
-		return UnreadLeaderBasis, none // the answer renews the lease; what runs is not yet known
+		return UnreadLeaderBasis // what runs is not yet known
 	}
 	if _, was := l.released[r.Machine]; was {
-		return GoneMachineBasis, none
+		return GoneMachineBasis
 	}
 	m := l.machine(r.Machine)
 	if m.up && (r.Session < m.session || r.Session == m.session && r.Seq <= m.seq) {
 		// A late copy. It proves nothing, and its answer reaches nobody.
-		return LateReportBasis, none
+		return LateReportBasis
 	}
 	l.dropHeld(m)
 	if r.Session != m.session || !m.up {
@@ -96,7 +95,8 @@
 		l.wantRound()
 	}
 	l.evidence(m, r, false)
-	return LeaderBasis, l.commands(m, r)
+	l.commands(m, r, answer)
+	return LeaderBasis
 }
 
 // evidence draws from a report what has ended. A report is newer than all before
@@ -241,48 +241,41 @@
 	l.end(p)
 }
 
-// most commands in an answer, so that its one line stays within the protocol's 64
-// KiB; the rest follows with the next.
-const mostCommands = 400
-
-// commands gives a machine its orders.
-func (l *leader) commands(m *machine, r *wire.Report) []wire.Command {
-	cmds := []wire.Command{}
-	for _, t := range m.exits {
-		if len(cmds) < mostCommands && l.forgettable(&t) {
-			name := attemptName{t.Task, t.Attempt}
-			if used, ok := m.direct[name]; ok {
-				l.raise(m, used)
-				delete(m.direct, name)
-			}
-			cmds = append(cmds, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
+// commands adds a machine's orders to an answer.
+func (l *leader) commands(m *machine, r *wire.Report, answer *leaseAnswer) {
+	for i := range m.exits {
+		t := &m.exits[i]
+		if answer.full() || !l.forgettable(t) {
+			continue
+		}
+		name := attemptName{t.Task, t.Attempt}
+		if used, ok := m.direct[name]; ok {
+			l.raise(m, used)
+			delete(m.direct, name)
 		}
+		answer.add(wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
 	}
-	zero := 0.0
-	for _, t := range m.orphanedTasks {
+	for i := range m.orphanedTasks {
 		// No record explains it, and it has no right to run.
-		cmds = append(cmds, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+		answer.add(stopAtOnce(&m.orphanedTasks[i]))
 	}
 	mayStart := l.c.elect.inTime()
 	for _, p := range m.list {
-		if len(cmds) >= mostCommands {
-			break
-		}
 		switch {
 		case p.session != m.session:
 		case p.stop != keep && p.phase >= sent:
 			if p.stop == stopSaving && p.state == wire.TaskSaving {
 				continue
 			}
-			l.logCommand(wire.OpStop, p, "answer")
-			cmds = append(cmds, p.stopCommand())
-		case p.phase == committed && p.stop == keep && mayStart && !p.job.cancelled:
+			if answer.add(p.stopCommand()) {
+				l.logCommand(wire.OpStop, p, "answer")
+			}
+		case p.phase == committed && p.stop == keep && mayStart && !p.job.cancelled && !answer.full():
 			p.phase, p.sentSeq = sent, r.Seq
 			l.logCommand(wire.OpStart, p, "answer")
-			cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: p.name(), Attempt: p.attempt})
+			answer.add(wire.Command{Op: wire.OpStart, Task: p.name(), Attempt: p.attempt})
 		}
 	}
-	return cmds
 }
 
 // logCommand logs a command for a machine, and by which right it is given.
--- a/internal/core/unread_leader.go
+++ b/internal/core/unread_leader.go
@@ -1,7 +1,8 @@
 package core
 
 // A leader is unread from its win until it has read the run records and all changes up to its win. It answers reports,
-// since the workers' leases would run out, and decides nothing.
+// since the workers' leases would run out, stops what it knows to be cancelled as any node does that renews a lease, and
+// decides nothing else.
 
 // unreadTerm is what a leader keeps of the time in which it was unread.
 type unreadTerm struct {
