A new leader reads up to its win at once; a failed page of records is read again alone

A page of records that failed had all pages read again.

Change: a leader that has not read up to its win opens its watch after a leader's gap, which its share of requests allows; reading goes on with the page that failed (no other node writes records of its term).

--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -114,8 +114,9 @@
 
 	loading  *directory // being read, when set
 	busy     bool
-	openedAt time.Duration
-	notNow   time.Duration // not before
+	openedAt time.Duration // when the last watch was opened
+	watchAt  time.Duration // when the next one is to be
+	notNow   time.Duration // not before, after a failure
 }
 
 func newDirectory() *directory {
@@ -250,14 +251,23 @@
 // followerWatchGaps is the least time between two watches of a node that does not lead, in those of a leader.
 const followerWatchGaps = 3
 
+// watchDue tells from when on the next watch may be opened, or a reading that takes its place begin.
+func (c *Core) watchDue() time.Duration {
+	if l := c.lead; l != nil && !l.loaded && c.dir.revision < l.version {
+		// It decides nothing until it has read up to its win: the gap that it had as a follower is not for it.
+		return c.dir.openedAt + c.t.watchGap
+	}
+	return c.dir.watchAt
+}
+
 // runDirectory reads the watched keys and then follows them.
 func (c *Core) runDirectory() {
 	d := c.dir
 	if d.busy {
 		return
 	}
-	if c.now.Steady < d.notNow {
-		c.at(d.notNow)
+	if due := max(d.notNow, c.watchDue()); c.now.Steady < due {
+		c.at(due)
 		return
 	}
 	d.busy = true
@@ -275,7 +285,7 @@
 		if c.lead == nil {
 			gap = max(followerWatchGaps*gap, c.t.heartbeat/2)
 		}
-		d.notNow = c.aligned(d.openedAt + gap)
+		d.watchAt = c.aligned(d.openedAt + gap)
 		switch r.Outcome {
 		case call.OK:
 			c.sawState(r.Outcome)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -26,6 +26,7 @@
 	reading   bool
 	readAt    time.Duration        // no reading before this
 	runs      map[string]wire.Item // records read so far
+	runsAfter string               // the last key of the pages read so far
 	runsAll   bool
 	runsAllAt time.Duration // when all were
 	unread    unreadTerm
@@ -138,7 +139,7 @@
 			l.c.at(l.readAt)
 			return
 		}
-		l.readRuns("")
+		l.readRuns(l.runsAfter)
 	}
 	if !l.runsAll || l.c.dir.revision < l.version {
 		l.warnUnread()
@@ -172,7 +173,7 @@
 	id := l.stateCall(func(r Result) {
 		l.reading = false
 		if r.Outcome != call.OK {
-			l.runs = map[string]wire.Item{}
+			// What was read stays as it is: nobody but this leader writes records in its term.
 			l.readAt = l.c.now.Steady + l.c.t.retry
 			l.c.at(l.readAt)
 			return
@@ -181,7 +182,8 @@
 			l.runs[it.Key] = it
 		}
 		if n := len(r.Page.Items); r.Page.More && n > 0 {
-			l.readRuns(r.Page.Items[n-1].Key)
+			l.runsAfter = r.Page.Items[n-1].Key
+			l.readRuns(l.runsAfter)
 			return
 		}
 		l.runsAll, l.runsAllAt = true, l.c.now.Steady
--- /dev/null
+++ b/internal/core/unread_leader_test.go
@@ -0,0 +1,50 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"bitternwing/internal/call"
+	"bitternwing/internal/wire"
+)
+
+// nextRecordsPage gives the reading of a page of records among effects; nil if there is none.
+func nextRecordsPage(effects []Effect) *StateList {
+	for _, effect := range effects {
+		if list, ok := effect.(StateList); ok && list.Prefix == keyRuns {
+			return &list
+		}
+	}
+	return nil
+}
+
+// TestReadingGoesOnWhereItFailed has every other page of the records fail at first. Each page is read once all the same, and
+// no record is missing in the end.
+func TestReadingGoesOnWhereItFailed(t *testing.T) {
+	const pages = 6
+	c := newIdleCore()
+	c.lead = newLeader(c, 1, 1)
+	failed, read := map[string]bool{}, map[string]int{}
+	for step := 0; !c.lead.runsAll && step < 4*pages; step++ {
+		list := nextRecordsPage(c.Step(Time{Steady: c.now.Steady + c.t.retry}, Tick{}))
+		for list != nil {
+			page := len(read)
+			if page%2 == 1 && !failed[list.After] {
+				failed[list.After] = true
+				list = nextRecordsPage(c.Step(c.now, Result{ID: list.ID, Outcome: call.Unknown}))
+				continue
+			}
+			read[list.After]++
+			items := []wire.Item{{Key: fmt.Sprintf("%srun-%06d/0", keyRuns, page), Version: 1}}
+			list = nextRecordsPage(c.Step(c.now, Result{ID: list.ID, Outcome: call.OK, Page: wire.Page{Items: items, More: page+1 < pages}}))
+		}
+	}
+	if !c.lead.runsAll || len(c.lead.runs) != pages || len(read) != pages {
+		t.Errorf("%d records are read in %d pages, all: %v", len(c.lead.runs), len(read), c.lead.runsAll)
+	}
+	for after, times := range read {
+		if times != 1 {
+			t.Errorf("the page after %q is read %d times", after, times)
+		}
+	}
+}
