--- a/internal/core/lease_answers.go
+++ b/internal/core/lease_answers.go
@@ -36,9 +36,10 @@
 // String names a basis in logs and metrics.
 func (b LeaseBasis) String() string { return leaseBasisNames[b] }
 
-// leaseRenewals counts the answers that renew leases, by their basis.
+// leaseRenewals counts the answers that renew leases, and the stops of cancelled tasks in them, by their basis.
 type leaseRenewals struct {
 	answers [LeaseBases]uint64
+	stops   [LeaseBases]uint64
 	lastAt  [LeaseBases]time.Duration
 }
 
@@ -46,6 +47,7 @@
 // on, so it has to stop what it knows to be cancelled: whether it leads, has read the records, or knows of the placements.
 // newLeaseAnswer alone makes them, with these stops in front; what else the worker is told follows as far as there is room.
 type leaseAnswer struct {
+	machine  string
 	commands []wire.Command
 	stopped  map[attemptName]bool // attempts of cancelled jobs that it stops
 }
@@ -56,7 +58,7 @@
 
 // newLeaseAnswer begins an answer to a report with stops of the tasks whose jobs this node knows to be cancelled.
 func (c *Core) newLeaseAnswer(r *wire.Report) *leaseAnswer {
-	a := &leaseAnswer{commands: []wire.Command{}}
+	a := &leaseAnswer{machine: r.Machine, commands: []wire.Command{}}
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		id, _, ok := wire.ParseTask(t.Task)
@@ -96,6 +98,10 @@
 // renewLease answers a report with 200, which renews the worker's lease. No other code does.
 func (c *Core) renewLease(req uint64, basis LeaseBasis, token uint64, a *leaseAnswer) {
 	c.countRenewal(basis)
+	if n := len(a.stopped); n > 0 {
+		c.renewals.stops[basis] += uint64(n)
+		c.log(Debug, "stops cancelled tasks", "machine", a.machine, "basis", basis, "tasks", n)
+	}
 	c.answer(req, 200, wire.ReportAnswer{Token: token, Commands: a.commands})
 }
 
--- a/internal/metrics/recorder.go
+++ b/internal/metrics/recorder.go
@@ -85,7 +85,7 @@
 	status                                         func() core.Status
 	leading, termsLed, load, heldAnswers, machines *prometheus.Desc
 	term, entitled, unread, revision, stateServed  *prometheus.Desc
-	renewals                                       *prometheus.Desc
+	renewals, cancelledStops                       *prometheus.Desc
 }
 
 func newStatusCollector(status func() core.Status) *statusCollector {
@@ -105,6 +105,8 @@
 		revision:    desc("read_revision", "Revision of the state service up to which this node has read the changes of jobs."),
 		stateServed: desc("state_served", "1 while the state service serves this node."),
 		renewals:    desc("lease_renewals_total", "Answers to reports that renewed a worker's lease, by why this node may answer.", "basis"),
+
+		cancelledStops: desc("cancelled_stops_total", "Stops of tasks of cancelled jobs in such answers, by the same.", "basis"),
 	}
 }
 
@@ -128,6 +130,7 @@
 	gauge(c.stateServed, oneIf(!s.StateDown))
 	for basis, answers := range s.Renewals {
 		to <- prometheus.MustNewConstMetric(c.renewals, prometheus.CounterValue, float64(answers), core.LeaseBasis(basis).String())
+		to <- prometheus.MustNewConstMetric(c.cancelledStops, prometheus.CounterValue, float64(s.CancelledStops[basis]), core.LeaseBasis(basis).String())
 	}
 	to <- prometheus.MustNewConstMetric(c.termsLed, prometheus.CounterValue, float64(s.TermsLed))
 }
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -79,7 +79,8 @@
 	for _, want := range []string{`bitternwing_core_inputs_total{kind="submit"} `, `bitternwing_core_step_seconds_total{kind="poll"} `,
 		`bitternwing_http_requests_total{code="201",endpoint="submit"} 1`, `bitternwing_calls_total{operation="txn",outcome="ok",service="state"} `,
 		"bitternwing_load_ratio ", "bitternwing_held_answers ", "bitternwing_terms_led_total ", "bitternwing_term 1", "bitternwing_leader_entitled ",
-		"bitternwing_leader_unread_seconds ", "bitternwing_read_revision ", "bitternwing_state_served 1", `bitternwing_lease_renewals_total{basis="unread_leader"} `, "go_goroutines ", "process_cpu_seconds_total "} {
+		"bitternwing_leader_unread_seconds ", "bitternwing_read_revision ", "bitternwing_state_served 1", `bitternwing_lease_renewals_total{basis="unread_leader"} `,
+		`bitternwing_cancelled_stops_total{basis="leader"} `, "go_goroutines ", "process_cpu_seconds_total "} {
 		if !strings.Contains(text, want) {
 			t.Errorf("%s is missing", want)
 		}
