--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -40,7 +40,7 @@
 
 var (
 	firstSeed = flag.Uint64("first", 1, "first seed of TestSearch")
-	seeds     = flag.Uint64("seeds", 16, "number of seeds of TestSearch")
+	seeds     = flag.Uint64("seeds", 150, "number of seeds of TestSearch")
 	showIn    = flag.String("show", "", "where TestSearch writes what failed")
 )
 
