Rereading: one test of a cancelled job, of a peer that leads, of a good lease; metrics of a status in a table

- entry.cancelled, Core.leads and election.leaseGood stand once, for three, five and four places; startCommand and startable serve answers and direct orders; handReport hands reports to simulated nodes in both places.
- Keys of jobs have their own way through the watch (applyJob), so that other keys are not looked up for a log line; the order of a machine's commands ends once an answer is full; add gives no result that nobody needs.
- Renewals of an unread leader are derived from the counter instead of counted twice; readRuns knows itself where to go on; the log of a command no longer touches the machine's token.
- A metric of a node's status is a row with its value, not a field, a description and a line.

--- a/internal/core/cancellations.go
+++ b/internal/core/cancellations.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"bitternwing/internal/call"
@@ -106,7 +108,7 @@
 	}
 	led := c.lead != nil
 	for _, p := range c.peers {
-		if !c.fresh(p) || !p.status.Leads {
+		if !c.leads(p) {
 			continue
 		}
 		led = true
@@ -252,7 +254,25 @@
 	if version <= c.dir.revision && c.dir.ready {
 		return
 	}
-	c.applyKey(keyActive+id, value, version, source)
+	c.applyJob(id, value, version, source)
+}
+
+// logConfirmed logs that a user is told of a cancellation, and who led by then as far as this node knows: they have said
+// that nothing of the job can start any more.
+func (c *Core) logConfirmed(job string, version uint64) {
+	if c.omitDebug {
+		return
+	}
+	var leaders []string
+	if c.lead != nil {
+		leaders = append(leaders, fmt.Sprintf("%s:%d", c.set.Node, c.lead.term))
+	}
+	for _, p := range c.peers {
+		if c.leads(p) {
+			leaders = append(leaders, fmt.Sprintf("%s:%d", p.node, p.status.Term))
+		}
+	}
+	c.log(Debug, "cancellation confirmed", "job", job, "version", version, "settled_by", strings.Join(leaders, ","))
 }
 
 // setOf gives the set of some names; nil for none.
--- a/internal/core/commands.go
+++ b/internal/core/commands.go
@@ -2,8 +2,6 @@
 
 import "bitternwing/internal/wire"
 
-// This file puts together what the leader tells a machine, with the answer to a report or directly.
-
 // commands adds a machine's orders to an answer.
 func (l *leader) commands(m *machine, r *wire.Report, answer *leaseAnswer) {
 	for i := range m.exits {
@@ -24,19 +22,21 @@
 	}
 	mayStart := l.c.elect.inTime()
 	for _, p := range m.list {
+		if answer.full() {
+			break
+		}
 		switch {
 		case p.session != m.session:
 		case p.stop != keep && p.phase >= sent:
 			if p.stop == stopSaving && p.state == wire.TaskSaving {
 				continue
 			}
-			if answer.add(p.stopCommand()) {
-				l.logCommand(wire.OpStop, p, withAnswer)
-			}
-		case p.phase == committed && p.stop == keep && mayStart && !p.job.cancelled && !answer.full():
+			l.logCommand(wire.OpStop, p, withAnswer)
+			answer.add(p.stopCommand())
+		case mayStart && p.startable():
 			p.phase, p.sentSeq = sent, r.Seq
 			l.logCommand(wire.OpStart, p, withAnswer)
-			answer.add(wire.Command{Op: wire.OpStart, Task: p.name(), Attempt: p.attempt})
+			answer.add(p.startCommand())
 		}
 	}
 }
@@ -52,17 +52,27 @@
 
 // logCommand logs a command for a machine, and by which right it is given.
 func (l *leader) logCommand(op wire.CommandOp, p *placement, way commandWay) {
-	if l.c.quiet {
+	if l.c.omitDebug {
 		return
 	}
 	right := "lease"
-	if l.c.now.Steady >= l.c.elect.deadline {
+	if !l.c.elect.leaseGood(l.c.now.Steady) {
 		right = "all nodes refused"
 	}
-	l.c.log(Debug, "command", "op", op, "task", p.name(), "attempt", p.attempt, "machine", p.machine.name, "token", l.token(p.machine),
+	l.c.log(Debug, "command", "op", op, "task", p.name(), "attempt", p.attempt, "machine", p.machine.name, "token", max(p.machine.current, firstToken(l.term)),
 		"term", l.term, "way", way, "right", right, "why", p.stopWhy, "state_served", !l.c.stateDown)
 }
 
+// startable tells whether a task is committed and is to start.
+func (p *placement) startable() bool {
+	return p.phase == committed && p.stop == keep && !p.job.cancelled
+}
+
+// startCommand starts a task.
+func (p *placement) startCommand() wire.Command {
+	return wire.Command{Op: wire.OpStart, Task: p.name(), Attempt: p.attempt}
+}
+
 // stopCommand stops a task, with time to save where it is to save.
 func (p *placement) stopCommand() wire.Command {
 	grace := 0.0
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,7 +55,8 @@
 	backlog  *pacing.Load // by requests that have waited, too
 	sized    sizeWarnings
 	renewals leaseRenewals
-	quiet    bool // debug lines are not made
+	// omitDebug tells that log lines of level Debug are not made.
+	omitDebug bool
 }
 
 // times are the durations derived from the settings, each a ratio of one of them.
@@ -256,10 +257,10 @@
 }
 
 // OmitDebugLines has the core make no log lines of level Debug, for a node that would drop them.
-func (c *Core) OmitDebugLines() { c.quiet = true }
+func (c *Core) OmitDebugLines() { c.omitDebug = true }
 
 func (c *Core) log(l Level, msg string, pairs ...any) {
-	if c.quiet && l == Debug {
+	if c.omitDebug && l == Debug {
 		return
 	}
 	c.send(Log{Level: l, Message: msg, Pairs: pairs})
--- a/internal/core/dependents.go
+++ b/internal/core/dependents.go
@@ -126,7 +126,7 @@
 
 // cancelledEntry gives a job as it is after its cancellation was written.
 func (c *Core) cancelledEntry(id string, before *entry) *entry {
-	if e := c.dir.jobs[id]; e != nil && e.CancelledMS != 0 {
+	if e := c.dir.jobs[id]; e.cancelled() {
 		return e
 	}
 	e := *before
--- a/internal/core/direct_orders.go
+++ b/internal/core/direct_orders.go
@@ -57,10 +57,10 @@
 			p.stopOut = true
 			l.logCommand(wire.OpStop, p, directly)
 			o.commands = append(o.commands, p.stopCommand())
-		case mayStart && p.phase == committed && p.stop == keep && !p.job.cancelled:
+		case mayStart && p.startable():
 			l.logCommand(wire.OpStart, p, directly)
 			o.starts = append(o.starts, p)
-			o.commands = append(o.commands, wire.Command{Op: wire.OpStart, Task: p.name(), Attempt: p.attempt})
+			o.commands = append(o.commands, p.startCommand())
 			p.phase, p.direct, p.waits = sent, o.token, true
 			if m.direct == nil {
 				m.direct = map[attemptName]uint64{}
--- a/internal/core/directory.go
+++ b/internal/core/directory.go
@@ -86,6 +86,9 @@
 	version uint64
 }
 
+// cancelled tells whether a job that is there is cancelled.
+func (e *entry) cancelled() bool { return e != nil && e.CancelledMS != 0 }
+
 // directory is the watched part of the state service as this node last saw it.
 // It may lag; what is told to users is confirmed first.
 type directory struct {
@@ -310,12 +313,15 @@
 			key, value = e.Delete, nil
 			c.noticeEnd(key)
 		}
-		if below(key, keyPlans) {
+		switch {
+		case below(key, keyPlans):
 			c.applyPlan(key, value, e.Version)
-			continue
+		case below(key, keyActive):
+			c.applyJob(key[len(keyActive):], value, e.Version, fromWatch)
+		default:
+			c.dir.apply(key, value, e.Version)
+			c.noticeRelayed(key, value)
 		}
-		c.applyKey(key, value, e.Version, fromWatch)
-		c.noticeRelayed(key, value)
 	}
 	c.dir.revision = max(c.dir.revision, ch.Revision)
 }
@@ -331,16 +337,18 @@
 	fromRead  knowledgeSource = "read"  // of the key
 )
 
-// applyKey takes a key's value and hands it to those who follow jobs. That a job is cancelled is logged when it is known
-// here first: from then on whatever this node answers has to stop it.
-func (c *Core) applyKey(key string, value json.RawMessage, version uint64, source knowledgeSource) {
-	id, _ := strings.CutPrefix(key, keyActive)
+// applyJob takes in a job's key, or its end where value is nil, and hands it to those who follow jobs. That a job is cancelled
+// is logged when it is known here first: from then on whatever this node answers has to stop it.
+func (c *Core) applyJob(id string, value json.RawMessage, version uint64, source knowledgeSource) {
 	before := c.dir.jobs[id]
-	c.dir.apply(key, value, version)
-	if after := c.dir.jobs[id]; after != before && after != nil && after.CancelledMS != 0 && (before == nil || before.CancelledMS == 0) {
+	c.dir.applyJob(id, value, version)
+	if !before.cancelled() && c.dir.jobs[id].cancelled() {
 		c.log(Debug, "cancellation known", "job", id, "version", version, "from", source)
 	}
-	c.noticeJob(key)
+	c.deps.noticeJob(id)
+	if c.lead != nil {
+		c.lead.jobChanged(id)
+	}
 }
 
 // noticeEnd remembers a job's final state from the end of its active key: only the
@@ -360,18 +368,6 @@
 	}
 }
 
-// noticeJob hands a changed job to those who follow jobs.
-func (c *Core) noticeJob(key string) {
-	if !below(key, keyActive) {
-		return
-	}
-	id := key[len(keyActive):]
-	c.deps.noticeJob(id)
-	if c.lead != nil {
-		c.lead.jobChanged(id)
-	}
-}
-
 // readDirectory reads all pages of the watched keys. The revision of the first
 // page is where the watch begins: what changed while reading comes once more.
 func (c *Core) readDirectory(after string) {
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -326,7 +326,7 @@
 		e.extend = false
 		switch r.Outcome {
 		case call.OK:
-			if c.now.Steady >= e.deadline {
+			if !e.leaseGood(c.now.Steady) {
 				c.log(Debug, "entitled again", "term", c.lead.term, "after_ms", (c.now.Steady - e.deadline).Milliseconds())
 			}
 			e.deadline = max(e.deadline, r.Sent+e.leaseDuration())
@@ -340,9 +340,12 @@
 	c.send(StateExtend{ID: id, Lease: e.lease})
 }
 
-// inTime tells whether this leader's lease is certainly good.
+// leaseGood tells whether this leader's lease is certainly good at a time.
+func (e *election) leaseGood(now time.Duration) bool { return now < e.deadline }
+
+// inTime tells whether this leader's lease is certainly good now, and has the core wake when it is no more.
 func (e *election) inTime() bool {
-	if e.c.now.Steady < e.deadline {
+	if e.leaseGood(e.c.now.Steady) {
 		e.c.at(e.deadline)
 		return true
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -69,6 +69,7 @@
 	l := &leader{c: c, term: term, version: version, since: c.now.Steady, releaseAt: farFuture,
 		runs: map[string]wire.Item{}, jobs: map[string]*job{}, machines: map[string]*machine{},
 		room: capacity.NewIndex[*host](), replicas: spread.NewLedger(), released: map[string]time.Duration{}, cutZones: map[string]bool{}, outAt: map[string]time.Duration{}}
+	l.unread.renewedBefore = c.renewals.answers[UnreadLeaderBasis]
 	l.plans = newPlanRuns(l)
 	l.allowances = newAllowances(l)
 	l.writes.init(l)
@@ -139,7 +140,7 @@
 			l.c.at(l.readAt)
 			return
 		}
-		l.readRuns(l.runsAfter)
+		l.readRuns()
 	}
 	if !l.runsAll || l.c.dir.revision < l.version {
 		l.warnUnread()
@@ -168,7 +169,8 @@
 	l.wantRound()
 }
 
-func (l *leader) readRuns(after string) {
+// readRuns reads the next page of the run records, and those after it.
+func (l *leader) readRuns() {
 	l.reading = true
 	id := l.stateCall(func(r Result) {
 		l.reading = false
@@ -183,12 +185,12 @@
 		}
 		if n := len(r.Page.Items); r.Page.More && n > 0 {
 			l.runsAfter = r.Page.Items[n-1].Key
-			l.readRuns(l.runsAfter)
+			l.readRuns()
 			return
 		}
 		l.runsAll, l.runsAllAt = true, l.c.now.Steady
 	})
-	l.c.send(StateList{ID: id, Prefix: keyRuns, After: after})
+	l.c.send(StateList{ID: id, Prefix: keyRuns, After: l.runsAfter})
 }
 
 // takeRecords takes the run records of earlier terms.
--- a/internal/core/lease_answers.go
+++ b/internal/core/lease_answers.go
@@ -83,16 +83,11 @@
 // full tells whether there is no room for another command.
 func (a *leaseAnswer) full() bool { return len(a.commands) >= mostCommands }
 
-// add adds a command, unless there is no room or its attempt is stopped already. It tells whether the answer holds it.
-func (a *leaseAnswer) add(command wire.Command) bool {
-	if a.stopped[attemptName{command.Task, command.Attempt}] {
-		return command.Op == wire.OpStop
+// add adds a command, unless there is no room or its attempt is stopped already.
+func (a *leaseAnswer) add(command wire.Command) {
+	if !a.full() && !a.stopped[attemptName{command.Task, command.Attempt}] {
+		a.commands = append(a.commands, command)
 	}
-	if a.full() {
-		return false
-	}
-	a.commands = append(a.commands, command)
-	return true
 }
 
 // renewLease answers a report with 200, which renews the worker's lease. No other code does.
@@ -107,8 +102,7 @@
 
 // knowsCancelled tells whether this node knows that a job is cancelled.
 func (c *Core) knowsCancelled(job string) bool {
-	e := c.dir.jobs[job]
-	return e != nil && e.CancelledMS != 0 || c.dir.finals[job].State == wire.JobCancelled
+	return c.dir.jobs[job].cancelled() || c.dir.finals[job].State == wire.JobCancelled
 }
 
 // countRenewal counts an answer. The first one on a basis, or the first for a lease, is logged.
--- a/internal/core/lease_relay.go
+++ b/internal/core/lease_relay.go
@@ -74,7 +74,7 @@
 // not try, which would cost them much of their lease.
 func (k *leaseRelay) apart(zone string) bool {
 	p := k.leader()
-	return p != nil && k.c.fresh(p) && p.status.Leads && slices.Contains(p.status.ZonesApart, zone)
+	return p != nil && k.c.leads(p) && slices.Contains(p.status.ZonesApart, zone)
 }
 
 // current tells whether the leader's term was seen to be current just now, in the
@@ -82,7 +82,7 @@
 func (k *leaseRelay) current(p *peer) bool {
 	c := k.c
 	return k.leadOK != 0 && c.now.Steady-k.leadOK < 2*c.t.heartbeat ||
-		c.fresh(p) && p.status.Leads && p.status.Term == c.dir.lead.Term
+		c.leads(p) && p.status.Term == c.dir.lead.Term
 }
 
 // checkin answers a worker in the leader's place; false if that is not due.
--- a/internal/core/lookups.go
+++ b/internal/core/lookups.go
@@ -37,7 +37,7 @@
 		return
 	}
 	e := u.c.dir.jobs[id]
-	if e != nil && e.CancelledMS != 0 {
+	if e.cancelled() {
 		u.cancelled(id, e, then)
 		return
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,10 +1,6 @@
 package core
 
-import (
-	"fmt"
-	"strings"
-	"time"
-)
+import "time"
 
 // peer is what is known of another node.
 type peer struct {
@@ -60,6 +56,9 @@
 	return p.reached && p.heardAt != 0 && c.now.Steady-p.heardAt < 3*c.t.heartbeat
 }
 
+// leads tells whether a peer was heard to lead within the last few questions.
+func (c *Core) leads(p *peer) bool { return c.fresh(p) && p.status.Leads }
+
 // allRefused tells whether every other node says that the state service refuses
 // it as well and none knows a newer term. One node that doesn't answer is enough
 // for a no: it may be served, and lead.
@@ -141,29 +140,11 @@
 	return out && zone != c.set.Zone
 }
 
-// logConfirmed logs that a user is told of a cancellation, and who led by then as far as this node knows: they have said
-// that nothing of the job can start any more.
-func (c *Core) logConfirmed(job string, version uint64) {
-	if c.quiet {
-		return
-	}
-	var leaders []string
-	if c.lead != nil {
-		leaders = append(leaders, fmt.Sprintf("%s:%d", c.set.Node, c.lead.term))
-	}
-	for _, p := range c.peers {
-		if c.fresh(p) && p.status.Leads {
-			leaders = append(leaders, fmt.Sprintf("%s:%d", p.node, p.status.Term))
-		}
-	}
-	c.log(Debug, "cancellation confirmed", "job", job, "version", version, "settled_by", strings.Join(leaders, ","))
-}
-
 // leadingPeer gives the node that says of itself that it leads, with the newest term.
 func (c *Core) leadingPeer() string {
 	name, term := "", uint64(0)
 	for _, p := range c.peers {
-		if c.fresh(p) && p.status.Leads && p.status.Term > term {
+		if c.leads(p) && p.status.Term > term {
 			name, term = p.node, p.status.Term
 		}
 	}
--- a/internal/core/plan_requests.go
+++ b/internal/core/plan_requests.go
@@ -141,7 +141,7 @@
 		e, j := c.dir.jobs[id], l.jobs[id]
 		_, ended := c.dir.finals[id]
 		switch {
-		case !l.freeForPlan(plan, id) || ended || e != nil && e.CancelledMS != 0:
+		case !l.freeForPlan(plan, id) || ended || e.cancelled():
 			return &rollout.FieldError{Field: field, Problem: "is no service of this team that a plan may have"}
 		case j != nil && (len(j.placed) > 0 || len(j.chunks) > 0):
 			return &rollout.FieldError{Field: field, Problem: "has been placed already"}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -50,7 +50,6 @@
 // report takes in a report and adds commands to its answer.
 func (l *leader) report(r *wire.Report, answer *leaseAnswer) LeaseBasis {
 	if !l.loaded {
-		l.unread.renewals++
 		return UnreadLeaderBasis // what runs is not yet known
 	}
 	if _, was := l.released[r.Machine]; was {
--- a/internal/core/sim_worker_test.go
+++ b/internal/core/sim_worker_test.go
@@ -155,35 +155,21 @@
 		}
 	})
 	reach := func() bool { return s.workerReach(n, w) && s.now >= w.mute }
-	hand := func(then func(core.Answer)) {
-		if n.core == nil {
-			if then != nil && w.gen == gen && w.busy {
-				elsewhere(time.Second) // refused
-			}
-			return
-		}
-		n.req++
-		if then != nil {
-			n.waiting[n.req] = then
-		}
-		copied := *r
-		copied.Tasks = append([]wire.TaskReport(nil), r.Tasks...)
-		n.reports[n.req] = &copied
-		s.stepUntil(n, core.Checkin{Req: n.req, Report: &copied}, s.now+simWorkerPatience)
-	}
 	if s.lateReports > 0 && s.rnd.Float64() < s.lateReports {
 		s.after(s.between(2*time.Second, 15*time.Second), func() {
-			n := s.nodes[s.rnd.IntN(len(s.nodes))]
-			if n.core != nil {
-				n.req++
-				copied := *r
-				n.reports[n.req] = &copied
-				s.stepUntil(n, core.Checkin{Req: n.req, Report: &copied}, s.now+simWorkerPatience)
+			if n := s.nodes[s.rnd.IntN(len(s.nodes))]; n.core != nil {
+				s.handReport(n, r, nil)
 			}
 		})
 	}
 	s.deliver(reach, true, func() {
-		hand(func(a core.Answer) {
+		if n.core == nil {
+			if w.gen == gen && w.busy {
+				elsewhere(time.Second) // refused
+			}
+			return
+		}
+		s.handReport(n, r, func(a core.Answer) {
 			s.deliver(func() bool { return s.workerReach(n, w) && s.now >= w.deaf }, false, func() {
 				s.answerTo(w, n, a, gen, sent, r.Session, elsewhere)
 			})
@@ -191,6 +177,18 @@
 	})
 }
 
+// handReport hands a copy of a report to a node that is there; then, if there is one, gets the answer.
+func (s *sim) handReport(n *simNode, r *wire.Report, then func(core.Answer)) {
+	n.req++
+	if then != nil {
+		n.waiting[n.req] = then
+	}
+	copied := *r
+	copied.Tasks = append([]wire.TaskReport(nil), r.Tasks...)
+	n.reports[n.req] = &copied
+	s.stepUntil(n, core.Checkin{Req: n.req, Report: &copied}, s.now+simWorkerPatience)
+}
+
 func (s *sim) answerTo(w *simWorker, n *simNode, a core.Answer, gen int, sent time.Duration, session uint64, elsewhere func(time.Duration)) {
 	if w.gone || w.gen != gen || !w.busy {
 		return
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -29,7 +29,7 @@
 	}
 	if l := c.lead; l != nil {
 		s.Leading, s.Machines, s.Term = true, len(l.machines), max(s.Term, l.term)
-		s.Entitled = now < c.elect.deadline || c.allRefused()
+		s.Entitled = c.elect.leaseGood(now) || c.allRefused()
 		if !l.loaded {
 			s.Unread = now - l.since
 		}
--- a/internal/core/unread_leader.go
+++ b/internal/core/unread_leader.go
@@ -6,8 +6,13 @@
 
 // unreadTerm is what a leader keeps of the time in which it was unread.
 type unreadTerm struct {
-	renewals uint64 // answers that renewed leases
-	warned   bool
+	renewedBefore uint64 // leases that this process had renewed as an unread leader of earlier terms
+	warned        bool
+}
+
+// unreadRenewals is how many leases were renewed in this term before the records were read.
+func (l *leader) unreadRenewals() uint64 {
+	return l.c.renewals.answers[UnreadLeaderBasis] - l.unread.renewedBefore
 }
 
 // warnUnread logs, once, that a leader is unread for longer than reading should take.
@@ -19,12 +24,12 @@
 	}
 	l.unread.warned = true
 	c.log(Info, "leading without the records", "term", l.term, "records_read", l.runsAll,
-		"read_up_to", c.dir.revision, "needed", l.version, "leases_renewed", l.unread.renewals)
+		"read_up_to", c.dir.revision, "needed", l.version, "leases_renewed", l.unreadRenewals())
 }
 
 // logTakeover logs what a new leader has waited for, and what it did meanwhile.
 func (l *leader) logTakeover() {
 	now := l.c.now.Steady
 	l.c.log(Debug, "took over", "term", l.term, "after_ms", (now - l.since).Milliseconds(),
-		"records_ms", (l.runsAllAt - l.since).Milliseconds(), "read_up_to", l.c.dir.revision, "leases_renewed", l.unread.renewals)
+		"records_ms", (l.runsAllAt - l.since).Milliseconds(), "read_up_to", l.c.dir.revision, "leases_renewed", l.unreadRenewals())
 }
--- a/internal/metrics/recorder.go
+++ b/internal/metrics/recorder.go
@@ -80,34 +80,55 @@
 	r.calls.WithLabelValues(string(service), operation, outcome).Inc()
 }
 
+// statusMetric is a metric that is read off a node's status.
+type statusMetric struct {
+	desc  *prometheus.Desc
+	kind  prometheus.ValueType
+	value func(core.Status) float64
+}
+
+// basisCounter is a counter in a node's status for each basis on which leases are renewed.
+type basisCounter struct {
+	desc   *prometheus.Desc
+	values func(core.Status) [core.LeaseBases]uint64
+}
+
 // statusCollector gives a node's status as metrics.
 type statusCollector struct {
-	status                                         func() core.Status
-	leading, termsLed, load, heldAnswers, machines *prometheus.Desc
-	term, entitled, unread, revision, stateServed  *prometheus.Desc
-	renewals, cancelledStops                       *prometheus.Desc
+	status   func() core.Status
+	metrics  []statusMetric
+	counters []basisCounter
 }
 
 func newStatusCollector(status func() core.Status) *statusCollector {
+	c := &statusCollector{status: status}
 	desc := func(name, help string, labels ...string) *prometheus.Desc {
 		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
 	}
-	return &statusCollector{
-		status:      status,
-		leading:     desc("leading", "1 while this node leads."),
-		termsLed:    desc("terms_led_total", "Terms that this process has led."),
-		load:        desc("load_ratio", "How short of processor time this node is: 0 it keeps up, 1 it is overloaded."),
-		heldAnswers: desc("held_answers", "Answers to reports that are held back now."),
-		machines:    desc("machines", "Machines that this node looks after; 0 while it does not lead."),
-		term:        desc("term", "Newest term that this node knows."),
-		entitled:    desc("leader_entitled", "1 while this node leads and may act for the controllers."),
-		unread:      desc("leader_unread_seconds", "How long this node has led without the records; 0 once it has read them."),
-		revision:    desc("read_revision", "Revision of the state service up to which this node has read the changes of jobs."),
-		stateServed: desc("state_served", "1 while the state service serves this node."),
-		renewals:    desc("lease_renewals_total", "Answers to reports that renewed a worker's lease, by why this node may answer.", "basis"),
-
-		cancelledStops: desc("cancelled_stops_total", "Stops of tasks of cancelled jobs in such answers, by the same.", "basis"),
+	gauge := func(name, help string, value func(core.Status) float64) {
+		c.metrics = append(c.metrics, statusMetric{desc(name, help), prometheus.GaugeValue, value})
+	}
+	byBasis := func(name, help string, values func(core.Status) [core.LeaseBases]uint64) {
+		c.counters = append(c.counters, basisCounter{desc(name, help, "basis"), values})
 	}
+	gauge("leading", "1 while this node leads.", func(s core.Status) float64 { return oneIf(s.Leading) })
+	gauge("load_ratio", "How short of processor time this node is: 0 it keeps up, 1 it is overloaded.", func(s core.Status) float64 { return s.Load })
+	gauge("held_answers", "Answers to reports that are held back now.", func(s core.Status) float64 { return float64(s.HeldAnswers) })
+	gauge("machines", "Machines that this node looks after; 0 while it does not lead.", func(s core.Status) float64 { return float64(s.Machines) })
+	gauge("term", "Newest term that this node knows.", func(s core.Status) float64 { return float64(s.Term) })
+	gauge("leader_entitled", "1 while this node leads and may act for the controllers.", func(s core.Status) float64 { return oneIf(s.Entitled) })
+	gauge("leader_unread_seconds", "How long this node has led without the records; 0 once it has read them.",
+		func(s core.Status) float64 { return s.Unread.Seconds() })
+	gauge("read_revision", "Revision of the state service up to which this node has read the changes of jobs.",
+		func(s core.Status) float64 { return float64(s.Revision) })
+	gauge("state_served", "1 while the state service serves this node.", func(s core.Status) float64 { return oneIf(!s.StateDown) })
+	c.metrics = append(c.metrics, statusMetric{desc("terms_led_total", "Terms that this process has led."), prometheus.CounterValue,
+		func(s core.Status) float64 { return float64(s.TermsLed) }})
+	byBasis("lease_renewals_total", "Answers to reports that renewed a worker's lease, by why this node may answer.",
+		func(s core.Status) [core.LeaseBases]uint64 { return s.Renewals })
+	byBasis("cancelled_stops_total", "Stops of tasks of cancelled jobs in such answers, by the same.",
+		func(s core.Status) [core.LeaseBases]uint64 { return s.CancelledStops })
+	return c
 }
 
 // Describe implements prometheus.Collector.
@@ -116,23 +137,14 @@
 // Collect implements prometheus.Collector.
 func (c *statusCollector) Collect(to chan<- prometheus.Metric) {
 	s := c.status()
-	gauge := func(d *prometheus.Desc, v float64) {
-		to <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v)
+	for _, m := range c.metrics {
+		to <- prometheus.MustNewConstMetric(m.desc, m.kind, m.value(s))
 	}
-	gauge(c.leading, oneIf(s.Leading))
-	gauge(c.load, s.Load)
-	gauge(c.heldAnswers, float64(s.HeldAnswers))
-	gauge(c.machines, float64(s.Machines))
-	gauge(c.term, float64(s.Term))
-	gauge(c.entitled, oneIf(s.Entitled))
-	gauge(c.unread, s.Unread.Seconds())
-	gauge(c.revision, float64(s.Revision))
-	gauge(c.stateServed, oneIf(!s.StateDown))
-	for basis, answers := range s.Renewals {
-		to <- prometheus.MustNewConstMetric(c.renewals, prometheus.CounterValue, float64(answers), core.LeaseBasis(basis).String())
-		to <- prometheus.MustNewConstMetric(c.cancelledStops, prometheus.CounterValue, float64(s.CancelledStops[basis]), core.LeaseBasis(basis).String())
+	for _, counter := range c.counters {
+		for basis, value := range counter.values(s) {
+			to <- prometheus.MustNewConstMetric(counter.desc, prometheus.CounterValue, float64(value), core.LeaseBasis(basis).String())
+		}
 	}
-	to <- prometheus.MustNewConstMetric(c.termsLed, prometheus.CounterValue, float64(s.TermsLed))
 }
 
 // oneIf gives 1 for true, and 0 for false.
