review: a rollout's new version takes the old one's capacity with it

Two jobs of a new version fail as soon as they start. The sound machine on which they did is drained at once, with the old replicas on it.

--- a/review/_cases/environment.go
+++ b/review/_cases/environment.go
@@ -43,6 +43,7 @@
 	faultyJobs map[string]bool
 	runTimes   map[string]time.Duration
 	onStart    func(w *worker, t *heldTask)
+	onLaunch   func(w *worker) error
 }
 
 // site holds what the settings of a deployment say.
@@ -248,6 +249,12 @@
 		e.record("worker %s can't start: %v", spec.Name, err)
 		os.Exit(2)
 	}
+	if e.onLaunch != nil {
+		if err := e.onLaunch(w); err != nil {
+			e.record("machine %s can't start: %v", spec.Name, err)
+			os.Exit(2)
+		}
+	}
 	e.mu.Lock()
 	e.workers = append(e.workers, w)
 	e.mu.Unlock()
--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -15,6 +15,7 @@
 // cases are the cases by number. A case returns what broke the rule, or "".
 var cases = map[string]func(*environment) (string, error){
 	"waiting": caseWaiting,
+	"rollout": caseRollout,
 }
 
 func main() {
--- a/review/_cases/worker.go
+++ b/review/_cases/worker.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"cmp"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -327,7 +326,7 @@
 	w.changed = changed
 }
 
-// state returns the state of a job's tasks on the worker, by task name.
+// states returns the states of a job's tasks on the worker, by task name.
 func (w *worker) states(job string) map[string]wire.TaskState {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -355,10 +354,8 @@
 	return free
 }
 
-// Serves reports whether a task runs on the machine, for the stand-in of its model server.
+// runs reports whether a task runs on the machine, for the stand-in of its model server.
 func (w *worker) runs(task string) bool {
 	id, _, _ := strings.Cut(task, "/")
 	return w.states(id)[task] == wire.TaskRunning
 }
-
-var _ = context.Background
