review: one submission of 100,000 tasks stops all scheduling

A service of as many tasks as the protocol allows keeps the core of each leader in turn busy for longer than its lease lasts.

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(*environment) (string, error){
 	"waiting": caseWaiting,
 	"rollout": caseRollout,
+	"huge":    caseHuge,
 }
 
 func main() {
