--- a/review/_cases/environment.go
+++ b/review/_cases/environment.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -269,18 +270,17 @@
 	return w
 }
 
+// allWorkers returns the workers of machines that are not gone. A worker may hold its own lock when it takes that of the
+// environment, so the locks are not taken the other way round.
 func (e *environment) allWorkers() []*worker {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	var live []*worker
-	for _, w := range e.workers {
+	all := slices.Clone(e.workers)
+	e.mu.Unlock()
+	return slices.DeleteFunc(all, func(w *worker) bool {
 		w.mu.Lock()
-		if !w.ended {
-			live = append(live, w)
-		}
-		w.mu.Unlock()
-	}
-	return live
+		defer w.mu.Unlock()
+		return w.ended
+	})
 }
 
 func (e *environment) job(id string) *wire.Job {
--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -28,6 +28,9 @@
 	os.Exit(run(os.Args[1], os.Args[2]))
 }
 
+// longestRun is when a case is given up.
+const longestRun = 118 * time.Second
+
 func run(name, folder string) int {
 	log, err := os.Create(filepath.Join(folder, "record.txt"))
 	if err != nil {
@@ -43,6 +46,11 @@
 	e := &environment{trouble: os.Getenv("TROUBLE") != "0", dir: dir, log: log, startedAt: time.Now(), jobs: map[string]*wire.Job{},
 		faultyJobs: map[string]bool{}, runTimes: map[string]time.Duration{}, bootTime: 1500 * time.Millisecond}
 	defer e.tearDown()
+	time.AfterFunc(longestRun, func() {
+		fmt.Println("could not run: no result in time")
+		e.tearDown()
+		os.Exit(2)
+	})
 	broken, err := cases[name](e)
 	var noRun errCantRun
 	switch {
