--- a/review/_cases-2/lab/lab.go
+++ b/review/_cases-2/lab/lab.go
@@ -61,6 +61,19 @@
 			SpotPrice: 7.24, BootS: 45, Zones: []string{"pos-east"}}}
 }
 
+// Uln is the second deployment of the brief, with three controllers in two zones.
+func Uln() Site {
+	s := Pos()
+	s.Name = "khilgate-uln"
+	s.Zones = []string{"uln-north", "uln-south", "uln-north"}
+	s.LeaseS, s.CancelS = 11, 31
+	s.StateRPS, s.TxnOps, s.CloudRPS, s.ListLagS, s.CoreShare, s.Sockets = 200, 48, 8, 3, 0.096, 700
+	s.Teams = []Team{{"altanbroker", 56, 88}, {"khurdbroker", 88, 312}}
+	s.Type = wire.MachineType{Name: "gobi64", CPUs: 64, GPUs: 8, MemoryGB: 384, CacheGB: 300, FetchGBPerS: 4.6, Price: 15.94,
+		SpotPrice: 5.04, BootS: 40, Zones: []string{"uln-north", "uln-south"}}
+	return s
+}
+
 // PosFleet has the figures of the same deployment in the kit's folder "fleet".
 func PosFleet() Site {
 	s := Pos()
@@ -107,6 +120,10 @@
 	closing  bool
 	StateVia func(c *Controller, direct string) string // may put a proxy before the state service
 	PeerVia  func(from, to *Controller) string         // may put a proxy before another controller
+	// CloudVia may put a proxy before the cloud.
+	CloudVia func(c *Controller, direct string) string
+	// WorkersVia may put a proxy between the workers and a controller.
+	WorkersVia func(c *Controller) string
 }
 
 // Jobs knows the submitted jobs, as workers do, and what ran where.
@@ -321,7 +338,11 @@
 	}
 	var targets []simworker.Controller
 	for _, c := range l.Controllers {
-		targets = append(targets, simworker.Controller{Name: c.Name, Zone: c.Zone, Addr: c.Public})
+		address := c.Public
+		if l.WorkersVia != nil {
+			address = l.WorkersVia(c)
+		}
+		targets = append(targets, simworker.Controller{Name: c.Name, Zone: c.Zone, Addr: address})
 	}
 	fleet, err := simworker.NewFleet(simworker.Config{Seed: 1, HeartbeatInterval: seconds(l.Site.ReportS), LeaseDuration: seconds(l.Site.LeaseS),
 		Controllers: targets, Jobs: l.Jobs, Observer: l.Jobs, Traffic: noTraffic{}})
@@ -347,6 +368,9 @@
 		if c.CloudAddr, err = l.Cloud.AddClient(c.Name); err != nil {
 			l.Fail("cloud: %v", err)
 		}
+		if l.CloudVia != nil {
+			c.CloudAddr = l.CloudVia(c, c.CloudAddr)
+		}
 	}
 }
 
