--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -10,6 +10,6 @@
   echo "build the program and run review/build-2.sh first" >&2
   exit 2
 fi
-timeout -k 2 116 "$runner" stale_submission "$here"
+timeout -k 2 116 "$runner" left_waiting "$here"
 status=$?
 case "$status" in 0 | 1 | 2) exit "$status" ;; *) exit 2 ;; esac
--- a/review/_cases-2/run/stale_submission.go
+++ b/review/_cases-2/run/stale_submission.go
@@ -18,33 +18,39 @@
 
 func init() { cases["stale_submission"] = staleSubmission }
 
-// holdAnswers is a proxy before the state service. It passes each request on at once, and holds the answers to
-// transactions that write the given key back for a time.
-func holdAnswers(l *lab.Lab, target, key string, hold time.Duration, on *atomic.Bool) string {
+// slowState is a proxy before the state service. It passes each request on at once. While on, each answer takes the
+// usual time longer, and the answer to a transaction that writes the key takes the hold longer, if there is one.
+func slowState(l *lab.Lab, target, key string, usual time.Duration, on *atomic.Bool, hold *atomic.Int64) string {
 	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: target})
-	proxy.FlushInterval = -1
-	proxy.ErrorHandler = func(w http.ResponseWriter, _ *http.Request, _ error) { panic(http.ErrAbortHandler) }
+	proxy.ErrorHandler = func(http.ResponseWriter, *http.Request, error) { panic(http.ErrAbortHandler) }
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		l.Fail("proxy: %v", err)
 	}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, _ := io.ReadAll(r.Body)
-		r.Body = io.NopCloser(bytes.NewReader(body))
-		if !on.Load() || r.URL.Path != "/txn" || !writes(body, key) {
+		if !on.Load() {
 			proxy.ServeHTTP(w, r)
 			return
 		}
-		l.Log("state service: transaction with %s arrives and is carried out", key)
-		recorder := &heldWriter{header: http.Header{}}
-		proxy.ServeHTTP(recorder, r)
-		time.Sleep(hold)
-		for name, values := range recorder.header {
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		delay := usual
+		held := time.Duration(hold.Load())
+		if held > 0 && r.URL.Path == "/txn" && writes(body, key) {
+			delay = held
+			l.Log("state service: transaction with %s arrives and is carried out", key)
+		}
+		answer := &heldWriter{header: http.Header{}}
+		proxy.ServeHTTP(answer, r)
+		time.Sleep(delay)
+		for name, values := range answer.header {
 			w.Header()[name] = values
 		}
-		w.WriteHeader(recorder.status)
-		_, _ = w.Write(recorder.body.Bytes())
-		l.Log("state service: its answer (%d) is sent, %v later", recorder.status, hold)
+		w.WriteHeader(answer.status)
+		_, _ = w.Write(answer.body.Bytes())
+		if delay == held {
+			l.Log("state service: its answer (%d) is sent, %v later", answer.status, held)
+		}
 	})
 	go func() { _ = (&http.Server{Handler: handler}).Serve(listener) }()
 	return listener.Addr().String()
@@ -81,12 +87,14 @@
 // staleSubmission: a submission's transaction is carried out and its answer is slow; meanwhile the user's connection
 // fails, another controller accepts the repeat and confirms the cancellation; then the submission is repeated at the first.
 func staleSubmission(folder string) {
-	const id, hold = "run-000412", 1400 * time.Millisecond
+	const id = "run-000412"
+	const usual, hold = 45 * time.Millisecond, 1450 * time.Millisecond
 	l := lab.New(lab.PosFleet(), folder)
-	slow := map[string]*atomic.Bool{}
+	var slow atomic.Bool
+	holds := map[string]*atomic.Int64{}
 	l.StateVia = func(c *lab.Controller, direct string) string {
-		slow[c.Name] = &atomic.Bool{}
-		return holdAnswers(l, direct, id, hold, slow[c.Name])
+		holds[c.Name] = &atomic.Int64{}
+		return slowState(l, direct, id, usual, &slow, holds[c.Name])
 	}
 	l.Start(0)
 	leader := l.AwaitLeader(10 * time.Second)
@@ -100,7 +108,12 @@
 	first, second := followers[0], leader
 	job := lab.Batch(id, "riskdesk-00", 1, 1, 60)
 	body := l.Submission(job)
-	slow[first.Name].Store(l.Trouble)
+	if l.Trouble {
+		l.Log("state service: each answer takes %v longer from now on", usual)
+		slow.Store(true)
+		time.Sleep(2 * time.Second)
+		holds[first.Name].Store(int64(hold))
+	}
 
 	// The first attempt. Its connection is reset 50 ms later; without the trouble the answer has come by then.
 	l.Log("user -> %s: POST %s %s", first.Name, wire.JobsPath, id)
