--- a/review/_cases-2/lab/lab.go
+++ b/review/_cases-2/lab/lab.go
@@ -61,19 +61,6 @@
 			SpotPrice: 7.24, BootS: 45, Zones: []string{"pos-east"}}}
 }
 
-// Uln is the second deployment of the brief, with three controllers in two zones.
-func Uln() Site {
-	s := Pos()
-	s.Name = "khilgate-uln"
-	s.Zones = []string{"uln-north", "uln-south", "uln-north"}
-	s.LeaseS, s.CancelS = 11, 31
-	s.StateRPS, s.TxnOps, s.CloudRPS, s.ListLagS, s.CoreShare, s.Sockets = 200, 48, 8, 3, 0.096, 700
-	s.Teams = []Team{{"altanbroker", 56, 88}, {"khurdbroker", 88, 312}}
-	s.Type = wire.MachineType{Name: "gobi64", CPUs: 64, GPUs: 8, MemoryGB: 384, CacheGB: 300, FetchGBPerS: 4.6, Price: 15.94,
-		SpotPrice: 5.04, BootS: 40, Zones: []string{"uln-north", "uln-south"}}
-	return s
-}
-
 // PosFleet has the figures of the same deployment in the kit's folder "fleet".
 func PosFleet() Site {
 	s := Pos()
@@ -119,11 +106,6 @@
 	binary   string
 	closing  bool
 	StateVia func(c *Controller, direct string) string // may put a proxy before the state service
-	PeerVia  func(from, to *Controller) string         // may put a proxy before another controller
-	// CloudVia may put a proxy before the cloud.
-	CloudVia func(c *Controller, direct string) string
-	// WorkersVia may put a proxy between the workers and a controller.
-	WorkersVia func(c *Controller) string
 }
 
 // Jobs knows the submitted jobs, as workers do, and what ran where.
@@ -131,14 +113,11 @@
 	lab *Lab
 	mu  sync.Mutex
 	all map[string]*wire.Job
-	run time.Duration
 	on  map[string]map[string]bool // machines by task
 	// OnRun is called when a task begins to run.
 	OnRun func(machine, task string)
 	// OnEnd is called when a task that ran is gone.
 	OnEnd func(machine, task string)
-	// OnEndDone is called when a task that ran is gone, with whether it is done.
-	OnEndDone func(machine, task string, done bool)
 }
 
 // Put makes a job known to the workers: users upload its description.
@@ -188,11 +167,8 @@
 	j.lab.Log("ends    %s on %s done %t", task, machine, done)
 	j.mu.Lock()
 	delete(j.on[task], machine)
-	call, callDone := j.OnEnd, j.OnEndDone
+	call := j.OnEnd
 	j.mu.Unlock()
-	if callDone != nil {
-		callDone(machine, task, done)
-	}
 	if call != nil {
 		call(machine, task)
 	}
@@ -338,11 +314,7 @@
 	}
 	var targets []simworker.Controller
 	for _, c := range l.Controllers {
-		address := c.Public
-		if l.WorkersVia != nil {
-			address = l.WorkersVia(c)
-		}
-		targets = append(targets, simworker.Controller{Name: c.Name, Zone: c.Zone, Addr: address})
+		targets = append(targets, simworker.Controller{Name: c.Name, Zone: c.Zone, Addr: c.Public})
 	}
 	fleet, err := simworker.NewFleet(simworker.Config{Seed: 1, HeartbeatInterval: seconds(l.Site.ReportS), LeaseDuration: seconds(l.Site.LeaseS),
 		Controllers: targets, Jobs: l.Jobs, Observer: l.Jobs, Traffic: noTraffic{}})
@@ -368,9 +340,6 @@
 		if c.CloudAddr, err = l.Cloud.AddClient(c.Name); err != nil {
 			l.Fail("cloud: %v", err)
 		}
-		if l.CloudVia != nil {
-			c.CloudAddr = l.CloudVia(c, c.CloudAddr)
-		}
 	}
 }
 
@@ -383,11 +352,7 @@
 	fmt.Fprintf(&b, "host_name = %q\ndomain = %q\nbind = %q\ninternal_addr = %q\n", c.Name, c.Zone, c.Public, c.Internal)
 	for _, other := range l.Controllers {
 		if other != c {
-			address := other.Internal
-			if l.PeerVia != nil {
-				address = l.PeerVia(c, other)
-			}
-			fmt.Fprintf(&b, "[[siblings]]\nhost_name = %q\ndomain = %q\naddress = %q\n", other.Name, other.Zone, address)
+			fmt.Fprintf(&b, "[[siblings]]\nhost_name = %q\ndomain = %q\naddress = %q\n", other.Name, other.Zone, other.Internal)
 		}
 	}
 	fmt.Fprintf(&b, "[outside]\ncloud = %q\nstate = %q\n", c.CloudAddr, c.StateAddr)
--- a/review/_cases-2/run/region_joins.go
+++ b/review/_cases-2/run/region_joins.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"time"
 
@@ -52,24 +51,18 @@
 		l.Env = append(l.Env, "BITTERNWING_OPERATOR="+file)
 	}
 	var use gpusInUse
-	count := func(gpus float64) func(string, string, float64) {
-		return func(_, task string, sign float64) {
-			if strings.HasPrefix(task, "run-0007") {
-				return
-			}
-			use.mu.Lock()
-			defer use.mu.Unlock()
-			use.now += sign * gpus
-			if use.now > use.most {
-				use.most = use.now
-				first.Log("the tasks of %s use %.0f GPUs", team, use.most)
-			}
+	add := func(gpus float64) {
+		use.mu.Lock()
+		defer use.mu.Unlock()
+		use.now += gpus
+		if use.now > use.most {
+			use.most = use.now
+			first.Log("the tasks of %s use %.0f GPUs", team, use.most)
 		}
 	}
-	for _, l := range []*lab.Lab{first, second} {
-		add := count(1)
-		l.Jobs.OnRun = func(machine, task string) { add(machine, task, 1) }
-		l.Jobs.OnEnd = func(machine, task string) { add(machine, task, -1) }
+	for _, l := range []*lab.Lab{first, second} { // all tasks are of this team and take one GPU
+		l.Jobs.OnRun = func(string, string) { add(1) }
+		l.Jobs.OnEnd = func(string, string) { add(-1) }
 	}
 
 	start := limit
@@ -82,7 +75,7 @@
 	first.Log("region pos: the limit of %s is %.0f GPUs", team, start)
 	first.AwaitLeader(10 * time.Second)
 	first.SubmitUntilAccepted("user in pos", lab.Service("run-000101", team, 20, 1), 20*time.Second, first.Controllers...)
-	awaitRunning(first, first, 20, 40*time.Second)
+	awaitRunning(first, 20, 40*time.Second)
 	if first.Trouble {
 		limits(first, limit)
 		for _, c := range first.Controllers {
@@ -113,10 +106,10 @@
 }
 
 // awaitRunning waits until that many tasks run.
-func awaitRunning(l, on *lab.Lab, tasks int, most time.Duration) {
-	for deadline := time.Now().Add(most); on.Jobs.Count() < tasks; time.Sleep(200 * time.Millisecond) {
+func awaitRunning(l *lab.Lab, tasks int, most time.Duration) {
+	for deadline := time.Now().Add(most); l.Jobs.Count() < tasks; time.Sleep(200 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			l.Fail("only %d tasks run", on.Jobs.Count())
+			l.Fail("only %d tasks run", l.Jobs.Count())
 		}
 	}
 }
