--- a/review/_cases-2/run/stale_submission.go
+++ b/review/_cases-2/run/stale_submission.go
@@ -88,7 +88,7 @@
 // fails, another controller accepts the repeat and confirms the cancellation; then the submission is repeated at the first.
 func staleSubmission(folder string) {
 	const id = "run-000412"
-	const usual, hold = 45 * time.Millisecond, 1450 * time.Millisecond
+	const usual, hold = 45 * time.Millisecond, 1400 * time.Millisecond
 	l := lab.New(lab.PosFleet(), folder)
 	var slow atomic.Bool
 	holds := map[string]*atomic.Int64{}
