Submissions: a transaction answers only requests that came before it was sent

Cause: repeats joined a waiting submission also while its transaction was in flight. The transaction was applied, and so confirmed the state, before the repeat was sent.

Change: a submission keeps the requests apart that arrive while its transaction is in flight. If it was applied, they share one read that is sent after its response; if it was refused, they share what follows as before.

Why it works: whatever a user was told before sending the repeat is committed before the read is sent.

--- a/internal/core/submission_batches.go
+++ b/internal/core/submission_batches.go
@@ -46,6 +46,7 @@
 		if n > 0 && size > maxSubmissionBatchBytes {
 			break
 		}
+		s.inFlight = true
 		activeKey, finalKey := stored.JobKey(s.job.ID), stored.FinalStateKey(s.job.ID)
 		txn.If = append(txn.If, wire.Condition{Key: activeKey}, wire.Condition{Key: finalKey})
 		txn.Then = append(txn.Then, wire.Op{Put: activeKey, Value: s.value})
@@ -64,9 +65,13 @@
 	for _, s := range b.submissions {
 		id := s.job.ID
 		s.attempts++
-		switch {
-		case r.Outcome == outcome.OK:
+		s.inFlight = false
+		if r.Outcome == outcome.OK {
 			u.acceptSubmission(s)
+			continue
+		}
+		s.includeLateRequests()
+		switch {
 		case r.Outcome == outcome.Conflict && (failed[stored.JobKey(id)] || failed[stored.FinalStateKey(id)]):
 			u.readSubmitted(s)
 		case r.Outcome == outcome.Conflict && s.attempts < maxSubmissionAttempts:
@@ -79,12 +84,18 @@
 	}
 }
 
-// acceptSubmission responds to all requests of a submission that was committed.
+// acceptSubmission responds to the requests of a submission that was committed. The job may have been cancelled or have
+// ended since, so its state is read for the requests that arrived while the transaction was in flight.
 func (u *userRequests) acceptSubmission(s *submission) {
 	delete(u.submissionByID, s.job.ID)
 	for _, requestID := range s.requestIDs {
 		u.respond(requestID, http.StatusCreated, wire.JobResponse{ID: s.job.ID, Status: wire.JobPending})
 	}
+	if len(s.lateRequestIDs) > 0 {
+		s.requestIDs = nil
+		s.includeLateRequests()
+		u.readSubmitted(s)
+	}
 }
 
 // abandonSubmission responds to all requests of a submission whose result can't be confirmed.
--- a/internal/core/submissions.go
+++ b/internal/core/submissions.go
@@ -10,11 +10,31 @@
 
 // submission is a job that waits to be committed, with the requests that await the result. Repeated submissions of the
 // job share it.
+//
+// Its transaction confirms the job's state only to requests that arrived before the transaction was sent. A later request
+// may come from a user who has already been told a newer state, so it is answered by a read that is sent afterwards.
 type submission struct {
-	job        *wire.Job
-	value      json.RawMessage
-	requestIDs []uint64
-	attempts   int
+	job            *wire.Job
+	value          json.RawMessage
+	requestIDs     []uint64 // requests that arrived before the transaction was sent
+	lateRequestIDs []uint64 // requests that arrived while the transaction was in flight
+	inFlight       bool
+	attempts       int
+}
+
+// addRequest adds a request that awaits the result.
+func (s *submission) addRequest(requestID uint64) {
+	if s.inFlight {
+		s.lateRequestIDs = append(s.lateRequestIDs, requestID)
+		return
+	}
+	s.requestIDs = append(s.requestIDs, requestID)
+}
+
+// includeLateRequests adds the late requests to the others, once none of them depends on the earlier transaction.
+func (s *submission) includeLateRequests() {
+	s.requestIDs = append(s.requestIDs, s.lateRequestIDs...)
+	s.lateRequestIDs = nil
 }
 
 // submit handles a submission: it queues the job to be committed, rejects it, or responds with the state of a job that
@@ -59,7 +79,7 @@
 	if s == nil {
 		return false
 	}
-	s.requestIDs = append(s.requestIDs, in.RequestID)
+	s.addRequest(in.RequestID)
 	return true
 }
 
--- a/internal/core/trace_directives_test.go
+++ b/internal/core/trace_directives_test.go
@@ -67,9 +67,7 @@
 	"healthy": func(harness *traceHarness, node *traceNode, _ []string) {
 		harness.show(node, "healthy %v", node.core.Healthy())
 	},
-	"store_fault": func(harness *traceHarness, node *traceNode, words []string) {
-		node.storeFault = harness.argument(words, 2)
-	},
+	"store_fault": (*traceHarness).setStoreFault,
 }
 
 // executeLine executes a line of a trace.
@@ -157,6 +155,20 @@
 	}
 }
 
+// setStoreFault sets the fault of a node's requests to the key-value store, or delivers the responses that were held.
+func (harness *traceHarness) setStoreFault(node *traceNode, words []string) {
+	node.storeFault = harness.argument(words, 2)
+	if node.storeFault != "release_responses" {
+		return
+	}
+	node.storeFault = "none"
+	held := node.heldResults
+	node.heldResults = nil
+	for _, result := range held {
+		harness.step(node, result)
+	}
+}
+
 // setOutage begins or ends an outage of the key-value store. All leases are renewed when it ends.
 func (harness *traceHarness) setOutage(words []string) {
 	harness.storeOutage = len(words) == 1
--- a/internal/core/trace_effects_test.go
+++ b/internal/core/trace_effects_test.go
@@ -23,7 +23,12 @@
 		node.watches = append(node.watches, e)
 		node.watchesOpenedAt = harness.now
 	case core.StoreTxn:
-		return harness.transact(node, e), true
+		result := harness.transact(node, e)
+		if node.storeFault == "hold_responses" {
+			node.heldResults = append(node.heldResults, result)
+			return core.Result{}, false
+		}
+		return result, true
 	case core.StoreGet, core.StoreList:
 		return harness.readStore(node, e), true
 	case core.StoreGrantLease, core.StoreRenewLease, core.StoreRevokeLease:
--- a/internal/core/trace_harness_test.go
+++ b/internal/core/trace_harness_test.go
@@ -44,6 +44,7 @@
 	core                *core.Core
 	storeFault          string // fault of its requests to the key-value store, or "none"
 	delayedTransactions []core.StoreTxn
+	heldResults         []core.Result // of transactions, until release_responses
 	watches             []core.StoreWatch
 	watchesOpenedAt     time.Duration
 }
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -35,6 +35,8 @@
 //	store_fault a no_responses         requests of node a get no response, and its transactions are delayed
 //	store_fault a delay_transactions   like no_responses, but only for transactions
 //	store_fault a commit_delayed       commits the delayed transactions; the fault continues
+//	store_fault a hold_responses       transactions of node a are executed, but it gets the responses only later
+//	store_fault a release_responses    node a gets the responses that were held; the fault ends
 //	store_fault a rate_limited         requests of node a exceed the rate limit and are dropped
 //	store_fault a lose_lists           responses to list requests are lost
 //	store_fault a none                 ends the fault
