User requests: lookups of the same job share a comparison and a read

Need: repeats of a request that came while an operation was in flight are now answered by a later one, so a burst of them has to cost a bounded number of calls. Each lookup had conditions of its own in a comparison, and a read of its own.

Change: lookups of the same state of a job share their conditions; a read answers all lookups of its job that are queued when it is sent.

--- a/internal/core/job_comparisons.go
+++ b/internal/core/job_comparisons.go
@@ -32,13 +32,22 @@
 }
 
 // nextComparisonBatch removes as many lookups from the queue as fit into a comparison, and returns them with their
-// conditions.
+// conditions. Lookups of the same state of a job share their conditions.
 func (u *userRequests) nextComparisonBatch() (*comparisonBatch, []wire.Condition) {
 	limit := u.core.limits.maxConditions()
 	var conditions []wire.Condition
+	included := map[wire.Condition]bool{}
 	n := 0
-	for ; n < len(u.comparisonQueue) && len(conditions)+maxLookupConditions <= limit; n++ {
-		conditions = append(conditions, u.comparisonQueue[n].conditions()...)
+	for ; n < len(u.comparisonQueue); n++ {
+		added := u.comparisonQueue[n].conditions()
+		if included[added[0]] {
+			continue
+		}
+		if len(conditions)+maxLookupConditions > limit {
+			break
+		}
+		included[added[0]] = true
+		conditions = append(conditions, added...)
 	}
 	batch := &comparisonBatch{requests: u, lookups: append([]*lookup(nil), u.comparisonQueue[:n]...)}
 	u.comparisonQueue = append(u.comparisonQueue[:0], u.comparisonQueue[n:]...)
--- a/internal/core/job_reads.go
+++ b/internal/core/job_reads.go
@@ -10,27 +10,45 @@
 // maxJobReads bounds the jobs that are read concurrently for users.
 const maxJobReads = 4
 
-// jobRead reads a job's keys for a lookup. A job moves from its active key to its final key and never back, so the
-// final key is read after the active one.
+// jobRead reads a job's keys for the lookups that were queued before it is sent. A job moves from its active key to its
+// final key and never back, so the final key is read after the active one.
 type jobRead struct {
-	requests *userRequests
-	lookup   *lookup
+	requests      *userRequests
+	id            string
+	existenceOnly bool
+	lookups       []*lookup
 }
 
 // runReads starts queued reads, as many as may run concurrently.
 func (u *userRequests) runReads() {
 	for u.readsInFlight < maxJobReads && len(u.readQueue) > 0 {
-		read := jobRead{requests: u, lookup: u.readQueue[0]}
-		u.readQueue = u.readQueue[1:]
+		read := u.nextRead()
 		u.readsInFlight++
 		read.readActiveJob()
 	}
 }
 
+// nextRead removes the first lookup from the queue, with all others that the same read can answer, and returns their
+// read.
+func (u *userRequests) nextRead() jobRead {
+	first := u.readQueue[0]
+	read := jobRead{requests: u, id: first.id, existenceOnly: first.existenceOnly}
+	var remaining []*lookup
+	for _, l := range u.readQueue {
+		if l.id == read.id && l.existenceOnly == read.existenceOnly {
+			read.lookups = append(read.lookups, l)
+		} else {
+			remaining = append(remaining, l)
+		}
+	}
+	u.readQueue = remaining
+	return read
+}
+
 func (r jobRead) readActiveJob() {
 	c := r.requests.core
 	id := c.registerStoreCall(r.applyActiveJob)
-	c.emit(StoreGet{CallID: id, Key: stored.JobKey(r.lookup.id)})
+	c.emit(StoreGet{CallID: id, Key: stored.JobKey(r.id)})
 }
 
 func (r jobRead) applyActiveJob(result Result) {
@@ -45,16 +63,16 @@
 	r.complete(lookupResult{state: lookupIndeterminate})
 }
 
-// discloseActiveJob completes the lookup with an active job that was read, if users may be told its state.
+// discloseActiveJob completes the lookups with an active job that was read, if users may be told its state.
 func (r jobRead) discloseActiveJob(item wire.Item) {
-	u, id := r.requests, r.lookup.id
+	u, id := r.requests, r.id
 	value, err := stored.DecodeJob(item.Value)
 	if err != nil {
 		r.complete(lookupResult{state: lookupIndeterminate})
 		return
 	}
 	job := &watchcache.Job{Job: value, Version: item.Version}
-	if r.lookup.existenceOnly {
+	if r.existenceOnly {
 		r.complete(confirmedLookup(job))
 		return
 	}
@@ -75,7 +93,7 @@
 func (r jobRead) readFinalState() {
 	c := r.requests.core
 	id := c.registerStoreCall(r.applyFinalState)
-	c.emit(StoreGet{CallID: id, Key: stored.FinalStateKey(r.lookup.id)})
+	c.emit(StoreGet{CallID: id, Key: stored.FinalStateKey(r.id)})
 }
 
 func (r jobRead) applyFinalState(result Result) {
@@ -88,12 +106,14 @@
 		r.complete(lookupResult{state: lookupIndeterminate})
 		return
 	}
-	r.requests.core.cacheFinalState(r.lookup.id, final)
+	r.requests.core.cacheFinalState(r.id, final)
 	r.complete(endedLookup(final))
 }
 
-// complete completes the lookup, so that the next queued read may start.
+// complete completes the lookups, so that the next queued read may start.
 func (r jobRead) complete(result lookupResult) {
 	r.requests.readsInFlight--
-	r.lookup.onResult(result)
+	for _, l := range r.lookups {
+		l.onResult(result)
+	}
 }
--- a/internal/core/trace_effects_test.go
+++ b/internal/core/trace_effects_test.go
@@ -23,6 +23,7 @@
 		node.watches = append(node.watches, e)
 		node.watchesOpenedAt = harness.now
 	case core.StoreTxn:
+		node.userStoreCalls++
 		result := harness.transact(node, e)
 		if node.storeFault == "hold_responses" {
 			node.heldResults = append(node.heldResults, result)
@@ -30,6 +31,7 @@
 		}
 		return result, true
 	case core.StoreGet, core.StoreList:
+		node.userStoreCalls++
 		return harness.readStore(node, e), true
 	case core.StoreGrantLease, core.StoreRenewLease, core.StoreRevokeLease:
 		return harness.callLease(node, e), true
--- a/internal/core/trace_harness_test.go
+++ b/internal/core/trace_harness_test.go
@@ -45,6 +45,7 @@
 	storeFault          string // fault of its requests to the key-value store, or "none"
 	delayedTransactions []core.StoreTxn
 	heldResults         []core.Result // of transactions, until release_responses
+	userStoreCalls      int           // transactions and reads for users, while the node does not lead
 	watches             []core.StoreWatch
 	watchesOpenedAt     time.Duration
 }
