Search: users repeat requests at all nodes while transactions are slow

Users repeated a request at one node, seconds apart, and the slow state service delayed requests and responses alike.

--- a/internal/core/fault_combinations_test.go
+++ b/internal/core/fault_combinations_test.go
@@ -35,6 +35,9 @@
 //	                                 seconds, and the tasks of a faulty job fail
 //	AT cancel JOB                    cancels a job of an earlier line
 //	AT cancel_on_completion JOB      cancels a job once all its tasks have completed, and submits it again
+//	AT submit_everywhere JOB ...     submits a job; for 4 s its user also repeats the submission and asks about the job at
+//	                                 all nodes, within milliseconds and without waiting for responses
+//	AT submit_everywhere_and_cancel JOB ...   the same; the user cancels the job as soon as any node has accepted it
 //	AT cancel_running                cancels a random running job
 //	AT poll_load PER_SECOND FOR      users poll jobs; the trace shows the number of responses by status
 //	AT invalid_requests              requests that must be refused, and repeated ones
@@ -53,6 +56,7 @@
 //	AT enforce_limits                the key-value store enforces the announced limits
 //	AT store_outage FOR              the key-value store refuses all requests
 //	AT store_delay UP_TO FOR         delays requests to the key-value store and responses by up to UP_TO seconds
+//	AT slow_responses SHARE FOR      transactions are committed at once, but their responses are slow
 //	AT cloud_outage FOR              the cloud refuses all calls
 //	AT delayed_transactions SHARE FOR   transactions are committed late, without a response
 //	AT delayed_heartbeats SHARE FOR  a second copy of heartbeats arrives late
--- a/internal/core/random_script_test.go
+++ b/internal/core/random_script_test.go
@@ -68,6 +68,7 @@
 	writeCPUOverloads(&script.text, seed, script.faultTimes)
 	writeFailovers(&script.text, seed)
 	writeLargeJobs(&script.text, seed, script.faultTimes)
+	writeImpatientUsers(&script.text, seed, script.faultTimes)
 	// The longest fault begins at 88 s and lasts 45 s, and up to ten leaders may be killed in succession.
 	script.addLine("faults_end 150")
 	script.addLine("end 270")
@@ -316,3 +317,20 @@
 		}
 	}
 }
+
+// writeImpatientUsers adds, in half of the scripts, a spell of slow responses to transactions, in which users repeat
+// their requests at all nodes within milliseconds and cancel most of their jobs at once. It uses its own random source,
+// so that the rest of a seed's script does not change.
+func writeImpatientUsers(text *strings.Builder, seed uint64, faultTimes []float64) {
+	random := rand.New(rand.NewPCG(seed, 8))
+	if random.IntN(2) > 0 {
+		return
+	}
+	begin := max(2, faultTimes[random.IntN(len(faultTimes))]-5*random.Float64())
+	const spellSeconds = 10
+	fmt.Fprintf(text, "%.1f slow_responses %.2f %d\n", begin, 0.1+0.4*random.Float64(), spellSeconds)
+	for i := range 4 + random.IntN(5) {
+		submit := []string{"submit_everywhere_and_cancel", "submit_everywhere_and_cancel", "submit_everywhere"}[random.IntN(3)]
+		fmt.Fprintf(text, "%.2f %s run-6%05d tasks=1 gpus=0 team=green run=%.1f\n", begin+spellSeconds*random.Float64(), submit, i, 0.5+2*random.Float64())
+	}
+}
--- a/internal/core/script_faults_test.go
+++ b/internal/core/script_faults_test.go
@@ -57,15 +57,18 @@
 
 // faultHandlers maps the name of a fault to its handler, for all faults but those of one worker.
 var faultHandlers = map[string]func(f fault){
-	"store_unavailable":    fault.refuseStoreRequests,
-	"isolate":              fault.isolateNode,
-	"enforce_limits":       fault.enforceLimits,
-	"kill":                 fault.killNode,
-	"upgrade":              fault.killNode,
-	"freeze":               fault.freezeNode,
-	"overload_cpu":         fault.overloadCPU,
-	"store_outage":         func(f fault) { f.simulation.storeOutageUntil = max(f.simulation.storeOutageUntil, f.endAt(1)) },
-	"store_delay":          func(f fault) { f.simulation.storeDelay, f.simulation.storeDelayUntil = f.seconds(1), f.endAt(2) },
+	"store_unavailable": fault.refuseStoreRequests,
+	"isolate":           fault.isolateNode,
+	"enforce_limits":    fault.enforceLimits,
+	"kill":              fault.killNode,
+	"upgrade":           fault.killNode,
+	"freeze":            fault.freezeNode,
+	"overload_cpu":      fault.overloadCPU,
+	"store_outage":      func(f fault) { f.simulation.storeOutageUntil = max(f.simulation.storeOutageUntil, f.endAt(1)) },
+	"store_delay":       func(f fault) { f.simulation.storeDelay, f.simulation.storeDelayUntil = f.seconds(1), f.endAt(2) },
+	"slow_responses": func(f fault) {
+		f.simulation.slowResponseShare, f.simulation.slowResponsesUntil = f.seconds(1).Seconds(), f.endAt(2)
+	},
 	"cloud_outage":         func(f fault) { f.simulation.cloudOutageUntil = max(f.simulation.cloudOutageUntil, f.endAt(1)) },
 	"cancel_running":       func(f fault) { f.simulation.cancelRunningJob() },
 	"delayed_transactions": func(f fault) { f.setShareFor(&f.simulation.delayedTransactionShare) },
--- a/internal/core/script_test.go
+++ b/internal/core/script_test.go
@@ -106,6 +106,11 @@
 		job.submitAt = at
 		s.jobs = append(s.jobs, job)
 		s.at(at, func() { s.submitJob(job) })
+	case "submit_everywhere", "submit_everywhere_and_cancel":
+		job := s.parseJob(words[1:])
+		job.submitAt = at
+		s.jobs = append(s.jobs, job)
+		s.at(at, func() { s.submitEverywhere(job, words[0] == "submit_everywhere_and_cancel") })
 	case "cancel":
 		job := s.submittedJob(words[1])
 		s.at(at, func() { s.cancelJob(job) })
--- a/internal/core/sim_store_test.go
+++ b/internal/core/sim_store_test.go
@@ -49,16 +49,25 @@
 	if s.now < s.storeDelayUntil {
 		delay = s.between(s.storeDelay/4, s.storeDelay)
 	}
-	handleIfUp := func() (core.Result, bool) {
-		if s.now < node.storeRefusedUntil || s.now < s.storeOutageUntil {
-			return core.Result{Outcome: outcome.Unavailable}, true
-		}
-		return handle(), s.random.IntN(400) != 0
-	}
 	if delay == 0 {
-		s.call(node, id, timeout, func() bool { return s.reachesStore(node) }, true, handleIfUp)
+		s.call(node, id, timeout, func() bool { return s.reachesStore(node) }, true, func() (core.Result, bool) { return s.handleIfStoreUp(node, handle) })
 		return
 	}
+	s.callStoreDelayed(node, id, delay, delay, handle)
+}
+
+// handleIfStoreUp handles a call that reaches the key-value store, unless the store refuses it. The result is false if the
+// response is lost.
+func (s *simulation) handleIfStoreUp(node *simulatedNode, handle func() core.Result) (core.Result, bool) {
+	if s.now < node.storeRefusedUntil || s.now < s.storeOutageUntil {
+		return core.Result{Outcome: outcome.Unavailable}, true
+	}
+	return handle(), s.random.IntN(400) != 0
+}
+
+// callStoreDelayed is callStore for a call that takes requestDelay to reach the store, and whose response takes
+// responseDelay.
+func (s *simulation) callStoreDelayed(node *simulatedNode, id uint64, requestDelay, responseDelay time.Duration, handle func() core.Result) {
 	incarnation, sentAt, done := node.incarnation, node.steadyTime(s.now), false
 	finish := func(result core.Result) {
 		if !done && node.incarnation == incarnation {
@@ -67,15 +76,24 @@
 			s.deliverInput(node, result)
 		}
 	}
-	s.after(timeout, func() { finish(core.Result{Outcome: outcome.Unknown}) })
-	s.after(delay, func() {
-		result, responded := handleIfUp()
+	s.after(callTimeout, func() { finish(core.Result{Outcome: outcome.Unknown}) })
+	s.after(requestDelay, func() {
+		result, responded := s.handleIfStoreUp(node, handle)
 		if responded && s.reachesStore(node) {
-			s.after(delay, func() { finish(result) })
+			s.after(responseDelay, func() { finish(result) })
 		}
 	})
 }
 
+// slowResponseTime returns how long the response to a transaction takes that is executed at once; 0 if the response is
+// not slow. A slow response still arrives before the call times out.
+func (s *simulation) slowResponseTime() time.Duration {
+	if s.now >= s.slowResponsesUntil || s.random.Float64() >= s.slowResponseShare {
+		return 0
+	}
+	return s.between(callTimeout/4, callTimeout*9/10)
+}
+
 // commitTxn commits a transaction. While delayedTransactionShare is set, that fraction is committed only after the call
 // has timed out at the node.
 func (s *simulation) commitTxn(node *simulatedNode, effect core.StoreTxn) {
@@ -101,13 +119,18 @@
 		})
 		return
 	}
-	s.callStore(node, effect.CallID, func() core.Result {
+	commit := func() core.Result {
 		response, result := s.store.Txn(effect.Txn)
 		if keys := showChangedKeys(effect.Txn); keys != "" {
 			s.logf("%s: writes %s: %s", node.name, keys, result)
 		}
 		return core.Result{Outcome: result, Txn: response}
-	})
+	}
+	if responseTime := s.slowResponseTime(); responseTime > 0 && s.reachesStore(node) {
+		s.callStoreDelayed(node, effect.CallID, s.latency(), responseTime, commit)
+		return
+	}
+	s.callStore(node, effect.CallID, commit)
 }
 
 // openWatch opens a watch. Without a response before the timeout its outcome is unknown.
--- a/internal/core/sim_test.go
+++ b/internal/core/sim_test.go
@@ -39,6 +39,8 @@
 	storeOutageUntil, cloudOutageUntil time.Duration // the store or the cloud refuses all calls until then
 	storeDelay                         time.Duration // maximum additional delay of a store call, in each direction
 	storeDelayUntil                    time.Duration
+	slowResponsesUntil                 time.Duration
+	slowResponseShare                  float64 // fraction of transactions that are executed at once and get a slow response
 	delayedTransactionShare            float64 // fraction of transactions that are committed late, without a response
 	delayedHeartbeatShare              float64 // fraction of heartbeats of which a second copy arrives late
 	bootFailureShare                   float64 // fraction of new machines that never boot
--- a/internal/core/sim_user_test.go
+++ b/internal/core/sim_user_test.go
@@ -88,11 +88,7 @@
 		s.ruleChecker.recordResponse(s.now, userResponse{sentAt, requestSubmit, job.spec.ID, status, state})
 		switch status {
 		case 200, 201:
-			if !job.accepted {
-				job.accepted, job.lastResponseAt = true, s.now
-				s.after(s.between(time.Second, 5*time.Second), func() { s.pollJob(job) })
-			}
-			job.reportedState = state
+			s.recordAcceptance(job, state)
 		case 400, 422:
 			job.rejectedStatus = status
 		default:
@@ -101,6 +97,15 @@
 	})
 }
 
+// recordAcceptance records that a response has confirmed a job. From the first one on, its user polls it.
+func (s *simulation) recordAcceptance(job *simulatedJob, state wire.JobStatus) {
+	if !job.accepted {
+		job.accepted, job.lastResponseAt = true, s.now
+		s.after(s.between(time.Second, 5*time.Second), func() { s.pollJob(job) })
+	}
+	job.reportedState = state
+}
+
 // dependenciesAccepted reports whether all dependencies of a job are accepted. A user submits a job only then.
 func (s *simulation) dependenciesAccepted(job *simulatedJob) bool {
 	for _, id := range job.spec.Dependencies {
