Fencing: copies of direct starts stay invalid for a worker that begins anew

If an attempt had exited but was not forgotten by command yet, or had been lost with the worker's lease, the machine's token was still that of the direct start.

Cause: the token was raised only with the forget command, or never after a change of incarnation.

Change: the token is raised above all direct starts when the incarnation changes, and above those that a worker can't have seen when it sends a heartbeat that is no newer than the last one.

Measured, TestLateCopiesOfStarts: "failed, unforgotten, restarted without its state" fails without the one (6 tasks ran twice), "lost its lease, then restarted without its state" without the other (24); both pass with the change.

--- a/internal/core/heartbeat_reconciliation.go
+++ b/internal/core/heartbeat_reconciliation.go
@@ -87,7 +87,9 @@
 	}
 	m := r.actions.findOrAddMachine(heartbeat.Machine)
 	if m.isStale(heartbeat) {
-		// A delayed or duplicate heartbeat is no evidence, and its worker no longer waits for the response.
+		// A delayed or duplicate heartbeat is no evidence, and its worker no longer waits for the response. But the worker
+		// may also have lost its state and begun anew. It has forgotten its attempts and its fencing token then.
+		m.invalidateDirectStarts(heartbeat.FencingToken)
 		return StaleHeartbeatBasis
 	}
 	r.heldResponses.supersede(m)
--- a/internal/core/late_start_copies_test.go
+++ b/internal/core/late_start_copies_test.go
@@ -142,6 +142,19 @@
 		20 submit run-000003 tasks=6 gpus=1 run=6
 		26 restart_worker_anew m02 0.5
 		30 kill leader 0.3`},
+	{name: "failed, unforgotten, restarted without its state", script: `
+		5 submit run-000001 tasks=2 gpus=1 run=1
+		12 fail_tasks m01 2
+		12.2 submit run-000002 tasks=10 gpus=1 run=20
+		12.9 drop_inbound m01 3
+		15 restart_worker_anew m01 0.5`},
+	{name: "lost its lease, then restarted without its state", wantOtherIncarnation: true, script: `
+		5 submit run-000001 tasks=2 gpus=1 run=1
+		12 submit run-000002 tasks=4 gpus=1 run=60
+		12.5 submit run-000003 tasks=4 gpus=1 run=60 zone=z2
+		13 cloud_outage 40
+		14 hang m01 11.5
+		27 restart_worker_anew m01 0.5`},
 }
 
 // lateCopySeeds is the number of seeds with which each case of TestLateCopiesOfStarts runs.
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -155,10 +155,23 @@
 }
 
 // setIncarnation sets the incarnation of the machine's worker. Direct starts of an earlier incarnation are forgotten,
-// because the worker rejects direct commands for it.
+// because the worker rejects direct commands for it. A worker that loses its state begins with the first incarnation
+// again, so the starts are invalidated as well.
 func (m *machine) setIncarnation(incarnation uint64) {
-	if incarnation != m.incarnation {
-		m.incarnation, m.directStarts = incarnation, nil
+	if incarnation == m.incarnation {
+		return
+	}
+	m.invalidateDirectStarts(0)
+	m.incarnation, m.directStarts = incarnation, nil
+}
+
+// invalidateDirectStarts raises the fencing token above those of all direct starts whose token is higher than the one
+// that the worker has reported. Late copies of these starts are rejected once the worker has received a response.
+func (m *machine) invalidateDirectStarts(reportedToken uint64) {
+	for _, startToken := range m.directStarts {
+		if startToken > reportedToken {
+			m.fence.RaiseAbove(startToken)
+		}
 	}
 }
 
