--- a/internal/core/sim_copies_test.go
+++ b/internal/core/sim_copies_test.go
@@ -1,6 +1,9 @@
 package core_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
 	"time"
 
 	"bitternwing/internal/core"
@@ -152,3 +155,26 @@
 func (s *simulation) resumeAfterHang(worker *simulatedWorker, duration time.Duration) {
 	s.after(duration+time.Millisecond, func() { s.deliverCopies(worker) })
 }
+
+// writeCommandCopies adds, in half of the scripts, late copies of direct commands, direct commands that are held up, and
+// workers that are restarted within a second. It uses its own random source, so that the rest of a seed's script does not
+// change.
+func writeCommandCopies(text *strings.Builder, seed uint64, faultTimes []float64) {
+	random := rand.New(rand.NewPCG(seed, 9))
+	if random.IntN(2) > 0 {
+		return
+	}
+	if random.IntN(2) == 0 {
+		fmt.Fprintln(text, "immediate_responses")
+	}
+	for _, faultTime := range faultTimes {
+		near := func() float64 { return max(0.5, faultTime-3+6*random.Float64()) }
+		fmt.Fprintf(text, "%.1f copied_commands %.1f\n", near(), 5+40*random.Float64())
+		switch random.IntN(4) {
+		case 0, 1:
+			fmt.Fprintf(text, "%.1f restart_worker %d %.1f\n", near(), random.IntN(8), 0.1+0.8*random.Float64())
+		case 2:
+			fmt.Fprintf(text, "%.1f hold_commands %d %.1f\n", near(), random.IntN(8), 1+12*random.Float64())
+		}
+	}
+}
--- a/internal/core/sim_repeats_test.go
+++ b/internal/core/sim_repeats_test.go
@@ -1,6 +1,9 @@
 package core_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
 	"time"
 
 	"bitternwing/internal/core"
@@ -52,3 +55,20 @@
 		}
 	})
 }
+
+// writeImpatientUsers adds, in half of the scripts, a spell of slow responses to transactions, in which users repeat
+// their requests at all nodes within milliseconds and cancel most of their jobs at once. It uses its own random source,
+// so that the rest of a seed's script does not change.
+func writeImpatientUsers(text *strings.Builder, seed uint64, faultTimes []float64) {
+	random := rand.New(rand.NewPCG(seed, 8))
+	if random.IntN(2) > 0 {
+		return
+	}
+	begin := max(2, faultTimes[random.IntN(len(faultTimes))]-5*random.Float64())
+	const spellSeconds = 10
+	fmt.Fprintf(text, "%.1f slow_responses %.2f %d\n", begin, 0.1+0.4*random.Float64(), spellSeconds)
+	for i := range 4 + random.IntN(5) {
+		submit := []string{"submit_everywhere_and_cancel", "submit_everywhere_and_cancel", "submit_everywhere"}[random.IntN(3)]
+		fmt.Fprintf(text, "%.2f %s run-6%05d tasks=1 gpus=0 team=green run=%.1f\n", begin+spellSeconds*random.Float64(), submit, i, 0.5+2*random.Float64())
+	}
+}
--- a/internal/stored/shards.go
+++ b/internal/stored/shards.go
@@ -24,9 +24,12 @@
 }
 
 // encode returns the stored forms of all shards.
-func (p *shardPacker[V]) encode() ([]json.RawMessage, error) {
-	values := make([]json.RawMessage, len(p.shards))
-	for i, shard := range p.shards {
+func (p *shardPacker[V]) encode() ([]json.RawMessage, error) { return encodeShards(p.shards) }
+
+// encodeShards returns the stored forms of shards.
+func encodeShards[S any](shards []S) ([]json.RawMessage, error) {
+	values := make([]json.RawMessage, len(shards))
+	for i, shard := range shards {
 		value, err := json.Marshal(shard)
 		if err != nil {
 			return nil, err
--- a/internal/stored/task_counts.go
+++ b/internal/stored/task_counts.go
@@ -89,14 +89,4 @@
 }
 
 // Encode returns the stored forms of all shards.
-func (p *TaskCountPacker) Encode() ([]json.RawMessage, error) {
-	values := make([]json.RawMessage, len(p.shards))
-	for i, shard := range p.shards {
-		value, err := json.Marshal(shard)
-		if err != nil {
-			return nil, err
-		}
-		values[i] = value
-	}
-	return values, nil
-}
+func (p *TaskCountPacker) Encode() ([]json.RawMessage, error) { return encodeShards(p.shards) }
