Fleet simulation: copies of direct starts over the network, and a check that finds them

Change: the ledger reports an attempt that starts a second time on a machine (started_again) and a task that starts after its user was told of the cancellation (started_cancelled). While commands_copied lasts, workers get copies of the direct commands that they have executed, over TCP, before and after each message and when an incarnation begins. New faults: commands_held, workers_restart, workers_restart_anew, tasks_fail, starts_refused, rack_unlisted, releases_refused.

--- a/internal/emulator/cloud.go
+++ b/internal/emulator/cloud.go
@@ -47,6 +47,8 @@
 	created          int
 	closed           bool
 	partitioned      map[string]bool // clients whose requests are lost
+	unlisted         map[string]bool // names of machines that the list lacks
+	releasesRefused  bool
 
 	limiter *rate.Limiter // nil: no limit
 }
@@ -62,7 +64,8 @@
 // NewCloud returns a cloud on loopback without clients. Its machines boot at once unless EnableBootTimes is called.
 func NewCloud(types []wire.MachineType, launch Launch) *Cloud {
 	c := &Cloud{types: types, capacity: map[string]int{}, launch: launch,
-		machines: map[string]*instance{}, namesByRequest: map[string]wire.MachineNames{}, partitioned: map[string]bool{}}
+		machines: map[string]*instance{}, namesByRequest: map[string]wire.MachineNames{}, partitioned: map[string]bool{},
+		unlisted: map[string]bool{}}
 	c.handle = c.serve
 	return c
 }
@@ -88,6 +91,20 @@
 	c.capacity[typeName] = machines
 }
 
+// SetUnlisted begins or ends a fault in which the list lacks a machine.
+func (c *Cloud) SetUnlisted(machine string, unlisted bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unlisted[machine] = unlisted
+}
+
+// SetReleasesRefused begins or ends a fault in which the cloud refuses to release machines.
+func (c *Cloud) SetReleasesRefused(refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releasesRefused = refused
+}
+
 // SetPartitioned begins or ends a partition of a client, whose requests are lost while it lasts.
 func (c *Cloud) SetPartitioned(client string, partitioned bool) {
 	c.mu.Lock()
@@ -180,7 +197,7 @@
 	}
 	var remaining []*instance
 	for name, machine := range c.machines {
-		if name > after {
+		if name > after && !c.unlisted[name] {
 			remaining = append(remaining, machine)
 		}
 	}
--- a/internal/emulator/cloud_server.go
+++ b/internal/emulator/cloud_server.go
@@ -48,6 +48,10 @@
 			respond(w, http.StatusBadRequest, nil)
 			return
 		}
+		if c.releasesRefused {
+			respond(w, http.StatusServiceUnavailable, wire.ErrorBody{Error: "trouble"})
+			return
+		}
 		c.scaleIn(names.Machines)
 		respond(w, http.StatusOK, struct{}{})
 	default:
--- a/internal/fleetsim/faults.go
+++ b/internal/fleetsim/faults.go
@@ -57,12 +57,26 @@
 	case KillWorstZone:
 		return sim.killWorstZone, nil
 	case RackUnreachable:
-		var rack []*simworker.Worker
-		begin = func() error {
-			rack = sim.pickWorkers(fault, stream)
-			return setUnreachable(rack, true)
-		}
-		return begin, func() error { return setUnreachable(rack, false) }
+		return sim.rackFault(fault, stream, (*simworker.Worker).SetUnreachable)
+	case RackUnlisted:
+		return sim.rackFault(fault, stream, func(w *simworker.Worker, unlisted bool) { sim.cloud.SetUnlisted(w.Name(), unlisted) })
+	case FailTasks:
+		return sim.rackFault(fault, stream, (*simworker.Worker).SetFailing)
+	case RefuseStarts:
+		return sim.rackFault(fault, stream, (*simworker.Worker).SetRefusing)
+	case HoldCommands:
+		return sim.rackFault(fault, stream, (*simworker.Worker).SetHoldingCommands)
+	case RestartWorkers, RestartWorkersAnew:
+		return func() error {
+			for _, w := range sim.pickWorkers(fault, stream) {
+				w.Restart(fault.Kind == RestartWorkersAnew)
+			}
+			return nil
+		}, nil
+	case ReleasesRefused:
+		return switchActions(sim.cloud.SetReleasesRefused)
+	case CopyCommands:
+		return switchActions(sim.fleet.SetCommandCopies)
 	case ZonePartitioned:
 		return func() error { return sim.setZonePartitioned(fault.Zone, true) },
 			func() error { return sim.setZonePartitioned(fault.Zone, false) }
@@ -72,6 +86,25 @@
 	return func() error { return fmt.Errorf("fault of unknown kind %q", fault.Kind) }, nil
 }
 
+// rackFault returns the actions that begin and end a fault of a rack of workers.
+func (sim *simulation) rackFault(fault Fault, stream uint64, set func(w *simworker.Worker, faulty bool)) (begin, end func() error) {
+	var rack []*simworker.Worker
+	return switchActions(func(on bool) {
+		if on {
+			rack = sim.pickWorkers(fault, stream)
+		}
+		for _, w := range rack {
+			set(w, on)
+		}
+	})
+}
+
+// switchActions returns the actions that switch a fault on and off.
+func switchActions(set func(on bool)) (begin, end func() error) {
+	begin = func() error { set(true); return nil }
+	return begin, func() error { set(false); return nil }
+}
+
 // restartTime returns when a controller that is killed now is restarted.
 func (sim *simulation) restartTime() time.Duration {
 	return sim.now() + config.Seconds(sim.scenario.Controllers.RestartS)
@@ -109,7 +142,7 @@
 	}
 	slices.SortFunc(candidates, func(a, b *simworker.Worker) int { return cmp.Compare(a.Name(), b.Name()) })
 	random := rand.New(rand.NewPCG(sim.scenario.Seed, stream))
-	if fault.Kind == RackUnreachable {
+	if fault.Kind.hitsRack() {
 		first := random.IntN(max(1, len(candidates)-fault.Count+1))
 		return candidates[first:min(len(candidates), first+fault.Count)]
 	}
@@ -117,6 +150,11 @@
 	return candidates[:min(len(candidates), fault.Count)]
 }
 
+// hitsRack reports whether a fault hits workers that are next to each other, rather than any workers.
+func (kind FaultKind) hitsRack() bool {
+	return kind == RackUnreachable || kind == RackUnlisted || kind == FailTasks || kind == RefuseStarts || kind == HoldCommands
+}
+
 // killWorstZone kills all workers of the zone with the most replicas of a single model.
 func (sim *simulation) killWorstZone() error {
 	zone := sim.recorder.placements.recordWorstZoneLoss()
@@ -136,13 +174,6 @@
 	return nil
 }
 
-func setUnreachable(workers []*simworker.Worker, unreachable bool) error {
-	for _, w := range workers {
-		w.SetUnreachable(unreachable)
-	}
-	return nil
-}
-
 func (sim *simulation) setStoreDown(down bool) error {
 	sim.store.SetDown(down)
 	return nil
--- a/internal/fleetsim/print.go
+++ b/internal/fleetsim/print.go
@@ -7,6 +7,7 @@
 
 	"bitternwing/internal/fleetsim/measure"
 	"bitternwing/internal/fleetsim/rolling"
+	"bitternwing/internal/simworker"
 )
 
 // printRollout prints the lines of a rollout.
@@ -54,6 +55,9 @@
 		usage := leader.Usage
 		printLine("leader "+leader.Name, "%.3f cores (peak %.3f), %.0f MB, %d open files", usage.Cores, usage.PeakCores, usage.PeakMB, usage.PeakFiles)
 	}
+	if copies := r.Copies; copies != (simworker.CopyCounts{}) {
+		printLine("copies of commands", "%d refused, %d without effect, %d started a task", copies.Refused, copies.NoEffect, copies.Started)
+	}
 	printLine("rule violations", "%d", len(r.Violations))
 	for _, v := range r.Violations[:min(maxPrintedViolations, len(r.Violations))] {
 		printLine("  "+string(v.Rule), "at %.1f s: %s", v.AtS, v.Message)
--- a/internal/fleetsim/recorder.go
+++ b/internal/fleetsim/recorder.go
@@ -77,6 +77,7 @@
 
 // StartReceived counts a start command, and ends the failovers that wait for one of a new leader.
 func (r *recorder) StartReceived(start simworker.Start) {
+	r.ledger.RecordStart(start.Machine, start.Task, start.Attempt)
 	r.placements.startReceived(start)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/fleetsim/result.go
+++ b/internal/fleetsim/result.go
@@ -69,15 +69,17 @@
 	PeakStartsPerS float64 `json:"peak_starts_per_s"` // highest mean over ten seconds
 	PeakOnMachine  int64   `json:"peak_on_machine"`
 
-	Jobs        JobCounts                               `json:"jobs"`
-	SubmitTimes measure.Summary                         `json:"submit_ms"`
-	StartTimes  map[string]measure.Summary              `json:"start_ms"`  // from submission to a task's first start, by class
-	UrgentTimes measure.Summary                         `json:"urgent_ms"` // from submission until all tasks of an urgent job have started
-	Failovers   []Failover                              `json:"failovers"`
-	Workers     WorkerResult                            `json:"workers"`
-	Processes   []ProcessResult                         `json:"processes"`
-	Direct      map[simworker.MessageKind]measure.Count `json:"direct"` // messages that controllers send to workers directly
-	Seconds     []Second                                `json:"seconds"`
+	Jobs        JobCounts                  `json:"jobs"`
+	SubmitTimes measure.Summary            `json:"submit_ms"`
+	StartTimes  map[string]measure.Summary `json:"start_ms"`  // from submission to a task's first start, by class
+	UrgentTimes measure.Summary            `json:"urgent_ms"` // from submission until all tasks of an urgent job have started
+	Failovers   []Failover                 `json:"failovers"`
+	Workers     WorkerResult               `json:"workers"`
+	Processes   []ProcessResult            `json:"processes"`
+	// Copies tells what became of late copies of direct commands.
+	Copies  simworker.CopyCounts                    `json:"copies"`
+	Direct  map[simworker.MessageKind]measure.Count `json:"direct"` // messages that controllers send to workers directly
+	Seconds []Second                                `json:"seconds"`
 }
 
 // endedInTime is the value of Result.Ended for a simulation that reached its duration.
--- a/internal/fleetsim/rules/ledger.go
+++ b/internal/fleetsim/rules/ledger.go
@@ -1,4 +1,5 @@
 // Package rules checks what workers and users see against the rules of the protocol: No task is on two machines. No
+// attempt starts a second time on a machine. No task starts after its user was told that the job is cancelled. No
 // task of a cancelled job is on a machine after the cancellation timeout. No team exceeds its limit. No accepted job is
 // unknown later. No job is reported as done before all its tasks have completed. The checks use only observations of
 // the simulated workers and users, never the controllers' state.
@@ -18,11 +19,15 @@
 
 // The checked rules.
 const (
-	RanTwice        Rule = "ran_twice"
-	QuotaExceeded   Rule = "quota"
-	RanCancelled    Rule = "ran_cancelled"
-	AcceptedJobLost Rule = "forgotten"
-	DoneTooEarly    Rule = "not_done"
+	RanTwice Rule = "ran_twice"
+	// StartedAgain: a worker that had forgotten an attempt was made to start it again.
+	StartedAgain Rule = "started_again"
+	// StartedCancelled: a task started after its user was told that its job is cancelled.
+	StartedCancelled Rule = "started_cancelled"
+	QuotaExceeded    Rule = "quota"
+	RanCancelled     Rule = "ran_cancelled"
+	AcceptedJobLost  Rule = "forgotten"
+	DoneTooEarly     Rule = "not_done"
 )
 
 // Violation describes a violation of a rule.
@@ -47,9 +52,16 @@
 	mu         sync.Mutex
 	jobs       map[string]*jobRecord
 	usage      map[string]*teamUsage // by team
+	started    map[startedAttempt]bool
 	violations []Violation
 }
 
+// startedAttempt is an attempt of a task that a machine was told to start.
+type startedAttempt struct {
+	machine, task string
+	attempt       uint64
+}
+
 // teamUsage is what the tasks of a team use.
 type teamUsage struct{ gpus, cpus float64 }
 
@@ -67,7 +79,8 @@
 // NewLedger returns an empty ledger. All tasks of a job have to leave their machines within cancelTimeout after the
 // user was told that the job is cancelled. now is the clock.
 func NewLedger(teams []config.Team, cancelTimeout time.Duration, now func() time.Duration) *Ledger {
-	l := &Ledger{cancelTimeout: cancelTimeout, now: now, teams: map[string]config.Team{}, jobs: map[string]*jobRecord{}, usage: map[string]*teamUsage{}}
+	l := &Ledger{cancelTimeout: cancelTimeout, now: now, teams: map[string]config.Team{}, jobs: map[string]*jobRecord{}, usage: map[string]*teamUsage{},
+		started: map[startedAttempt]bool{}}
 	for _, team := range teams {
 		l.teams[team.Name] = team
 		l.usage[team.Name] = &teamUsage{}
@@ -111,6 +124,17 @@
 	}
 }
 
+// RecordStart records a start command for an attempt that the machine does not hold, and checks that it is the first one.
+func (l *Ledger) RecordStart(machine, task string, attempt uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	start := startedAttempt{machine, task, attempt}
+	if l.started[start] {
+		l.recordViolation(StartedAgain, "%s#%d starts on %s once more", task, attempt, machine)
+	}
+	l.started[start] = true
+}
+
 // TaskRuns records that a task is on a machine from now on, and checks that it may be there.
 func (l *Ledger) TaskRuns(machine, task string) {
 	l.mu.Lock()
@@ -125,8 +149,11 @@
 		l.addUsage(j, 1)
 	}
 	j.machines[index] = machine
-	if l.cancelOverdue(j) {
+	switch {
+	case l.cancelOverdue(j):
 		l.recordViolation(RanCancelled, "%s starts on %s after its job was cancelled", task, machine)
+	case j.cancelAcknowledged:
+		l.recordViolation(StartedCancelled, "%s starts on %s after its user was told that its job is cancelled", task, machine)
 	}
 	l.checkQuota(j)
 }
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -92,6 +92,22 @@
 	KillWorkers     FaultKind = "workers_die"
 	KillWorstZone   FaultKind = "worst_zone_lost"
 	RackUnreachable FaultKind = "rack_silent"
+	// RackUnlisted: the cloud's list lacks the machines.
+	RackUnlisted FaultKind = "rack_unlisted"
+	// ReleasesRefused: the cloud refuses to release machines.
+	ReleasesRefused FaultKind = "releases_refused"
+	// RestartWorkers: the workers' processes end, and are back in their next incarnations within a second.
+	RestartWorkers FaultKind = "workers_restart"
+	// RestartWorkersAnew: the same, but the workers have lost their state and begin with their first incarnations.
+	RestartWorkersAnew FaultKind = "workers_restart_anew"
+	// FailTasks: tasks that start on the machines fail.
+	FailTasks FaultKind = "tasks_fail"
+	// RefuseStarts: the workers refuse all starts.
+	RefuseStarts FaultKind = "starts_refused"
+	// HoldCommands: direct commands to the workers are held up, and arrive at the worst time.
+	HoldCommands FaultKind = "commands_held"
+	// CopyCommands: late copies of direct commands that were executed and answered arrive at all workers.
+	CopyCommands    FaultKind = "commands_copied"
 	ZonePartitioned FaultKind = "zone_cut"
 	StoreDown       FaultKind = "state_down"
 )
--- a/internal/fleetsim/summary.go
+++ b/internal/fleetsim/summary.go
@@ -25,6 +25,7 @@
 		StartTimes:     map[string]measure.Summary{},
 		Failovers:      sim.recorder.failovers,
 		Seconds:        sim.seconds,
+		Copies:         sim.fleet.CopyCounts(),
 		Direct:         sim.traffic.ByKind(simworker.UnknownController),
 		Jobs:           sim.jobCounts(),
 		Spread:         sim.recorder.placements.summary(sim.fleet),
--- a/internal/simworker/direct_commands.go
+++ b/internal/simworker/direct_commands.go
@@ -28,7 +28,12 @@
 	case statusRequest:
 		w.respondWithStatus(rw, KindStatusQuery, http.StatusOK, len(body))
 	case commandsRequest:
-		w.respondWithStatus(rw, KindCommands, w.executeCommands(body), len(body))
+		isCopy := r.Header.Get(copyHeader) != ""
+		if !isCopy && w.holdCommands(body) {
+			<-r.Context().Done() // the controller gets no response
+			return
+		}
+		w.respondWithStatus(rw, KindCommands, w.handleCommands(body, isCopy), len(body))
 	default:
 		w.respondWithStatus(rw, "", http.StatusNotFound, len(body))
 	}
@@ -69,17 +74,34 @@
 	w.respond(rw, KindPrefetch, http.StatusOK, data, len(body))
 }
 
+// handleCommands executes direct commands and returns the status of the response. Late copies of earlier commands arrive
+// before and after commands that are no copies.
+func (w *Worker) handleCommands(body []byte, isCopy bool) int {
+	if isCopy {
+		return w.executeCommands(body, true)
+	}
+	w.sendCopies()
+	status := w.executeCommands(body, false)
+	w.sendCopies()
+	return status
+}
+
 // executeCommands executes direct commands and returns the HTTP status of the response.
-func (w *Worker) executeCommands(body []byte) int {
+func (w *Worker) executeCommands(body []byte, isCopy bool) int {
 	var commands wire.DirectCommands
 	if json.Unmarshal(body, &commands) != nil || commands.Incarnation == 0 {
 		return http.StatusBadRequest
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	attemptsBefore := w.machine.TaskCount()
 	if !w.machine.ApplyDirectCommands(w.fleet.now(), commands) {
 		return http.StatusConflict
 	}
+	if isCopy {
+		w.copiedStarts.Add(int64(w.machine.TaskCount() - attemptsBefore))
+	}
+	w.recordCommands(commands, body)
 	return http.StatusOK
 }
 
--- a/internal/simworker/fleet.go
+++ b/internal/simworker/fleet.go
@@ -56,6 +56,8 @@
 	listener    net.Listener
 	port        string
 	server      *http.Server
+	copies      commandCopies
+	copyClient  *http.Client
 	workerLoops sync.WaitGroup
 
 	mu               sync.Mutex
@@ -87,6 +89,7 @@
 		workersByAddress: map[string]*Worker{},
 		zoneByMachine:    map[string]string{},
 		partitionedZones: map[string]bool{},
+		copyClient:       &http.Client{Timeout: responseTimeout},
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.server = &http.Server{Handler: http.HandlerFunc(serve), ReadHeaderTimeout: responseTimeout, ConnContext: withWorker}
--- a/internal/simworker/heartbeat.go
+++ b/internal/simworker/heartbeat.go
@@ -16,6 +16,7 @@
 type heartbeatResult struct {
 	sentAt      time.Duration
 	incarnation uint64
+	generation  int
 	status      int // 0: no response
 	response    wire.HeartbeatResponse
 	leader      string // controller named by a redirect; "": none
@@ -32,10 +33,10 @@
 	w.inFlight = true
 	w.lastSentAt = now
 	controller := w.fleet.config.Controllers[w.controllerIndex]
-	heartbeat := w.machine.Heartbeat(now)
+	heartbeat, generation := w.machine.Heartbeat(now), w.generation
 	lost := w.unreachable || w.fleet.partitioned(heartbeat.Zone, controller.Zone)
 	go func() {
-		result := heartbeatResult{sentAt: now, incarnation: heartbeat.Incarnation}
+		result := heartbeatResult{sentAt: now, incarnation: heartbeat.Incarnation, generation: generation}
 		if lost {
 			// The heartbeat is lost, and there is no response.
 			select {
@@ -88,9 +89,22 @@
 
 // handleResult applies the result of a heartbeat and schedules the next one.
 func (w *Worker) handleResult(result heartbeatResult) {
+	w.sendCopies()
+	w.applyResult(result)
+	w.sendCopies()
+}
+
+// applyResult applies the result of a heartbeat.
+func (w *Worker) applyResult(result heartbeatResult) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if result.generation != w.generation {
+		return
+	}
 	w.inFlight = false
+	if w.losesResponse(result) {
+		result.status = 0
+	}
 	now := w.fleet.now()
 	w.nextHeartbeatAt = now + w.heartbeatInterval()
 	switch {
--- a/internal/simworker/machine.go
+++ b/internal/simworker/machine.go
@@ -63,6 +63,8 @@
 	fetches      int64                    // number of fetches
 	fetchTime    time.Duration            // sum over all fetches
 	nextEventAt  time.Duration            // earliest transitionAt of all tasks
+	failing      bool                     // tasks that start fail at once
+	refusing     bool                     // starts are refused
 	changed      bool                     // tasks or incarnation have changed since the last heartbeat
 }
 
@@ -113,6 +115,10 @@
 	case wire.TaskFetching:
 		t.State = wire.TaskRunning
 		m.observer.TaskRuns(m.info.Name, t.Task)
+		if m.failing {
+			m.exit(t, wire.CauseError)
+			return
+		}
 		_, index, _ := wire.ParseTaskName(t.Task)
 		if d := m.jobs.RunTime(t.job, index); d != Never {
 			t.transitionAt = at + d
@@ -169,6 +175,17 @@
 	m.changed = true
 }
 
+// Restart begins anew with the first incarnation if the worker's state is lost, and otherwise with the next incarnation.
+func (m *Machine) Restart(stateLost bool) {
+	m.KillAll()
+	m.changed = true
+	if stateLost {
+		m.incarnation, m.sequence, m.fencingToken = 1, 0, 0
+		return
+	}
+	m.incarnation++
+}
+
 // KillAll kills and forgets all tasks.
 func (m *Machine) KillAll() {
 	for _, t := range m.sortedTasks() {
--- a/internal/simworker/machine_commands.go
+++ b/internal/simworker/machine_commands.go
@@ -60,7 +60,7 @@
 		refusal = wire.CauseUnknownTask
 	case m.Holds(id.task):
 		refusal = wire.CauseBusy
-	case !m.free().Covers(resource.OfTask(job)):
+	case m.refusing, !m.free().Covers(resource.OfTask(job)):
 		refusal = wire.CauseNoCapacity
 	}
 	m.tasks[id] = t
--- a/internal/simworker/worker.go
+++ b/internal/simworker/worker.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bitternwing/internal/wire"
@@ -32,6 +33,8 @@
 	stop        context.CancelFunc
 	wake        chan struct{}
 	byteCounter Counter
+	// copiedStarts counts the attempts that late copies of direct commands have started.
+	copiedStarts atomic.Int64
 
 	mu              sync.Mutex
 	machine         *Machine
@@ -41,8 +44,11 @@
 	leaseRenewedAt  time.Duration // when the last heartbeat with an accepted response was sent
 	nextHeartbeatAt time.Duration
 	lastSentAt      time.Duration
-	inFlight        bool   // a heartbeat is waiting for its response
-	controllerIndex int    // index of the controller that receives the heartbeats
+	inFlight        bool     // a heartbeat is waiting for its response
+	controllerIndex int      // index of the controller that receives the heartbeats
+	copiedBodies    [][]byte // direct commands of which late copies arrive, see commandCopies
+	held            heldCommands
+	generation      int    // of the process; responses to heartbeats of earlier ones are dropped
 	lastController  string // name of the controller whose response was accepted last
 }
 
@@ -105,6 +111,7 @@
 	if now-w.leaseRenewedAt > lease {
 		w.machine.ExpireLease()
 		w.leaseRenewedAt = now
+		go w.sendCopies()
 	}
 	due := w.nextHeartbeatAt
 	if w.machine.Changed() {
@@ -160,6 +167,52 @@
 	w.stop()
 }
 
+// SetFailing begins or ends a fault in which all tasks that start on the machine fail.
+func (w *Worker) SetFailing(failing bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.machine.failing = failing
+}
+
+// SetRefusing begins or ends a fault in which the worker refuses all starts.
+func (w *Worker) SetRefusing(refusing bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.machine.refusing = refusing
+}
+
+// restartPause is how long a worker's process is away when it is restarted.
+const restartPause = 500 * time.Millisecond
+
+// Restart ends the worker's process with its tasks, and starts it again after restartPause. It goes on with the next
+// incarnation, or begins anew if its state is lost.
+func (w *Worker) Restart(stateLost bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead {
+		return
+	}
+	w.machine.KillAll()
+	w.unreachable = true
+	w.generation++
+	time.AfterFunc(restartPause, func() { w.resumeAfterRestart(stateLost) })
+}
+
+// resumeAfterRestart starts the worker's process again.
+func (w *Worker) resumeAfterRestart(stateLost bool) {
+	w.mu.Lock()
+	if w.dead {
+		w.mu.Unlock()
+		return
+	}
+	w.machine.Restart(stateLost)
+	w.unreachable, w.inFlight, w.leaseRenewedAt = false, false, w.fleet.now()
+	w.generation++
+	w.mu.Unlock()
+	w.sendCopies()
+	w.wakeUp()
+}
+
 // State returns the state in the cloud's list of machines.
 func (w *Worker) State() string {
 	w.mu.Lock()
