--- a/internal/core/late_start_copies_test.go
+++ b/internal/core/late_start_copies_test.go
@@ -165,6 +165,7 @@
 func TestLateCopiesOfStarts(t *testing.T) {
 	for _, test := range lateCopyCases {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			var copies copyOutcomes
 			for seed := range lateCopySeeds {
 				s, violations := runScript(t, fmt.Sprintf("zones a=z1 b=z1 c=z2\nseed %d\nimmediate_responses\nmachines z1 z2\n2 copied_commands 120\n%s\nfaults_end 70\nend 150", seed+1, test.script))
