--- a/internal/core/job_reads.go
+++ b/internal/core/job_reads.go
@@ -33,7 +33,7 @@
 func (u *userRequests) nextRead() jobRead {
 	first := u.readQueue[0]
 	read := jobRead{requests: u, id: first.id, existenceOnly: first.existenceOnly}
-	var remaining []*lookup
+	remaining := u.readQueue[:0]
 	for _, l := range u.readQueue {
 		if l.id == read.id && l.existenceOnly == read.existenceOnly {
 			read.lookups = append(read.lookups, l)
@@ -41,6 +41,7 @@
 			remaining = append(remaining, l)
 		}
 	}
+	clear(u.readQueue[len(remaining):])
 	u.readQueue = remaining
 	return read
 }
